--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup test lint format proto
+
+setup: $(VENV)/.installed
+
+# The stamp depends on the lock file, so a changed pin reinstalls.
+$(VENV)/.installed: requirements.lock pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $@
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
--- /dev/null
+++ b/src/chivesaddle/__init__.py
@@ -0,0 +1,1 @@
+"""Serving system for prompts that return after long gaps."""
--- /dev/null
+++ b/tests/test_package.py
@@ -0,0 +1,5 @@
+import chivesaddle
+
+
+def test_package_has_a_docstring():
+    assert chivesaddle.__doc__
