--- /dev/null
+++ b/src/chivesaddle/core/__init__.py
@@ -0,0 +1,1 @@
+"""Shared base: identifiers, errors, entities, events, settings, logs and metrics."""
--- /dev/null
+++ b/src/chivesaddle/core/aio.py
@@ -0,0 +1,177 @@
+"""Deadlines on Twisted coroutines and the bridge to asyncio for grpclib.
+
+Internal coroutines await Deferreds only. grpclib needs an asyncio loop, which the
+asyncio reactor shares with Twisted; the two bridge functions convert at that boundary.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, Protocol, TypeVar
+
+from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
+from twisted.python.failure import Failure
+
+from chivesaddle.core.errors import DeadlineExceeded
+
+T = TypeVar("T")
+
+
+class DelayedCall(Protocol):
+    """A scheduled call, as `twisted.internet.interfaces.IDelayedCall`."""
+
+    def active(self) -> bool:
+        """Tell whether the call is still to be made."""
+
+    def cancel(self) -> None:
+        """Cancel the call."""
+
+
+class Clock(Protocol):
+    """Source of time and timers, as `twisted.internet.interfaces.Clock`."""
+
+    def seconds(self) -> float:
+        """Return the current monotonic time in seconds."""
+
+    def callLater(  # noqa: N802
+        self, delay: float, callable: Callable[..., Any], *args: Any, **kw: Any
+    ) -> DelayedCall:
+        """Schedule a call after ``delay`` seconds."""
+
+
+def install_reactor() -> None:
+    """Install the asyncio reactor; call before importing ``twisted.internet.reactor``.
+
+    Raises
+    ------
+    twisted.internet.error.ReactorAlreadyInstalledError
+        If another reactor was installed first.
+    """
+    from twisted.internet import asyncioreactor
+
+    asyncioreactor.install(asyncio.new_event_loop())
+
+
+def start(coroutine: Coroutine[Any, Any, T]) -> "Deferred[T]":
+    """Start a Twisted coroutine and return the Deferred of its result."""
+    return Deferred.fromCoroutine(coroutine)
+
+
+def sleep_until(clock: Clock, deadline: float) -> "Deferred[None]":
+    """Return a Deferred that fires at ``deadline`` (seconds on ``clock``).
+
+    Cancelling the Deferred cancels the underlying timer.
+    """
+    done: Deferred[None] = Deferred(lambda _: call.cancel() if call.active() else None)
+    call = clock.callLater(max(0.0, deadline - clock.seconds()), done.callback, None)
+    return done
+
+
+async def with_deadline(
+    clock: Clock, deadline: float, awaitable: Awaitable[T], what: str
+) -> T:
+    """Await ``awaitable``; cancel it and fail at ``deadline``.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock on which ``deadline`` is expressed.
+    deadline : float
+        Seconds on ``clock``.
+    awaitable : Awaitable
+        A Deferred or a Twisted coroutine.
+    what : str
+        Name of the operation for the error message.
+
+    Raises
+    ------
+    DeadlineExceeded
+        If the deadline passed first.
+    """
+    # ensureDeferred accepts both; a Deferred is used as it is.
+    work: Deferred[T] = (
+        awaitable if isinstance(awaitable, Deferred) else ensureDeferred(awaitable)  # type: ignore[arg-type]
+    )
+    expired = False
+
+    def expire() -> None:
+        nonlocal expired
+        expired = True
+        work.cancel()
+
+    call = clock.callLater(max(0.0, deadline - clock.seconds()), expire)
+    try:
+        return await work
+    except CancelledError:
+        if expired:
+            raise DeadlineExceeded(f"{what} missed its deadline") from None
+        raise
+    finally:
+        if call.active():
+            call.cancel()
+
+
+def from_asyncio(coroutine: Coroutine[Any, Any, T]) -> "Deferred[T]":
+    """Run an asyncio coroutine on the shared loop; return a cancellable Deferred."""
+    return Deferred.fromFuture(asyncio.ensure_future(coroutine))
+
+
+def to_asyncio(coroutine: Coroutine[Any, Any, T]) -> "asyncio.Future[T]":
+    """Run a Twisted coroutine; return an asyncio future for an asyncio caller."""
+    return Deferred.fromCoroutine(coroutine).asFuture(asyncio.get_running_loop())
+
+
+class Signal:
+    """Wakes every waiter each time it is set.
+
+    Examples
+    --------
+    >>> signal = Signal()
+    >>> waiting = signal.wait()
+    >>> signal.set()
+    >>> waiting.called
+    True
+    """
+
+    def __init__(self) -> None:
+        self._waiters: list[Deferred[None]] = []
+
+    def wait(self) -> "Deferred[None]":
+        """Return a Deferred that fires at the next ``set``."""
+        waiter: Deferred[None] = Deferred(self._remove)
+        self._waiters.append(waiter)
+        return waiter
+
+    def set(self) -> None:
+        """Fire all current waiters."""
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            if not waiter.called:
+                waiter.callback(None)
+
+    def _remove(self, waiter: "Deferred[None]") -> None:
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+
+
+def log_failure(log: Any, message: str) -> Any:
+    """Return an errback that logs a failure under ``message`` and swallows it."""
+
+    def errback(failure: Failure) -> None:
+        if not failure.check(CancelledError):
+            log.error("%s: %s", message, failure.getErrorMessage())
+
+    return errback
+
+
+__all__ = [
+    "Clock",
+    "DelayedCall",
+    "Signal",
+    "from_asyncio",
+    "install_reactor",
+    "log_failure",
+    "sleep_until",
+    "start",
+    "to_asyncio",
+    "with_deadline",
+]
--- /dev/null
+++ b/src/chivesaddle/core/ids.py
@@ -0,0 +1,46 @@
+"""Identifier types.
+
+All identifiers are strings on the wire; the distinct types keep them from being mixed.
+"""
+
+from typing import NewType
+
+AccountId = NewType("AccountId", str)
+ModelId = NewType("ModelId", str)
+WeightVersion = NewType("WeightVersion", str)
+AdapterId = NewType("AdapterId", str)
+PromptId = NewType("PromptId", str)
+BackendServerId = NewType("BackendServerId", str)
+StoreId = NewType("StoreId", str)
+ServiceId = NewType("ServiceId", str)
+DaemonId = NewType("DaemonId", str)
+ZoneId = NewType("ZoneId", str)
+RegionId = NewType("RegionId", str)
+RequestId = NewType("RequestId", str)
+IdempotencyKey = NewType("IdempotencyKey", str)
+ChangeId = NewType("ChangeId", str)
+Fingerprint = NewType("Fingerprint", str)
+BlockKey = NewType("BlockKey", str)
+Revision = NewType("Revision", int)
+FencingToken = NewType("FencingToken", int)
+
+__all__ = [
+    "AccountId",
+    "AdapterId",
+    "BackendServerId",
+    "BlockKey",
+    "ChangeId",
+    "DaemonId",
+    "FencingToken",
+    "Fingerprint",
+    "IdempotencyKey",
+    "ModelId",
+    "PromptId",
+    "RegionId",
+    "RequestId",
+    "Revision",
+    "ServiceId",
+    "StoreId",
+    "WeightVersion",
+    "ZoneId",
+]
--- /dev/null
+++ b/src/chivesaddle/core/logs.py
@@ -0,0 +1,46 @@
+"""Structured logs: one JSON object a line, with a fixed prefix per part."""
+
+import logging
+import sys
+
+from pythonjsonlogger.json import JsonFormatter
+from twisted.python import log as twisted_log
+
+from chivesaddle.core.ids import DaemonId
+
+
+def configure(daemon: DaemonId, level: str) -> None:
+    """Send logs to standard error as JSON lines, Twisted's own errors included."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        JsonFormatter(
+            "%(asctime)s %(levelname)s %(name)s %(message)s",
+            static_fields={"daemon": daemon},
+        )
+    )
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(level)
+    logging.getLogger("twisted").setLevel(logging.WARNING)
+    twisted_log.PythonLoggingObserver().start()
+
+
+class PartLogger(logging.LoggerAdapter):
+    """Logger whose messages start with the name of a part.
+
+    Examples
+    --------
+    >>> PartLogger("peers").process("lost peer", {})[0]
+    '[peers] lost peer'
+    """
+
+    def __init__(self, part: str) -> None:
+        super().__init__(logging.getLogger(f"chivesaddle.{part}"), {})
+        self._part = part
+
+    def process(self, msg, kwargs):
+        """Put the prefix in front of the message."""
+        return f"[{self._part}] {msg}", kwargs
+
+
+__all__ = ["PartLogger", "configure"]
--- /dev/null
+++ b/src/chivesaddle/core/objects.py
@@ -0,0 +1,141 @@
+"""The platform's object API as the rest of chivesaddle sees it."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, Protocol
+
+from chivesaddle.core.errors import ChivesaddleError
+
+
+class PlatformUnavailable(ChivesaddleError):
+    """The platform refused or could not be reached; a write did not take effect."""
+
+    code = "platform_unavailable"
+    status = 503
+
+
+class WriteOutcomeUnknown(ChivesaddleError):
+    """A write was sent but its answer is missing; it may or may not take effect."""
+
+    code = "write_outcome_unknown"
+    status = 503
+
+
+class ObjectNotFound(ChivesaddleError):
+    """The named object does not exist."""
+
+    code = "object_not_found"
+    status = 404
+
+
+class VersionConflict(ChivesaddleError):
+    """A conditional write met another version, or a create met an existing object."""
+
+    code = "version_conflict"
+    status = 409
+
+
+class RevisionCompacted(ChivesaddleError):
+    """A watch asked for changes after a revision the platform no longer keeps."""
+
+    code = "revision_compacted"
+    status = 410
+
+
+@dataclass(frozen=True)
+class StoredObject:
+    """An object with the version of its last write."""
+
+    kind: str
+    name: str
+    version: int
+    value: dict[str, Any]
+
+
+@dataclass(frozen=True)
+class ObjectList:
+    """Objects of one kind as of ``revision``."""
+
+    revision: int
+    items_by_name: dict[str, StoredObject]
+
+
+class ChangeType(Enum):
+    """What happened to a watched object."""
+
+    PUT = "put"
+    DELETE = "delete"
+
+
+@dataclass(frozen=True)
+class ObjectChange:
+    """One change seen by a watch; ``item.value`` is empty for a deletion."""
+
+    type: ChangeType
+    item: StoredObject
+
+
+@dataclass(frozen=True)
+class ObjectChanges:
+    """Changes up to ``revision``, in order; empty if the wait ended without one."""
+
+    revision: int
+    changes: tuple[ObjectChange, ...]
+
+
+class ObjectApi(Protocol):
+    """Versioned objects with conditional writes and waiting watches.
+
+    Deadlines are seconds on the clock of the implementation. Every method raises
+    `PlatformUnavailable` if the call certainly had no effect.
+    """
+
+    async def get(self, kind: str, name: str, *, deadline: float) -> StoredObject:
+        """Read one object; raises `ObjectNotFound`."""
+
+    async def list(self, kind: str, *, prefix: str = "", deadline: float) -> ObjectList:
+        """Read all objects of a kind whose names start with ``prefix``."""
+
+    async def create(
+        self, kind: str, name: str, value: dict[str, Any], *, deadline: float
+    ) -> StoredObject:
+        """Create an object; raises `VersionConflict`, `WriteOutcomeUnknown`."""
+
+    async def update(
+        self,
+        kind: str,
+        name: str,
+        value: dict[str, Any],
+        *,
+        version: int,
+        deadline: float,
+    ) -> StoredObject:
+        """Replace an object at ``version``.
+
+        Raises `VersionConflict`, `ObjectNotFound`, `WriteOutcomeUnknown`.
+        """
+
+    async def delete(
+        self, kind: str, name: str, *, version: int, deadline: float
+    ) -> None:
+        """Delete an object at ``version``; raises as `update` does."""
+
+    async def wait_for_changes(
+        self, kind: str, *, after: int, deadline: float
+    ) -> ObjectChanges:
+        """Wait for changes after a revision; raises `RevisionCompacted`."""
+
+
+__all__ = [
+    "ChangeType",
+    "ObjectApi",
+    "ObjectChange",
+    "ObjectChanges",
+    "ObjectList",
+    "ObjectNotFound",
+    "PlatformUnavailable",
+    "RevisionCompacted",
+    "StoredObject",
+    "VersionConflict",
+    "WriteOutcomeUnknown",
+]
