Add the in-memory object API with injectable faults

Decision tests and the object API stand-in need one implementation of versions, conditional writes and watches. Faults cover refusal, an answer lost before and after the effect, and a write that takes effect late, because at-most-once and configuration have to be proved under each.

--- a/src/chivesaddle/core/objects.py
+++ b/src/chivesaddle/core/objects.py
@@ -93,7 +93,9 @@
     async def get(self, kind: str, name: str, *, deadline: float) -> StoredObject:
         """Read one object; raises `ObjectNotFound`."""
 
-    async def list(self, kind: str, *, prefix: str = "", deadline: float) -> ObjectList:
+    async def list_objects(
+        self, kind: str, *, prefix: str = "", deadline: float
+    ) -> ObjectList:
         """Read all objects of a kind whose names start with ``prefix``."""
 
     async def create(
--- /dev/null
+++ b/src/chivesaddle/platform/memory.py
@@ -0,0 +1,259 @@
+"""In-memory object API with versions, conditional writes, watches and faults."""
+
+import contextlib
+import copy
+import json
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+from chivesaddle.core.aio import Clock, Signal, sleep_until, with_deadline
+from chivesaddle.core.errors import DeadlineExceeded, InvalidValue
+from chivesaddle.core.objects import (
+    ChangeType,
+    ObjectChange,
+    ObjectChanges,
+    ObjectList,
+    ObjectNotFound,
+    PlatformUnavailable,
+    RevisionCompacted,
+    StoredObject,
+    VersionConflict,
+    WriteOutcomeUnknown,
+)
+
+MAX_VALUE_BYTES = 1_000_000
+HISTORY_LENGTH = 4_096
+
+
+class WriteFault(Enum):
+    """What happens to the next write that matches."""
+
+    REFUSED = "refused"
+    LOST_BEFORE_EFFECT = "lost_before_effect"
+    LOST_AFTER_EFFECT = "lost_after_effect"
+    DELAYED = "delayed"
+
+
+@dataclass
+class Faults:
+    """Faults to inject.
+
+    Attributes
+    ----------
+    outage : bool
+        Every call is refused.
+    delay_s : float
+        Seconds that each call takes before it is carried out.
+    writes : deque of WriteFault or None
+        Consumed one per write; None lets that write pass.
+    late_effect_s : float
+        A delayed write answers unknown and takes effect this many seconds later.
+    """
+
+    outage: bool = False
+    delay_s: float = 0.0
+    writes: deque[WriteFault | None] = field(default_factory=deque)
+    late_effect_s: float = 1.0
+
+
+class MemoryObjectApi:
+    """Implementation of `chivesaddle.core.objects.ObjectApi` in this process.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of all deadlines and of injected delays.
+
+    Attributes
+    ----------
+    faults : Faults
+        Faults to inject; change at any time.
+    calls : collections.Counter
+        Calls by method name; a waiting watch counts as one.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._objects: dict[tuple[str, str], StoredObject] = {}
+        self._history: deque[ObjectChange] = deque(maxlen=HISTORY_LENGTH)
+        self._revision = 0
+        self._changed = Signal()
+        self.faults = Faults()
+        self.calls: Counter[str] = Counter()
+
+    @property
+    def revision(self) -> int:
+        """Version given to the last write."""
+        return self._revision
+
+    async def get(self, kind: str, name: str, *, deadline: float) -> StoredObject:
+        """Read one object."""
+        await self._enter("get", deadline)
+        return copy.deepcopy(self._existing(kind, name))
+
+    async def list_objects(
+        self, kind: str, *, prefix: str = "", deadline: float
+    ) -> ObjectList:
+        """Read all objects of a kind whose names start with ``prefix``."""
+        await self._enter("list", deadline)
+        items = {
+            name: copy.deepcopy(item)
+            for (item_kind, name), item in sorted(self._objects.items())
+            if item_kind == kind and name.startswith(prefix)
+        }
+        return ObjectList(self._revision, items)
+
+    async def create(
+        self, kind: str, name: str, value: dict[str, Any], *, deadline: float
+    ) -> StoredObject:
+        """Create an object that does not exist."""
+
+        def apply() -> StoredObject:
+            if (kind, name) in self._objects:
+                raise VersionConflict(f"Object {kind}/{name} already exists")
+            return self._put(kind, name, value)
+
+        return await self._write("create", apply, deadline)
+
+    async def update(
+        self,
+        kind: str,
+        name: str,
+        value: dict[str, Any],
+        *,
+        version: int,
+        deadline: float,
+    ) -> StoredObject:
+        """Replace an object that still has ``version``."""
+
+        def apply() -> StoredObject:
+            self._check_version(kind, name, version)
+            return self._put(kind, name, value)
+
+        return await self._write("update", apply, deadline)
+
+    async def delete(
+        self, kind: str, name: str, *, version: int, deadline: float
+    ) -> None:
+        """Delete an object that still has ``version``."""
+
+        def apply() -> None:
+            self._check_version(kind, name, version)
+            del self._objects[kind, name]
+            self._revision += 1
+            gone = StoredObject(kind, name, self._revision, {})
+            self._record(ObjectChange(ChangeType.DELETE, gone))
+
+        await self._write("delete", apply, deadline)
+
+    async def wait_for_changes(
+        self, kind: str, *, after: int, deadline: float
+    ) -> ObjectChanges:
+        """Wait for changes of a kind after a revision, at most until ``deadline``."""
+        await self._enter("watch", deadline)
+        while True:
+            found = self._changes_after(kind, after)
+            if found or self._clock.seconds() >= deadline:
+                return ObjectChanges(self._revision, tuple(found))
+            try:
+                await with_deadline(
+                    self._clock, deadline, self._changed.wait(), "watch"
+                )
+            except DeadlineExceeded:
+                return ObjectChanges(self._revision, ())
+            if self.faults.outage:
+                raise PlatformUnavailable("The platform is down")
+
+    def compact(self) -> None:
+        """Forget the history, so that watches after older revisions fail."""
+        self._history.clear()
+
+    def _changes_after(self, kind: str, after: int) -> list[ObjectChange]:
+        oldest = self._revision - len(self._history)
+        if after < oldest:
+            raise RevisionCompacted(
+                f"Changes after revision {after} are gone; oldest is {oldest}",
+                remedy="List the kind again and watch from its revision",
+            )
+        return [
+            copy.deepcopy(change)
+            for change in self._history
+            if change.item.version > after and change.item.kind == kind
+        ]
+
+    async def _enter(self, method: str, deadline: float) -> None:
+        self.calls[method] += 1
+        if self.faults.delay_s:
+            await with_deadline(
+                self._clock,
+                deadline,
+                sleep_until(self._clock, self._clock.seconds() + self.faults.delay_s),
+                f"object API {method}",
+            )
+        if self.faults.outage:
+            raise PlatformUnavailable("The platform is down")
+
+    async def _write(
+        self, method: str, apply: Callable[[], Any], deadline: float
+    ) -> Any:
+        try:
+            await self._enter(method, deadline)
+        except DeadlineExceeded:
+            raise WriteOutcomeUnknown(f"No answer to {method} in time") from None
+        fault = self.faults.writes.popleft() if self.faults.writes else None
+        match fault:
+            case None:
+                return apply()
+            case WriteFault.REFUSED:
+                raise PlatformUnavailable("The platform refused the write")
+            case WriteFault.LOST_AFTER_EFFECT:
+                apply()
+            case WriteFault.DELAYED:
+                self._clock.callLater(
+                    self.faults.late_effect_s, _ignore_conflict, apply
+                )
+            case WriteFault.LOST_BEFORE_EFFECT:
+                pass
+        raise WriteOutcomeUnknown(f"The answer to {method} was lost")
+
+    def _existing(self, kind: str, name: str) -> StoredObject:
+        try:
+            return self._objects[kind, name]
+        except KeyError:
+            raise ObjectNotFound(f"Object {kind}/{name} does not exist") from None
+
+    def _check_version(self, kind: str, name: str, version: int) -> None:
+        found = self._existing(kind, name).version
+        if found != version:
+            raise VersionConflict(
+                f"Object {kind}/{name} has version {found}, not {version}",
+                remedy="Read it again and decide anew",
+            )
+
+    def _put(self, kind: str, name: str, value: dict[str, Any]) -> StoredObject:
+        size = len(json.dumps(value))
+        if size > MAX_VALUE_BYTES:
+            raise InvalidValue(
+                f"Value of {kind}/{name} has {size} bytes, over {MAX_VALUE_BYTES}",
+                remedy="Split the value over several objects",
+            )
+        self._revision += 1
+        item = StoredObject(kind, name, self._revision, copy.deepcopy(value))
+        self._objects[kind, name] = item
+        self._record(ObjectChange(ChangeType.PUT, item))
+        return copy.deepcopy(item)
+
+    def _record(self, change: ObjectChange) -> None:
+        self._history.append(change)
+        self._changed.set()
+
+
+def _ignore_conflict(apply: Callable[[], Any]) -> None:
+    with contextlib.suppress(VersionConflict, ObjectNotFound):
+        apply()
+
+
+__all__ = ["Faults", "MemoryObjectApi", "WriteFault"]
