Add the orders task, settings reference and first docs

Orders: the lease holder of a zone reads each backend server, sends what it lacks with the lease's term as fencing token and reads back until the state has stayed as wanted for 10 s. The lease is per zone, not per region: at 5,600 servers a region's holder would read 37 servers a second.

The settings page is generated from the schema and checked by make lint.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint format proto
+.PHONY: setup test lint format settings-reference
 
 setup: $(VENV)/.installed
 
@@ -20,7 +20,11 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/mypy
+	$(BIN)/python -m chivesaddle.core.settings_reference --check docs/settings.md
 
 format: setup
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
+
+settings-reference: setup
+	$(BIN)/python -m chivesaddle.core.settings_reference docs/settings.md
--- a/src/chivesaddle/core/model.py
+++ b/src/chivesaddle/core/model.py
@@ -39,10 +39,15 @@
 
 
 class Model(Entity):
-    """A model, the weight version that new requests use, and its adapters."""
+    """A model, the weight version that new requests use, and its adapters.
+
+    ``preload`` lists further versions that backend servers load, so that a later swap
+    finds them ready.
+    """
 
     id: ModelId
     weight_version: WeightVersion
+    preload: tuple[WeightVersion, ...] = ()
     adapters: tuple[str, ...] = ()
     max_context_tokens: int = Field(default=131_072, gt=0)
 
@@ -54,6 +59,13 @@
     DRAINING = "draining"
 
 
+class BackendServerRole(Enum):
+    """What a backend server is used for."""
+
+    SERVING = "serving"
+    STANDBY = "standby"
+
+
 class BackendServer(Entity):
     """A model engine instance."""
 
@@ -64,6 +76,7 @@
     models: tuple[ModelId, ...]
     checks_fencing: bool = False
     max_running: int = Field(default=8, gt=0)
+    role: BackendServerRole = BackendServerRole.SERVING
     state: BackendServerState = BackendServerState.SERVING
 
 
@@ -124,6 +137,7 @@
 __all__ = [
     "Account",
     "BackendServer",
+    "BackendServerRole",
     "BackendServerState",
     "ConfigState",
     "Entity",
--- /dev/null
+++ b/src/chivesaddle/orders/__init__.py
@@ -0,0 +1,15 @@
+"""Orders to model engines, sent by one lease holder per zone."""
+
+from chivesaddle.orders.desired import ServerState, desired_state
+from chivesaddle.orders.reconciler import Phase, ServerReconciler
+from chivesaddle.orders.task import HeldLease, OrderClient, OrdersTask
+
+__all__ = [
+    "HeldLease",
+    "OrderClient",
+    "OrdersTask",
+    "Phase",
+    "ServerReconciler",
+    "ServerState",
+    "desired_state",
+]
--- /dev/null
+++ b/src/chivesaddle/orders/desired.py
@@ -0,0 +1,150 @@
+"""What a backend server should hold, and the orders that lead there."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from chivesaddle.core.ids import AdapterId, ModelId, WeightVersion
+from chivesaddle.core.model import BackendServer, ConfigState
+
+
+@dataclass(frozen=True)
+class ServerState:
+    """State of a backend server, desired or read back.
+
+    Attributes
+    ----------
+    versions_by_model_id : dict
+        Loaded weight versions of each model.
+    adapters : frozenset
+        Loaded adapters.
+    role : str
+        Role name as in `chivesaddle.core.model.BackendServerRole`.
+    """
+
+    versions_by_model_id: dict[ModelId, frozenset[WeightVersion]]
+    adapters: frozenset[AdapterId]
+    role: str
+
+    @classmethod
+    def from_json(cls, data: dict[str, Any]) -> "ServerState":
+        """Build the state from an engine's ``GET /state`` answer."""
+        return cls(
+            {
+                ModelId(model): frozenset(map(WeightVersion, versions))
+                for model, versions in data.get("models", {}).items()
+            },
+            frozenset(map(AdapterId, data.get("adapters", ()))),
+            data.get("role", ""),
+        )
+
+
+@dataclass(frozen=True)
+class LoadVersion:
+    """Load a weight version of a model."""
+
+    model: ModelId
+    version: WeightVersion
+
+
+@dataclass(frozen=True)
+class UnloadVersion:
+    """Unload a weight version that no configuration names."""
+
+    model: ModelId
+    version: WeightVersion
+
+
+@dataclass(frozen=True)
+class LoadAdapter:
+    """Load an adapter."""
+
+    adapter: AdapterId
+
+
+@dataclass(frozen=True)
+class SetRole:
+    """Change the role of the server."""
+
+    role: str
+
+
+Order = LoadVersion | UnloadVersion | LoadAdapter | SetRole
+
+
+def order_to_json(order: Order) -> dict[str, str]:
+    """Return the body of ``POST /orders`` without its fencing token.
+
+    Examples
+    --------
+    >>> order_to_json(SetRole("standby"))
+    {'order': 'set_role', 'role': 'standby'}
+    """
+    match order:
+        case LoadVersion(model, version):
+            return {"order": "load_version", "model": model, "version": version}
+        case UnloadVersion(model, version):
+            return {"order": "unload_version", "model": model, "version": version}
+        case LoadAdapter(adapter):
+            return {"order": "load_adapter", "adapter": adapter}
+        case SetRole(role):
+            return {"order": "set_role", "role": role}
+
+
+def desired_state(server: BackendServer, config: ConfigState) -> ServerState:
+    """Return what ``server`` should hold under ``config``.
+
+    Models that the configuration does not define are left out.
+    """
+    models = [
+        config.models_by_id[model_id]
+        for model_id in server.models
+        if model_id in config.models_by_id
+    ]
+    return ServerState(
+        {
+            model.id: frozenset({model.weight_version, *model.preload})
+            for model in models
+        },
+        frozenset(AdapterId(a) for model in models for a in model.adapters),
+        server.role.value,
+    )
+
+
+def missing_orders(desired: ServerState, found: ServerState) -> list[Order]:
+    """Return the orders that add what ``found`` lacks, in a stable order."""
+    orders: list[Order] = [
+        LoadVersion(model, version)
+        for model, versions in sorted(desired.versions_by_model_id.items())
+        for version in sorted(
+            versions - found.versions_by_model_id.get(model, frozenset())
+        )
+    ]
+    orders += [LoadAdapter(a) for a in sorted(desired.adapters - found.adapters)]
+    if found.role != desired.role:
+        orders.append(SetRole(desired.role))
+    return orders
+
+
+def surplus_orders(desired: ServerState, found: ServerState) -> list[Order]:
+    """Return the orders that remove weight versions nobody wants any more."""
+    return [
+        UnloadVersion(model, version)
+        for model, versions in sorted(found.versions_by_model_id.items())
+        for version in sorted(
+            versions - desired.versions_by_model_id.get(model, frozenset())
+        )
+    ]
+
+
+__all__ = [
+    "LoadAdapter",
+    "LoadVersion",
+    "Order",
+    "ServerState",
+    "SetRole",
+    "UnloadVersion",
+    "desired_state",
+    "missing_orders",
+    "order_to_json",
+    "surplus_orders",
+]
--- /dev/null
+++ b/src/chivesaddle/orders/task.py
@@ -0,0 +1,157 @@
+"""The singleton task that sends orders to the backend servers of a zone."""
+
+from typing import Any, Protocol
+
+from twisted.internet.defer import CancelledError, Deferred
+
+from chivesaddle.core.aio import Clock, log_failure, sleep_until, start
+from chivesaddle.core.errors import ChivesaddleError
+from chivesaddle.core.events import EventKind, EventRing
+from chivesaddle.core.ids import BackendServerId, FencingToken, ZoneId
+from chivesaddle.core.logs import PartLogger
+from chivesaddle.core.model import BackendServer, ConfigState
+from chivesaddle.orders.desired import (
+    Order,
+    ServerState,
+    desired_state,
+    order_to_json,
+)
+from chivesaddle.orders.reconciler import ServerReconciler
+
+TICK_S = 0.5
+CALL_TIMEOUT_S = 2.0
+
+log = PartLogger("orders")
+
+
+class OrderClient(Protocol):
+    """Access to a model engine's orders and state."""
+
+    async def state(self, url: str, *, deadline: float) -> dict[str, Any]:
+        """Read what the engine holds."""
+
+    async def order(
+        self, url: str, fence: int, order: dict[str, Any], *, deadline: float
+    ) -> None:
+        """Send one order; fails if the engine refuses its fencing token."""
+
+
+class HeldLease(Protocol):
+    """The part of a lease that the task needs."""
+
+    @property
+    def fencing_token(self) -> FencingToken | None:
+        """Token of the current term; None while not held."""
+
+    def held_at(self, now: float) -> bool:
+        """Tell whether the lease is safely held at ``now``."""
+
+
+class OrdersTask:
+    """Reconciles the servers of one zone while the lease is held.
+
+    Parameters
+    ----------
+    zone : ZoneId
+        Zone whose backend servers this task serves.
+    lease : HeldLease
+        Lease ``orders/{zone}``.
+    client : OrderClient
+        Client of the engines.
+    clock : Clock
+        Clock of all deadlines.
+    events : EventRing
+        Receives an event for each order.
+    """
+
+    def __init__(
+        self,
+        zone: ZoneId,
+        lease: HeldLease,
+        client: OrderClient,
+        clock: Clock,
+        events: EventRing,
+    ) -> None:
+        self._zone = zone
+        self._lease = lease
+        self._client = client
+        self._clock = clock
+        self._events = events
+        self._config = ConfigState.empty()
+        self._reconcilers_by_id: dict[BackendServerId, ServerReconciler] = {}
+        self._busy: set[BackendServerId] = set()
+        self._loop: Deferred[None] | None = None
+
+    def update_config(self, config: ConfigState) -> None:
+        """Take over a new configuration."""
+        self._config = config
+
+    def start(self) -> None:
+        """Start the loop; it acts only while the lease is held."""
+        self._loop = start(self._run())
+        self._loop.addErrback(log_failure(log, "task stopped"))
+
+    def stop(self) -> None:
+        """Stop the loop."""
+        if self._loop is not None:
+            self._loop.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            if self._lease.held_at(self._clock.seconds()):
+                self._start_due()
+            else:
+                # A new term has to settle every server anew.
+                self._reconcilers_by_id.clear()
+            await sleep_until(self._clock, self._clock.seconds() + TICK_S)
+
+    def _start_due(self) -> None:
+        now = self._clock.seconds()
+        servers_by_id = {
+            server.id: server
+            for server in self._config.backend_servers_by_id.values()
+            if server.zone == self._zone
+        }
+        for gone in self._reconcilers_by_id.keys() - servers_by_id.keys():
+            del self._reconcilers_by_id[gone]
+        for server in servers_by_id.values():
+            reconciler = self._reconcilers_by_id.setdefault(
+                server.id, ServerReconciler(server.checks_fencing)
+            )
+            reconciler.want(desired_state(server, self._config), now)
+            if reconciler.next_read_at <= now and server.id not in self._busy:
+                self._busy.add(server.id)
+                work = start(self._reconcile(server, reconciler))
+                work.addErrback(log_failure(log, f"server {server.id}"))
+
+    async def _reconcile(
+        self, server: BackendServer, reconciler: ServerReconciler
+    ) -> None:
+        try:
+            deadline = self._clock.seconds() + CALL_TIMEOUT_S
+            data = await self._client.state(server.url, deadline=deadline)
+            found = ServerState.from_json(data)
+            for order in reconciler.observe(found, self._clock.seconds()):
+                await self._send(server, order)
+        except CancelledError:
+            raise
+        except ChivesaddleError as error:
+            log.info("server %s: %s", server.id, error)
+            reconciler.record_failure(self._clock.seconds())
+        finally:
+            self._busy.discard(server.id)
+
+    async def _send(self, server: BackendServer, order: Order) -> None:
+        now = self._clock.seconds()
+        fence = self._lease.fencing_token
+        # A holder that was paused past its term must not send what it decided before.
+        if fence is None or not self._lease.held_at(now):
+            return
+        body = order_to_json(order)
+        self._events.record(
+            EventKind.ORDER_SENT, object=server.id, fence=fence, order=body
+        )
+        await self._client.order(server.url, fence, body, deadline=now + CALL_TIMEOUT_S)
+
+
+__all__ = ["HeldLease", "OrderClient", "OrdersTask"]
--- /dev/null
+++ b/tests/core/test_core.py
@@ -0,0 +1,108 @@
+import json
+
+import pytest
+from twisted.internet.defer import Deferred
+
+from chivesaddle.core.aio import sleep_until, start, with_deadline
+from chivesaddle.core.errors import DeadlineExceeded
+from chivesaddle.core.events import (
+    Event,
+    EventFilter,
+    EventKind,
+    EventRing,
+    HybridClock,
+    Timestamp,
+)
+from chivesaddle.core.settings import Settings, SettingsError
+
+VALID = {
+    "daemon_id": "d1",
+    "zone": "z1",
+    "callers": {"port": 8000},
+    "operators": {"port": 8001},
+    "peers": {"port": 8002},
+    "caller_url": "http://127.0.0.1:8000",
+    "platform_url": "http://127.0.0.1:9000",
+}
+
+
+@pytest.fixture
+def write(tmp_path):
+    def write_settings(text):
+        path = tmp_path / "settings.json"
+        path.write_text(text)
+        return path
+
+    return write_settings
+
+
+class TestDeadlines:
+    def test_work_is_cancelled_at_its_deadline(self, clock):
+        """Guards against a call that outlives the caller who gave up on it."""
+        cancelled = []
+        outcome = []
+        work = Deferred(cancelled.append)
+        start(with_deadline(clock, 2.0, work, "read")).addBoth(outcome.append)
+        clock.advance(2)
+        assert cancelled and outcome[0].check(DeadlineExceeded)
+
+    def test_work_that_finishes_in_time_leaves_no_timer(self, clock):
+        start(with_deadline(clock, 2.0, sleep_until(clock, 1.0), "sleep"))
+        clock.advance(1)
+        assert clock.getDelayedCalls() == []
+
+
+class TestHybridClock:
+    def test_event_after_a_message_is_ordered_after_its_cause(self):
+        """Guards against effects shown before causes when clocks differ."""
+        fast, slow = HybridClock(lambda: 50.0), HybridClock(lambda: 10.0)
+        cause = fast.now()
+        slow.receive(cause)
+        assert slow.now() > cause
+
+    def test_peer_with_a_wrong_clock_cannot_move_ours_far(self):
+        clock = HybridClock(lambda: 10.0)
+        clock.receive(Timestamp(10**15))
+        assert clock.now().wall_us < 10**9
+
+
+class TestEventRing:
+    def test_oldest_events_are_dropped_beyond_the_capacity(self):
+        ring = EventRing("d1", capacity=3)
+        for number in range(5):
+            ring.record(EventKind.REQUEST_RECEIVED, request=str(number))
+        assert [event.request for event in ring] == ["2", "3", "4"]
+
+    def test_filter_selects_by_request(self):
+        ring = EventRing("d1")
+        ring.record(EventKind.REQUEST_RECEIVED, request="a")
+        ring.record(EventKind.REQUEST_RECEIVED, request="b")
+        found = ring.select(EventFilter(request="b"))
+        assert [event.request for event in found] == ["b"]
+
+    def test_event_survives_json(self):
+        event = EventRing("d1").record(EventKind.ORDER_SENT, object="s1", fence=3)
+        assert Event.from_json(json.loads(json.dumps(event.to_json()))) == event
+
+
+class TestSettings:
+    def test_valid_file_is_read(self, write):
+        assert Settings.from_config(write(json.dumps(VALID))).callers.port == 8000
+
+    @pytest.mark.parametrize(
+        ("text", "named"),
+        [
+            ("{", "not valid JSON"),
+            (json.dumps(VALID | {"callers": {"port": 0}}), "callers.port (value 0)"),
+            (json.dumps(VALID | {"colour": "red"}), "colour (value 'red')"),
+            (json.dumps({k: v for k, v in VALID.items() if k != "zone"}), "zone"),
+        ],
+    )
+    def test_error_names_field_and_value(self, write, text, named):
+        with pytest.raises(SettingsError, match=r".") as caught:
+            Settings.from_config(write(text))
+        assert named in str(caught.value) and caught.value.remedy
+
+    def test_missing_file_is_named(self, tmp_path):
+        with pytest.raises(SettingsError, match=r"absent\.json"):
+            Settings.from_config(tmp_path / "absent.json")
