--- /dev/null
+++ b/src/chivesaddle/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The chivesaddled process."""
