--- /dev/null
+++ b/tests/engines/conftest.py
@@ -0,0 +1,287 @@
+"""Engines in memory: raw connections for the client, scripted streams for the relay."""
+
+import json
+from dataclasses import dataclass, field
+
+import pytest
+from twisted.internet.address import IPv4Address
+from twisted.internet.defer import Deferred, fail, succeed
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.interfaces import IStreamClientEndpoint
+from twisted.internet.testing import StringTransportWithDisconnection
+from twisted.python.failure import Failure
+from twisted.web.client import ResponseDone
+from zope.interface import implementer
+
+from chivesaddle.core.ids import BackendServerId, RequestId
+from chivesaddle.engines import (
+    ApiStyle,
+    Connections,
+    EngineClient,
+    EngineNotFound,
+    EngineRefused,
+    EngineStream,
+    RelayRequest,
+    StreamRelay,
+    Target,
+)
+from chivesaddle.engines.chunks import DONE, encode
+
+
+class Connection(StringTransportWithDisconnection):
+    """One open connection; ``answer`` plays the engine's part."""
+
+    def answer(self, body=b"{}", *, status="200 OK", headers="", complete=True):
+        length = f"Content-Length: {len(body)}\r\n" if complete else ""
+        self.clear()
+        head = f"HTTP/1.1 {status}\r\n{length}{headers}\r\n".encode()
+        self.protocol.dataReceived(head + body)
+
+    def abortConnection(self):  # noqa: N802
+        super().abortConnection()
+        self.break_off()
+
+    def break_off(self):
+        if self.connected:
+            self.connected = False
+            self.protocol.connectionLost(Failure(ConnectionDone()))
+
+
+@implementer(IStreamClientEndpoint)
+class Network:
+    """Opens connections in memory, or refuses them."""
+
+    def __init__(self):
+        self.connections = []
+        self.refusing = False
+
+    def endpointForURI(self, uri):  # noqa: N802
+        return self
+
+    def connect(self, factory):
+        if self.refusing:
+            return fail(ConnectionRefusedError())
+        protocol = factory.buildProtocol(IPv4Address("TCP", "127.0.0.1", 1))
+        connection = Connection(protocol)
+        connection.protocol = protocol
+        protocol.makeConnection(connection)
+        self.connections.append(connection)
+        return succeed(protocol)
+
+
+@pytest.fixture
+def network():
+    return Network()
+
+
+@pytest.fixture
+def client(clock, network):
+    return EngineClient(Connections(clock, network), clock)
+
+
+def chunk(index, text, request_id="req-1", *, usage=None):
+    value = {"id": request_id, "token_index": index}
+    value["choices"] = [{"index": 0, "text": text, "finish_reason": None}]
+    if usage is not None:
+        value["choices"][0]["finish_reason"] = "stop"
+        value["usage"] = {"prompt_tokens": 3, "completion_tokens": usage}
+    return encode(value)
+
+
+def answer_events(
+    tokens, request_id="req-1", *, start=0, numbered_from=0, counted_from=None
+):
+    counted_from = start if counted_from is None else counted_from
+    last = len(tokens) - 1
+    return [
+        chunk(
+            i - start + numbered_from,
+            tokens[i],
+            request_id,
+            usage=last + 1 - counted_from if i == last else None,
+        )
+        for i in range(start, len(tokens))
+    ] + [DONE]
+
+
+class Script(EngineStream):
+    """A stream that a test feeds, or that plays ``events`` and then ends."""
+
+    def __init__(self, clock, events=(), end=None):
+        super().__init__(clock, 2.0)
+        self.makeConnection(StringTransportWithDisconnection())
+        self.transport.protocol = self
+        for event in events:
+            self.dataReceived(event)
+        if end is not None:
+            self.connectionLost(Failure(end))
+
+
+@dataclass
+class FakeEngines:
+    """Stands in for `EngineClient`: each call takes the next scripted outcome.
+
+    An outcome is an exception or a function of the call's arguments to a stream.
+    """
+
+    opens: list = field(default_factory=list)
+    resumes: list = field(default_factory=list)
+    calls: list = field(default_factory=list)
+    cancelled: list = field(default_factory=list)
+
+    async def open_stream(self, url, path, body, deadline):
+        self.calls.append((url, json.loads(json.dumps(body))))
+        return self._next(self.opens, EngineRefused("no server"))
+
+    async def resume(self, url, request_id, after, cache_salt, deadline):
+        self.calls.append((url, after))
+        return self._next(self.resumes, EngineNotFound("no stream"), after)
+
+    async def cancel(self, url, request_id, deadline):
+        self.cancelled.append(url)
+
+    def _next(self, outcomes, default, *arguments):
+        outcome = outcomes.pop(0) if outcomes else default
+        if isinstance(outcome, Exception):
+            raise outcome
+        return outcome(*arguments) if callable(outcome) else outcome
+
+
+class Sink:
+    """Collects an answer; ``paused`` is set by the test."""
+
+    def __init__(self):
+        self.data = b""
+        self.paused = False
+        self.waiting = None
+        self.finished = False
+        self.error = None
+
+    async def resumed(self):
+        self.waiting = Deferred()
+        await self.waiting
+
+    def write(self, events):
+        self.data += events
+
+    def finish(self):
+        self.finished = True
+
+    def fail(self, error):
+        self.error = error
+
+    @property
+    def events(self):
+        return [e + b"\n\n" for e in self.data.split(b"\n\n")[:-1]]
+
+    @property
+    def text(self):
+        chunks = [json.loads(e[5:]) for e in self.events if e != DONE]
+        return "".join(c["choices"][0]["text"] for c in chunks)
+
+
+class Guide:
+    """Names servers ``b``, ``c``, ... for retries and notes what it is told."""
+
+    def __init__(self):
+        self.notes = []
+        self.targets = [Target(BackendServerId(s), f"http://{s}") for s in "bcd"]
+
+    def started(self, target):
+        self.notes.append(("started", target.server_id))
+
+    def first_token(self, target):
+        self.notes.append(("first_token", target.server_id))
+
+    def resumed(self, target, after):
+        self.notes.append(("resumed", after))
+
+    def finished(self, target, answer):
+        self.notes.append(("finished", target.server_id))
+
+    def cancelled(self, target):
+        self.notes.append(("cancelled", target.server_id))
+
+    async def failed(self, target, error):
+        self.notes.append((type(error).__name__, target.server_id))
+
+    async def next_target(self, error):
+        return self.targets.pop(0)
+
+
+class Budget:
+    left = 10
+
+    def try_spend(self, now):
+        self.left -= 1
+        return self.left >= 0
+
+
+@pytest.fixture
+def budget():
+    return Budget()
+
+
+@pytest.fixture
+def engines():
+    return FakeEngines()
+
+
+@pytest.fixture
+def relay(engines, clock, budget):
+    return StreamRelay(engines, clock, budget)
+
+
+@pytest.fixture
+def sink():
+    return Sink()
+
+
+@pytest.fixture
+def guide():
+    return Guide()
+
+
+@pytest.fixture
+def request_body():
+    return RelayRequest(
+        request_id=RequestId("req-1"),
+        path="/v1/completions",
+        body={"prompt": "p", "max_tokens": 9},
+        cache_salt="5a",
+        style=ApiStyle.COMPLETION,
+        deadline=10.0,
+        max_tokens=9,
+    )
+
+
+class Scripts:
+    """Builds scripted streams on the virtual clock."""
+
+    tokens = ["to", "ken ", "by", " token"]
+
+    def __init__(self, clock):
+        self._clock = clock
+
+    def stream(self, events=(), *, end=None):
+        return Script(self._clock, events, end)
+
+    def answer(self, **keywords):
+        return answer_events(self.tokens, **keywords)
+
+    def whole(self, **keywords):
+        """Return a stream of an answer that ends as it should."""
+        return self.stream(self.answer(**keywords), end=ResponseDone())
+
+    def cut(self, events):
+        """Return a stream that breaks after ``events``."""
+        return self.stream(events, end=ConnectionDone())
+
+    def rest(self, after):
+        """Return the resumed stream after ``after`` tokens."""
+        return self.whole(start=after, numbered_from=after, counted_from=0)
+
+
+@pytest.fixture
+def scripts(clock):
+    return Scripts(clock)
