--- a/src/chivesaddle/engines/errors.py
+++ b/src/chivesaddle/engines/errors.py
@@ -82,7 +82,7 @@
 class EngineNotFound(EngineError):
     """The engine does not know the model, stream or import."""
 
-    code = "engine_not_found"
+    code = "not_found"
     status = 404
 
 
--- /dev/null
+++ b/tests/gateway/conftest.py
@@ -0,0 +1,387 @@
+"""The callers' API on fakes, reached over in-memory connections."""
+
+import hashlib
+import json
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
+from twisted.internet.testing import StringTransportWithDisconnection
+from twisted.python.failure import Failure
+from twisted.web.client import ResponseDone
+
+from chivesaddle.core.errors import ChivesaddleError
+from chivesaddle.core.events import EventRing
+from chivesaddle.core.metrics import NoMetrics
+from chivesaddle.core.model import (
+    Account,
+    BackendServer,
+    ConfigState,
+    Model,
+    Operation,
+    Service,
+)
+from chivesaddle.core.objects import ObjectNotFound
+from chivesaddle.engines import EngineNotFound, EngineStream
+from chivesaddle.engines.chunks import DONE, encode
+from chivesaddle.gateway import Dependencies, GatewayApi
+
+
+@dataclass
+class Send:
+    server_id: str
+    predicted_first_token_s: float = 0.0
+    import_from: str | None = None
+    import_blocks: int = 0
+
+
+@dataclass
+class Wait:
+    until: float
+
+
+@dataclass
+class Refuse:
+    error: ChivesaddleError
+
+
+def digest(key):
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+STATE = ConfigState(
+    revision=1,
+    accounts_by_id={
+        a: Account(id=a, key_sha256=(digest(f"key-{a}"),)) for a in ("tartu", "tallinn")
+    },
+    models_by_id={"m": Model(id="m", weight_version="v1", adapters=("et",))},
+    backend_servers_by_id={
+        s: BackendServer(id=s, url=f"http://{s}", zone="z", models=("m",))
+        for s in ("a", "b", "c")
+    },
+    services_by_id={
+        "seats": Service(
+            id="seats",
+            urls=(),
+            operations=(
+                Operation(name="reserve"),
+                Operation(name="check", repeatable=True),
+            ),
+        )
+    },
+)
+
+
+class Router:
+    """Sends to the first server not excluded, unless decisions are scripted."""
+
+    def __init__(self):
+        self.decisions = []
+        self.requests = []
+        self.notes = []
+
+    def choose(self, request, now, excluded=frozenset()):
+        self.requests.append(request)
+        if self.decisions:
+            return self.decisions.pop(0)
+        return Send(min({"a", "b", "c"} - excluded))
+
+    def __getattr__(self, name):
+        if not name.startswith("record_"):
+            raise AttributeError(name)
+        kind = name.removeprefix("record_")
+        return lambda request, server_id, now: self.notes.append((kind, server_id))
+
+    def set_leaving(self, server_id):
+        self.notes.append(("leaving", server_id))
+
+
+class Engines:
+    """Answers with ``words``; faults are taken from ``opens``, one a request.
+
+    A fault is an exception, or the number of tokens after which the stream breaks;
+    ``None`` opens a stream that the test feeds itself.
+    """
+
+    words = ["one", " two"]
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.opens = []
+        self.bodies = []
+        self.streams = []
+        self.cancelled = []
+        self.salts_by_id = {}
+
+    async def open_stream(self, url, path, body, deadline):
+        self.bodies.append(body)
+        self.salts_by_id[body["request_id"]] = body["cache_salt"]
+        fault = self.opens.pop(0) if self.opens else len(self.words) + 1
+        if isinstance(fault, Exception):
+            raise fault
+        stream = self._stream()
+        if fault is not None:
+            self.feed(stream, body, 0, fault)
+        return stream
+
+    async def resume(self, url, request_id, after, cache_salt, deadline):
+        if self.salts_by_id.get(request_id) != cache_salt:
+            raise EngineNotFound("no such stream")
+        stream = self._stream()
+        self.feed(stream, {"request_id": request_id}, after, len(self.words) + 1)
+        return stream
+
+    async def cancel(self, url, request_id, deadline):
+        self.cancelled.append(url)
+
+    def events(self, body):
+        chat = "messages" in body
+        events = []
+        for i, word in enumerate(self.words):
+            part = {"delta": {"content": word}} if chat else {"text": word}
+            last = i == len(self.words) - 1
+            choice = {"index": 0, **part, "finish_reason": "stop" if last else None}
+            value = {"id": body["request_id"], "token_index": i, "choices": [choice]}
+            if last:
+                details = {"cached_tokens": 1}
+                value["usage"] = {"prompt_tokens_details": details}
+            events.append(encode(value))
+        return [*events, DONE]
+
+    def feed(self, stream, body, start, end):
+        events = self.events(body)
+        stream.dataReceived(b"".join(events[start:end]))
+        whole = end >= len(events)
+        stream.connectionLost(Failure(ResponseDone() if whole else ConnectionDone()))
+
+    def _stream(self):
+        stream = EngineStream(self._clock, 2.0)
+        stream.makeConnection(StringTransportWithDisconnection())
+        stream.transport.protocol = stream
+        self.streams.append(stream)
+        return stream
+
+
+class Prompts:
+    def __init__(self):
+        self.texts = {("tartu", "p1"): "Handbook. "}
+
+    async def create(self, account_id, text, *, deadline):
+        self.texts[account_id, "p2"] = text
+        return SimpleNamespace(id="p2", text=text)
+
+    async def get(self, account_id, prompt_id, *, deadline):
+        if (account_id, prompt_id) not in self.texts:
+            raise ObjectNotFound(f"Prompt {prompt_id} does not exist")
+        text = self.texts[account_id, prompt_id]
+        return SimpleNamespace(id=prompt_id, text=text)
+
+    async def list(self, account_id, *, deadline):
+        return [SimpleNamespace(id=p) for a, p in self.texts if a == account_id]
+
+    async def delete(self, account_id, prompt_id, *, deadline):
+        await self.get(account_id, prompt_id, deadline=deadline)
+        del self.texts[account_id, prompt_id]
+
+
+@dataclass
+class Result:
+    state: str
+    status: int
+    body: Any = None
+    retry_after_s: float | None = None
+
+
+class Actions:
+    def __init__(self):
+        self.results = {}
+        self.calls = []
+        self.pending = None
+
+    async def run(self, account_id, key, service, operation, body, deadline):
+        self.calls.append((account_id, key, service, operation, body))
+        if self.pending is not None:
+            await self.pending
+        result = Result("done", 200, {"seat": 4})
+        self.results[account_id, key] = result
+        return result
+
+    async def lookup(self, account_id, key):
+        return self.results.get((account_id, key))
+
+
+class Kv:
+    def __init__(self):
+        self.failure = None
+        self.loaded = []
+        self.saved = []
+
+    async def find(self, scope, keys, deadline):
+        return list(keys)
+
+    async def load(self, prefix, server, deadline):
+        if self.failure:
+            raise self.failure
+        self.loaded.append((prefix, server.id))
+
+    async def save(self, scope, keys, server):
+        self.saved.append((list(keys), server.id))
+
+
+@dataclass
+class Fakes:
+    """Everything behind the API, for tests to set and inspect."""
+
+    clock: Any
+    router: Router = field(default_factory=Router)
+    prompts: Prompts = field(default_factory=Prompts)
+    actions: Actions = field(default_factory=Actions)
+    kv: Kv = field(default_factory=Kv)
+    confirmed: bool = True
+    limited_for_s: float | None = None
+    announced: list = field(default_factory=list)
+    announcing: Any = None
+
+    def __post_init__(self):
+        self.engines = Engines(self.clock)
+        self.events = EventRing("d1")
+
+    async def announce(self, server_id, fingerprint):
+        self.announced.append(server_id)
+        if self.announcing is not None:
+            await self.announcing
+
+    def dependencies(self):
+        return Dependencies(
+            clock=self.clock,
+            config=SimpleNamespace(state=STATE),
+            freshness=SimpleNamespace(is_confirmed=lambda now: self.confirmed),
+            addresses=SimpleNamespace(
+                address_answer=lambda now: SimpleNamespace(
+                    urls=["http://d1"], valid_until=now + 10
+                )
+            ),
+            limits=SimpleNamespace(admit=lambda account, n, now: self.limited_for_s),
+            router=self.router,
+            engines=self.engines,
+            budget=SimpleNamespace(
+                try_spend=lambda now: True, record_request=lambda now: None
+            ),
+            scope=lambda *parts: digest(repr(parts))[:32],
+            block_keys=lambda scope, data: [digest(scope)] * (len(data) // 1024),
+            kv=self.kv,
+            actions=self.actions,
+            prompts=self.prompts,
+            announce_crash=self.announce,
+            events=self.events,
+            metrics=NoMetrics(),
+        )
+
+    def event_kinds(self):
+        return [event.kind.value for event in self.events]
+
+
+class Transport(StringTransportWithDisconnection):
+    def abortConnection(self):  # noqa: N802
+        self.loseConnection()
+
+
+class Caller:
+    """One connection to the API."""
+
+    def __init__(self, site):
+        self.channel = site.buildProtocol(None)
+        self.transport = Transport(self.channel)
+        self.transport.protocol = self.channel
+        self.channel.makeConnection(self.transport)
+
+    def send(self, method, path, body=None, *, key="key-tartu", **headers):
+        content = b"" if body is None else body
+        if isinstance(body, dict):
+            content = json.dumps(body).encode()
+        lines = [f"{method} {path} HTTP/1.1", "Host: d1"]
+        lines += [f"Content-Length: {len(content)}"] if content else []
+        lines += [f"Authorization: Bearer {key}"] if key else []
+        lines += [f"{k.replace('_', '-')}: {v}" for k, v in headers.items()]
+        head = "\r\n".join([*lines, "", ""]).encode()
+        self.channel.dataReceived(head + content)
+        return self
+
+    @property
+    def response(self):
+        head, _, body = self.transport.value().partition(b"\r\n\r\n")
+        first, *lines = head.decode().split("\r\n")
+        headers = dict(line.lower().split(": ", 1) for line in lines)
+        if headers.get("transfer-encoding") == "chunked":
+            body = unchunk(body)
+        status = int(first.split()[1])
+        return SimpleNamespace(status=status, headers=headers, body=body)
+
+    @property
+    def json(self):
+        return json.loads(self.response.body)
+
+    @property
+    def code(self):
+        return self.json["error"]["code"]
+
+    @property
+    def sse(self):
+        return [e + b"\n\n" for e in self.response.body.split(b"\n\n")[:-1]]
+
+
+def unchunk(data):
+    body = b""
+    while data:
+        size, _, data = data.partition(b"\r\n")
+        body += data[: int(size, 16)]
+        data = data[int(size, 16) + 2 :]
+    return body
+
+
+@pytest.fixture
+def fakes(clock):
+    return Fakes(clock)
+
+
+@pytest.fixture
+def api(fakes):
+    return GatewayApi(fakes.dependencies())
+
+
+@pytest.fixture
+def site(api):
+    return api.site()
+
+
+@pytest.fixture
+def connect(site):
+    """Open another connection."""
+    return lambda: Caller(site)
+
+
+@pytest.fixture
+def call(connect):
+    """Send a request on a new connection."""
+    return lambda *arguments, **headers: connect().send(*arguments, **headers)
+
+
+@pytest.fixture
+def complete(call):
+    """Send a completion; keyword names in capitals are headers."""
+
+    def send(*, key="key-tartu", path="/v1/completions", **fields):
+        headers = {k: fields.pop(k) for k in list(fields) if k[0].isupper()}
+        body = {"model": "m", "prompt": "p", **fields}
+        return call("POST", path, body, key=key, **headers)
+
+    return send
+
+
+@pytest.fixture
+def faults():
+    """Names of scripted decisions and waits."""
+    return SimpleNamespace(Send=Send, Wait=Wait, Refuse=Refuse, pending=Deferred)
