--- a/src/chivesaddle/engines/answer.py
+++ b/src/chivesaddle/engines/answer.py
@@ -96,7 +96,8 @@
             raise EngineProtocolError("An event of the engine has no data line")
         chunk = decode(event)
         if chunk.get("error"):
-            raise EngineError(f"The engine reported a failure: {chunk['error']}")
+            reported = str(chunk["error"])[:500]
+            raise EngineError(f"The engine reported a failure: {reported}")
         if self._id.decode() not in str(chunk.get("id", "")):
             raise StreamMismatch("The stream carried an event of another request")
         index = chunk.get("token_index")
--- a/src/chivesaddle/engines/poller.py
+++ b/src/chivesaddle/engines/poller.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 
 from chivesaddle.core.aio import Clock, log_failure, sleep_until, start
 from chivesaddle.core.ids import BackendServerId, BlockKey
@@ -90,8 +90,12 @@
             due = self._clock.seconds() + POLL_INTERVAL_S
             try:
                 await self._poll(server_id, server)
+            except CancelledError:
+                raise
             except EngineError as error:
                 _log.debug("polling %s failed: %s", server_id, error)
+            except Exception:
+                _log.exception("polling %s failed unexpectedly", server_id)
             await sleep_until(self._clock, due)
 
     async def _poll(self, server_id: BackendServerId, server: _Server) -> None:
--- a/src/chivesaddle/engines/relay.py
+++ b/src/chivesaddle/engines/relay.py
@@ -169,6 +169,9 @@
             final = _final_error(error, started=bool(answer.events))
             sink.fail(final)
             raise final from error
+        except Exception:
+            self._cancel(request, target)
+            raise
         guide.finished(target, answer)
         sink.finish()
         return answer
--- a/src/chivesaddle/gateway/authentication.py
+++ b/src/chivesaddle/gateway/authentication.py
@@ -21,9 +21,9 @@
         self._indexed: ConfigState | None = None
         self._accounts_by_digest: dict[str, Account] = {}
 
-    def authenticate(self, header: str | None) -> Account:
+    def authenticate(self, header: str) -> Account:
         """Return the account for an Authorization header; raises `Unauthorized`."""
-        scheme, _, key = (header or "").partition(" ")
+        scheme, _, key = header.partition(" ")
         if scheme.lower() != "bearer" or not key.strip():
             raise Unauthorized(
                 "The Authorization header holds no bearer key",
--- a/src/chivesaddle/gateway/guide.py
+++ b/src/chivesaddle/gateway/guide.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
+from twisted.internet.defer import CancelledError
+
 from chivesaddle.core.aio import sleep_until, with_deadline
 from chivesaddle.core.errors import ChivesaddleError
 from chivesaddle.core.events import EventKind
@@ -176,8 +178,12 @@
             if prefix is not None:
                 await kv.load(prefix, server, deadline)
                 self._event(EventKind.KV_IMPORTED, server.id, blocks=len(keys))
+        except CancelledError:
+            raise
         except ChivesaddleError as error:
             self._event(EventKind.KV_IMPORT_REJECTED, server.id, code=error.code)
+        except Exception:
+            _log.exception("import into %s failed unexpectedly", server.id)
 
     async def _wait(self, until: float, now: float) -> None:
         deadline = self._request.deadline
@@ -197,7 +203,9 @@
             await with_deadline(
                 clock, clock.seconds() + ANNOUNCE_S, told, "crash announcement"
             )
-        except ChivesaddleError as error:
+        except CancelledError:
+            raise
+        except Exception as error:
             _log.warning("crash of %s not announced: %s", server_id, error)
 
     def _server(self, server_id: BackendServerId) -> BackendServer | None:
--- a/src/chivesaddle/gateway/request_ids.py
+++ b/src/chivesaddle/gateway/request_ids.py
@@ -7,6 +7,7 @@
 """
 
 import json
+import re
 import secrets
 from base64 import urlsafe_b64decode, urlsafe_b64encode
 from dataclasses import dataclass
@@ -20,6 +21,8 @@
 )
 from chivesaddle.gateway.errors import NotFound
 
+_NAME = re.compile("req_[0-9a-f]{32}")
+
 
 @dataclass(frozen=True)
 class RunLocation:
@@ -36,7 +39,7 @@
         Examples
         --------
         >>> location = RunLocation("a", "m", "v1", None)
-        >>> RunLocation.from_request_id(location.request_id("req_1")) == location
+        >>> RunLocation.from_request_id(location.request_id(new_name())) == location
         True
         """
         parts = [self.server_id, self.model_id, self.weight_version, self.adapter]
@@ -48,6 +51,8 @@
         """Return the location in a request id; raises `NotFound`."""
         packed = request_id.partition(".")[2]
         try:
+            if not _NAME.fullmatch(name_of(request_id)):
+                raise ValueError("not a request name")
             parts = json.loads(urlsafe_b64decode(packed + "=" * (-len(packed) % 4)))
             server, model, version, adapter = parts
             if not all(isinstance(p, str) for p in (server, model, version)):
--- a/src/chivesaddle/gateway/routes.py
+++ b/src/chivesaddle/gateway/routes.py
@@ -188,7 +188,7 @@
         running = self._run_action(account, key, ServiceId(service), operation, body)
         _write_result(request, await _uncancelled(running))
 
-    @app.route("/v1/actions/<key>", methods=["GET"])
+    @app.route("/v1/actions/<path:key>", methods=["GET"])
     @_answered
     async def get_action(self, request: Any, key: str) -> None:
         """Return the state of one of the account's actions."""
@@ -268,7 +268,7 @@
             )
 
     def _account(self, request: Any) -> Account:
-        return self._authenticator.authenticate(request.getHeader("Authorization"))
+        return self._authenticator.authenticate(_header(request, b"Authorization"))
 
     def _ready_account(self, request: Any) -> Account:
         account = self._account(request)
@@ -294,8 +294,13 @@
         return self._deps.clock.seconds() + PROMPT_DEADLINE_S
 
 
+def _header(request: Any, name: bytes) -> str:
+    # Asked for as text, a header that is not UTF-8 would raise.
+    return (request.getHeader(name) or b"").decode("utf-8", "replace")
+
+
 def _is_interactive(request: Any) -> bool:
-    priority = request.getHeader("X-Priority") or "interactive"
+    priority = _header(request, b"X-Priority") or "interactive"
     if priority not in ("interactive", "batch"):
         raise InvalidValue(
             f"X-Priority is {priority[:80]}", remedy="Use interactive or batch"
@@ -313,7 +318,7 @@
 
 
 def _idempotency_key(request: Any, operation: Operation) -> IdempotencyKey | None:
-    key = request.getHeader("Idempotency-Key") or ""
+    key = _header(request, b"Idempotency-Key")
     if len(key) > MAX_KEY_LENGTH:
         raise InvalidValue(
             f"Idempotency-Key has {len(key)} characters",
--- a/tests/gateway/test_flow.py
+++ b/tests/gateway/test_flow.py
@@ -12,6 +12,8 @@
 )
 from chivesaddle.engines.chunks import DONE
 
+NAME = "req_" + "0" * 32
+
 
 class TestAnswers:
     def test_a_plain_answer_is_assembled(self, complete, fakes):
@@ -247,7 +249,10 @@
         assert (answer.response.status, answer.code) == (404, "not_found")
         assert b"one" not in answer.response.body
 
-    @pytest.mark.parametrize("request_id", ["x", "req_1.e30", "req_1.!!", "req_1.W10"])
+    @pytest.mark.parametrize(
+        "request_id",
+        ["x", NAME, f"{NAME}.e30", f"{NAME}.!!", f"{NAME}.W10", "req_1.WzEsMiwzLDRd"],
+    )
     def test_a_malformed_request_id_is_not_found(self, call, request_id):
         answer = call("GET", f"/v1/requests/{request_id}/stream")
         assert answer.response.status == 404
--- a/tests/gateway/test_routes.py
+++ b/tests/gateway/test_routes.py
@@ -5,7 +5,7 @@
 
 
 class TestAuthentication:
-    @pytest.mark.parametrize("key", [None, "", "wrong", "key-Tartu"])
+    @pytest.mark.parametrize("key", [None, "", "wrong", "key-Tartu", "\u0142"])
     def test_a_wrong_key_is_rejected(self, complete, fakes, key):
         answer = complete(key=key)
         assert (answer.response.status, answer.code) == (401, "invalid_api_key")
@@ -205,6 +205,8 @@
         """Guards against reading another account's reservation by its key."""
         call("POST", "/v1/services/seats/reserve", {}, Idempotency_Key="k1")
         assert call("GET", "/v1/actions/k1").json["state"] == "done"
+        call("POST", "/v1/services/seats/reserve", {}, Idempotency_Key="a/b")
+        assert call("GET", "/v1/actions/a%2Fb").json["state"] == "done"
         other = call("GET", "/v1/actions/k1", key="key-tallinn")
         assert other.response.status == 404
 
