End an answer at its token limit without choosing another server

A stream that broke after max_tokens tokens but before its last chunk was completed only after routing had named a further server, so it failed if none was free, and a place at that server was taken for nothing. The relay now ends it at once with finish_reason "length"; the usage is then missing.

--- a/src/chivesaddle/engines/relay.py
+++ b/src/chivesaddle/engines/relay.py
@@ -156,6 +156,9 @@
                 except EngineError as error:
                     self._abandon(request, target, error)
                     await guide.failed(target, error)
+                    if self._ends_at_limit(answer, request):
+                        sink.write(length_chunk(answer.events[-1], answer.style) + DONE)
+                        break
                     self._check_retry(error, servers)
                     if request.body is not None:
                         answer.continue_elsewhere()
@@ -184,9 +187,6 @@
         sink: CallerSink,
         guide: RelayGuide,
     ) -> None:
-        if self._ends_at_limit(answer, request):
-            sink.write(length_chunk(answer.events[-1], answer.style) + DONE)
-            return
         stream = await self._open(answer, request, target)
         resumes = 0
         while True:
--- a/tests/engines/test_relay.py
+++ b/tests/engines/test_relay.py
@@ -90,10 +90,12 @@
         assert b'"completion_tokens": 4' in sink.events[3]
 
     def test_an_answer_cut_at_its_token_limit_is_ended_without_another_token(
-        self, run, engines, scripts, sink
+        self, run, engines, scripts, sink, guide
     ):
         engines.opens = [scripts.cut(scripts.answer()[:2])]
         run(max_tokens=2)
+        assert len(engines.calls) == 2
+        assert ("started", "b") not in guide.notes
         assert b'"finish_reason": "length"' in sink.events[-2]
         assert sink.finished
 
