Wake the next waiting request when a place becomes free

A waiting request asks again after up to 0.25 s, so a freed place could stay unused that long. The router now grants places when a run ends or a load report arrives and tells a listener which request may ask at once. Without a listener nothing changes. A test of the whole router shows ten small accounts served before a backlog of a large one.

--- a/src/chivesaddle/routing/fair_queue.py
+++ b/src/chivesaddle/routing/fair_queue.py
@@ -8,6 +8,7 @@
 
 import heapq
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from chivesaddle.core.ids import AccountId, RequestId
@@ -43,7 +44,12 @@
 class FairQueue:
     """Waiting requests of one model: at most 1,000 of them, and 1,024 accounts."""
 
-    def __init__(self, capacity: int = MAX_WAITING) -> None:
+    def __init__(
+        self,
+        capacity: int = MAX_WAITING,
+        on_grant: Callable[[RequestId], None] = lambda _: None,
+    ) -> None:
+        self._on_grant = on_grant
         self._capacity = capacity
         self._classes = {True: _Class(), False: _Class()}
         self._waiting_by_id: dict[RequestId, _Ticket] = {}
@@ -107,14 +113,25 @@
 
         A request that has a place leaves the queue.
         """
+        self.grant(free=free, free_batch=free_batch, now=now, polling=request_id)
+        return self._granted_by_id.pop(request_id, None) is not None
+
+    def grant(
+        self,
+        *,
+        free: int,
+        free_batch: int,
+        now: float,
+        polling: RequestId | None = None,
+    ) -> None:
+        """Grant free places in order; tell ``on_grant`` of all but ``polling``."""
         if len(self._granted_by_id) >= free:
             self._granted_by_id = {
                 r: t for r, t in self._granted_by_id.items() if t.poll_by >= now
             }
         while len(self._granted_by_id) < free:
-            if not self._grant_next(free_batch, now, request_id):
+            if not self._grant_next(free_batch, now, polling):
                 break
-        return self._granted_by_id.pop(request_id, None) is not None
 
     def waiting(self, interactive: bool) -> int:
         """Return how many requests are served before a new one of the class."""
@@ -131,7 +148,9 @@
         self._granted_by_id.pop(request_id, None)
         self._forget(request_id)
 
-    def _grant_next(self, free_batch: int, now: float, polling: RequestId) -> bool:
+    def _grant_next(
+        self, free_batch: int, now: float, polling: RequestId | None
+    ) -> bool:
         interactive = self._head(True, now, polling)
         granted_batch = sum(not t.interactive for t in self._granted_by_id.values())
         batch = None
@@ -154,10 +173,12 @@
             kind.virtual_time = kind.max_finish
             kind.finish_by_account_id.clear()
         self._granted_by_id[chosen.request_id] = chosen
+        if chosen.request_id != polling:
+            self._on_grant(chosen.request_id)
         return True
 
     def _head(
-        self, interactive: bool, now: float, polling: RequestId
+        self, interactive: bool, now: float, polling: RequestId | None
     ) -> _Ticket | None:
         heap = self._classes[interactive].heap
         while heap:
--- a/src/chivesaddle/routing/router.py
+++ b/src/chivesaddle/routing/router.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
 from chivesaddle.core.errors import ChivesaddleError
@@ -94,6 +94,7 @@
         self._charged: OrderedDict[RequestId, bool] = OrderedDict()
         self._leaving: OrderedDict[BackendServerId, None] = OrderedDict()
         self._server_by_request_id: dict[RequestId, ServerState] = {}
+        self._grant_listener: Callable[[RequestId], None] = lambda _: None
 
     # Decisions
 
@@ -130,6 +131,14 @@
         """Take one retry from the budget; False if it is spent."""
         return self.retry_budget.try_spend(now)
 
+    def set_grant_listener(self, listener: Callable[[RequestId], None]) -> None:
+        """Call ``listener`` when a waiting request may ask again before its time.
+
+        A place would otherwise stay free until then, up to 0.25 s. The listener must
+        not call the router.
+        """
+        self._grant_listener = listener
+
     def cancel(self, request_id: RequestId) -> None:
         """Forget a waiting request whose caller has gone."""
         for queue in self._queues_by_model_id.values():
@@ -145,8 +154,7 @@
             refusal = self._enqueue(request, pool, queue, eligible, now)
             if refusal is not None:
                 return self._refuse(request, refusal)
-        free = pool.slots - pool.load
-        free_batch = min(free, int(pool.slots * BATCH_SHARE) - pool.batch_in_flight)
+        free, free_batch = _free_places(pool)
         if not queue.poll(
             request.request_id, free=free, free_batch=free_batch, now=now
         ):
@@ -469,6 +477,7 @@
             pool = self._pools_by_model_id.get(run.model_id)
             if pool is not None and not run.interactive:
                 pool.batch_in_flight = max(0, pool.batch_in_flight - 1)
+        self._grant_places(server, now)
         return server
 
     # Knowledge of servers
@@ -485,6 +494,7 @@
         self._load_changed(server, before)
         if self._is_usable(server) != usable or server.slots != slots:
             self._rebuild_pools(now)
+        self._grant_places(server, now)
 
     def update_versions(
         self,
@@ -570,7 +580,9 @@
             pool = self._pools_by_model_id[model_id] = Pool(model_id)
             if model_id in old:
                 pool.batch_in_flight = old[model_id].batch_in_flight
-            self._queues_by_model_id.setdefault(model_id, FairQueue())
+            if model_id not in self._queues_by_model_id:
+                queue = FairQueue(on_grant=lambda r: self._grant_listener(r))
+                self._queues_by_model_id[model_id] = queue
         for model_id in (
             self._queues_by_model_id.keys() - self._pools_by_model_id.keys()
         ):
@@ -589,6 +601,13 @@
             now,
         )
 
+    def _grant_places(self, server: ServerState, now: float) -> None:
+        for model_id in server.models:
+            queue = self._queues_by_model_id.get(model_id)
+            if queue:
+                free, free_batch = _free_places(self._pools_by_model_id[model_id])
+                queue.grant(free=free, free_batch=free_batch, now=now)
+
     def _load_changed(self, server: ServerState, before: int) -> None:
         # A server that left the configuration may still end runs, but is in no pool.
         if self._servers_by_id.get(server.id) is server and self._is_usable(server):
@@ -638,6 +657,12 @@
     )
 
 
+def _free_places(pool: Pool) -> tuple[int, int]:
+    """Return the free slots of a pool, and those that batch may use."""
+    free = pool.slots - pool.load
+    return free, min(free, int(pool.slots * BATCH_SHARE) - pool.batch_in_flight)
+
+
 def _no_server(model_id: ModelId) -> NoBackendServer:
     return NoBackendServer(
         f"No backend server of model {model_id!r} can take this request",
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -148,6 +148,42 @@
         assert isinstance(router.choose(batch, 0.1), Wait)
         send(router, interactive, 0.1)
 
+    def test_freed_place_wakes_the_request_that_is_next(self, build):
+        """Guards against a place staying free until the next request asks again."""
+        router, woken = build.router(servers=1), []
+        router.set_grant_listener(woken.append)
+        runs = [build.request() for _ in range(5)]
+        first, second = build.request(), build.request(account="b")
+        for run in runs:
+            send(router, run)
+        assert isinstance(router.choose(first, 0), Wait)
+        assert isinstance(router.choose(second, 0), Wait)
+        assert woken == []
+        router.record_finish(runs[0].request_id, 0.01)
+        assert woken == [first.request_id]
+        assert isinstance(router.choose(second, 0.01), Wait)
+        send(router, first, 0.01)
+
+    def test_large_account_does_not_starve_ten_small_ones(self, build):
+        """Guards the fairness of the whole router, not only of its queue."""
+        small = [f"small{n}" for n in range(10)]
+        router = build.router(servers=1, accounts=("large", *small))
+        waiting = [build.request(str(n), account="large") for n in range(100)]
+        waiting += [build.request(account=account) for account in small]
+        running, served, now = [], [], 0.0
+        while len(served) < 30:
+            for request in list(waiting):
+                match router.choose(request, now):
+                    case Send() as sent:
+                        router.record_start(request, sent, now)
+                        running.append(request.request_id)
+                        served.append(request.account_id)
+                        waiting.remove(request)
+            router.record_finish(running.pop(0), now)
+            now += 0.1
+        # The first five found free places; then the accounts take turns.
+        assert set(served[:17]) >= set(small)
+
     def test_batch_occupies_at_most_half_of_the_slots(self, build):
         router = build.router(servers=2)
         for _ in range(5):
