Bound the block index by entries, not only by blocks

With 16 holders for each of 32,768 blocks the index took 29 MB of a daemon's 64 MB (tracemalloc, full index).

--- a/src/chivesaddle/routing/router.py
+++ b/src/chivesaddle/routing/router.py
@@ -71,9 +71,9 @@
     sees the load. Announcements that a method returns have to reach the peers before
     the request is sent, retried or answered.
 
-    Holds one entry per server, account and own request in flight, and at most 32,768
-    blocks, 4,096 sets of home servers, 16,384 charged requests, 8,192 leaving servers,
-    and 1,000 waiting requests per model; see `Suspects` for its bounds.
+    Holds one entry per server, account and own request in flight, and at most 65,536
+    holders of 32,768 blocks, 4,096 sets of home servers, 16,384 charged requests, 8,192
+    leaving servers, and 1,000 waiting requests per model; `Suspects` states its own.
     """
 
     def __init__(
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -12,6 +12,7 @@
     UnknownModel,
     Wait,
 )
+from chivesaddle.routing.blocks import MAX_BLOCKS, MAX_ENTRIES, BlockIndex
 from chivesaddle.routing.naive import HashRouter, LeastLoadedRouter, RandomRouter
 
 
@@ -78,6 +79,23 @@
         router.record_finish(request.request_id, 1.0)
         assert router._pools_by_model_id["m"].load == 0
 
+    def test_block_index_forgets_the_oldest_beyond_its_bounds(self):
+        """Guards the daemon's memory against cache events of many servers."""
+        index, keys = BlockIndex(), [str(n) for n in range(40_000)]
+        for server, held in (
+            ("s0", keys),
+            ("s1", keys[20_000:]),
+            ("s2", keys[20_000:]),
+        ):
+            index.add(server, held)
+            assert len(index) <= MAX_BLOCKS
+            assert sum(map(len, index._holders_by_key.values())) == index._entries
+            assert index._entries <= MAX_ENTRIES
+        assert index.depths(keys[-1:]) == {"s0": 1, "s1": 1, "s2": 1}
+        index.discard("s1", keys)
+        index.drop_servers({"s0", "s2"})
+        assert (len(index), index._entries) == (0, 0)
+
 
 class TestCost:
     @pytest.mark.parametrize(
