--- a/src/chivesaddle/routing/naive.py
+++ b/src/chivesaddle/routing/naive.py
@@ -23,12 +23,12 @@
         self._server_by_request_id: dict[RequestId, BackendServerId] = {}
         self.in_flight_by_id: dict[BackendServerId, int] = {}
 
-    def update_config(self, state: ConfigState, now: float = 0.0) -> None:
+    def update_config(self, state: ConfigState) -> None:
         """Apply a configuration."""
         self._config = state
         self._leaving &= state.backend_servers_by_id.keys()
 
-    def set_leaving(self, server_id: BackendServerId, now: float = 0.0) -> None:
+    def set_leaving(self, server_id: BackendServerId) -> None:
         """Give a server no new work."""
         self._leaving.add(server_id)
 
--- a/src/chivesaddle/routing/router.py
+++ b/src/chivesaddle/routing/router.py
@@ -95,6 +95,8 @@
         self._leaving: OrderedDict[BackendServerId, None] = OrderedDict()
         self._server_by_request_id: dict[RequestId, ServerState] = {}
         self._grant_listener: Callable[[RequestId], None] = lambda _: None
+        # Time of the last choice, report or failure; pool changes carry no time.
+        self._latest = 0.0
 
     # Decisions
 
@@ -108,6 +110,7 @@
 
         ``excluded`` names servers that already failed this request.
         """
+        self._latest = max(self._latest, now)
         model = self._config.models_by_id.get(request.model_id)
         if model is None:
             return Refuse(
@@ -441,6 +444,7 @@
 
         Every request in flight may notice the death; only the first call counts it.
         """
+        self._latest = max(self._latest, now)
         announcements = self.suspects.crash(server_id, now)
         server = self._servers_by_id.get(server_id)
         if server is None:
@@ -486,6 +490,7 @@
         self, server_id: BackendServerId, report: LoadReport, now: float
     ) -> None:
         """Take over a load report."""
+        self._latest = max(self._latest, now)
         server = self._servers_by_id.get(server_id)
         if server is None:
             return
@@ -493,7 +498,7 @@
         server.apply_report(report, now)
         self._load_changed(server, before)
         if self._is_usable(server) != usable or server.slots != slots:
-            self._rebuild_pools(now)
+            self._rebuild_pools()
         self._grant_places(server, now)
 
     def update_versions(
@@ -530,16 +535,16 @@
             self._blocks.add(server_id, stored)
             self._blocks.discard(server_id, evicted)
 
-    def set_leaving(self, server_id: BackendServerId, now: float = 0.0) -> None:
+    def set_leaving(self, server_id: BackendServerId) -> None:
         """Give a server no new work from now on; its id is not used again."""
         if server_id in self._leaving:
             return
         self._leaving[server_id] = None
         if len(self._leaving) > MAX_LEAVING:
             self._leaving.popitem(last=False)
-        self._rebuild_pools(now)
+        self._rebuild_pools()
 
-    def update_config(self, state: ConfigState, now: float = 0.0) -> None:
+    def update_config(self, state: ConfigState) -> None:
         """Apply a configuration; forget the blocks of models that changed version."""
         swapped = {
             model.id
@@ -565,7 +570,7 @@
             self._blocks.drop_servers(
                 {s.id for s in self._servers_by_id.values() if swapped & {*s.models}}
             )
-        self._rebuild_pools(now)
+        self._rebuild_pools()
 
     def _is_usable(self, server: ServerState) -> bool:
         return not (
@@ -574,7 +579,7 @@
             or server.id in self._leaving
         )
 
-    def _rebuild_pools(self, now: float) -> None:
+    def _rebuild_pools(self) -> None:
         old, self._pools_by_model_id = self._pools_by_model_id, {}
         for model_id in self._config.models_by_id:
             pool = self._pools_by_model_id[model_id] = Pool(model_id)
@@ -598,7 +603,7 @@
                 model_id: frozenset(s.id for s in pool.servers)
                 for model_id, pool in self._pools_by_model_id.items()
             },
-            now,
+            self._latest,
         )
 
     def _grant_places(self, server: ServerState, now: float) -> None:
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -252,7 +252,7 @@
             server = f"s{index}"
             match kind:
                 case "leave":
-                    router.set_leaving(server, now)
+                    router.set_leaving(server)
                     leaving.add(server)
                 case "drain" | "load":
                     (draining.add if kind == "drain" else draining.discard)(server)
@@ -268,7 +268,7 @@
                     left = config.backend_servers_by_id.items()
                     left = {k: v for k, v in left if k not in removed}
                     router.update_config(
-                        config.model_copy(update={"backend_servers_by_id": left}), now
+                        config.model_copy(update={"backend_servers_by_id": left})
                     )
                 case "versions" if server not in removed:
                     versions[server] = "v1" if delay < 1 else "v2"
