Route the gateway through the routing slice's own types

The gateway had been written against guessed signatures. It now uses routing's RouteRequest and decisions, charges limits before anything is looked up, offers stored copies to the router, sends announcements before a suspect starts, and imports only the blocks that the server lacks. A cancelled HTTP request fails with its own error, so with_deadline now reports the missed deadline for any failure after the cancel (found by the store client over real connections). 335 tests passed.

--- a/src/chivesaddle/core/aio.py
+++ b/src/chivesaddle/core/aio.py
@@ -101,9 +101,11 @@
     call = clock.callLater(max(0.0, deadline - clock.seconds()), expire)
     try:
         return await work
-    except CancelledError:
+    except (CancelledError, Exception) as error:
+        # Cancelled work may fail with its own error: an HTTP request that was cancelled
+        # while it waits for headers reports that no response was received.
         if expired:
-            raise DeadlineExceeded(f"{what} missed its deadline") from None
+            raise DeadlineExceeded(f"{what} missed its deadline") from error
         raise
     finally:
         if call.active():
--- a/src/chivesaddle/gateway/__init__.py
+++ b/src/chivesaddle/gateway/__init__.py
@@ -1,8 +1,8 @@
 """Callers' HTTP API."""
 
-from chivesaddle.gateway.dependencies import Dependencies, RouteRequest
+from chivesaddle.gateway.dependencies import Dependencies
 from chivesaddle.gateway.drain import Drain
 from chivesaddle.gateway.flow import ServingFlow
 from chivesaddle.gateway.routes import GatewayApi
 
-__all__ = ["Dependencies", "Drain", "GatewayApi", "RouteRequest", "ServingFlow"]
+__all__ = ["Dependencies", "Drain", "GatewayApi", "ServingFlow"]
--- a/src/chivesaddle/gateway/dependencies.py
+++ b/src/chivesaddle/gateway/dependencies.py
@@ -2,122 +2,81 @@
 
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
-from typing import Any, Protocol, runtime_checkable
+from typing import Any, Protocol
 
 from chivesaddle.core.aio import Clock
-from chivesaddle.core.errors import ChivesaddleError
 from chivesaddle.core.events import EventRing
 from chivesaddle.core.ids import (
     AccountId,
     AdapterId,
     BackendServerId,
     BlockKey,
-    Fingerprint,
     IdempotencyKey,
     ModelId,
     PromptId,
+    RequestId,
     ServiceId,
-    StoreId,
     WeightVersion,
 )
 from chivesaddle.core.metrics import Metrics
-from chivesaddle.core.model import Account, BackendServer, ConfigState
+from chivesaddle.core.model import BackendServer, ConfigState
 from chivesaddle.engines import EngineClient, RetryBudget
+from chivesaddle.routing import Announcement, Decision, Refuse, RouteRequest, Send
 
 
-@dataclass(frozen=True)
-class RouteRequest:
-    """What routing needs to know; ``deadline`` is when the first token is due."""
-
-    account_id: AccountId
-    model_id: ModelId
-    weight_version: WeightVersion
-    adapter: AdapterId | None
-    fingerprint: Fingerprint
-    prefix_keys: tuple[BlockKey, ...]
-    prompt_tokens: int
-    max_tokens: int
-    interactive: bool
-    deadline: float
-
-
-@runtime_checkable
-class Send(Protocol):
-    """Decision to send now, after importing blocks from a store if one is named."""
-
-    @property
-    def server_id(self) -> BackendServerId:
-        """The backend server."""
-
-    @property
-    def import_from(self) -> StoreId | None:
-        """Store to load from, or None."""
-
-    @property
-    def import_blocks(self) -> int:
-        """Number of blocks to load."""
-
-
-@runtime_checkable
-class Wait(Protocol):
-    """Decision to ask again at ``until``, in seconds on the daemon's clock."""
-
-    @property
-    def until(self) -> float:
-        """When to ask again."""
-
-
-@runtime_checkable
-class Refuse(Protocol):
-    """Final decision to reject."""
-
-    @property
-    def error(self) -> ChivesaddleError:
-        """What the caller is told."""
+class Router(Protocol):
+    """Decides where a request runs, as `chivesaddle.routing.Router`.
 
+    Announcements that a method returns have to reach the peers before the request is
+    sent, retried or answered.
+    """
 
-class Router(Protocol):
-    """Decides where a request runs; the record methods name the same request."""
+    def admit(self, request: RouteRequest, now: float) -> Refuse | None:
+        """Charge the account's limits; return the refusal of a request over them."""
 
     def choose(
         self,
         request: RouteRequest,
         now: float,
         excluded: frozenset[BackendServerId] = frozenset(),
-    ) -> Send | Wait | Refuse:
+    ) -> Decision:
         """Decide."""
 
+    def cancel(self, request_id: RequestId) -> None:
+        """Forget a waiting request."""
+
     def record_start(
-        self, request: RouteRequest, server_id: BackendServerId, now: float
-    ) -> None:
+        self, request: RouteRequest, sent: Send, now: float
+    ) -> Sequence[Announcement]:
         """Note that a request is sent."""
 
-    def record_first_token(
-        self, request: RouteRequest, server_id: BackendServerId, now: float
-    ) -> None:
+    def record_first_token(self, request_id: RequestId, now: float) -> None:
         """Note its first token."""
 
     def record_finish(
-        self, request: RouteRequest, server_id: BackendServerId, now: float
-    ) -> None:
+        self, request_id: RequestId, now: float, prefix_keys: Sequence[BlockKey] = ()
+    ) -> Sequence[Announcement]:
         """Note its complete answer."""
 
     def record_failure(
-        self, request: RouteRequest, server_id: BackendServerId, now: float
-    ) -> None:
-        """Note a failure that is not a crash."""
+        self, request_id: RequestId, now: float, *, server_fault: bool = True
+    ) -> Sequence[Announcement]:
+        """Note a run without a complete answer that is not a crash."""
 
     def record_crash(
-        self, request: RouteRequest, server_id: BackendServerId, now: float
-    ) -> None:
-        """Note that the server died with the request in flight."""
+        self, server_id: BackendServerId, now: float
+    ) -> Sequence[Announcement]:
+        """Note that a server died with requests in flight."""
 
-    def record_cancel(
-        self, request: RouteRequest, server_id: BackendServerId, now: float
+    def update_blocks(
+        self,
+        server_id: BackendServerId,
+        stored: Sequence[BlockKey],
+        evicted: Sequence[BlockKey],
     ) -> None:
-        """Note that the caller went away, which says nothing about the server."""
+        """Note blocks that a server holds now."""
 
-    def set_leaving(self, server_id: BackendServerId) -> None:
+    def set_leaving(self, server_id: BackendServerId, now: float) -> None:
         """Note that a server takes no new work."""
 
 
@@ -129,8 +88,16 @@
     ) -> Any | None:
         """Return the longest committed prefix, or None."""
 
-    async def load(self, prefix: Any, server: BackendServer, deadline: float) -> None:
-        """Import a prefix into a server."""
+    async def load(
+        self,
+        prefix: Any,
+        server: BackendServer,
+        deadline: float,
+        *,
+        interactive: bool = True,
+        cached_blocks: int = 0,
+    ) -> Any:
+        """Import a prefix into a server; return how many blocks are there then."""
 
     async def save(
         self, scope: str, keys: Sequence[BlockKey], server: BackendServer
@@ -240,20 +207,6 @@
         """Return the addresses."""
 
 
-class Limits(Protocol):
-    """Rate limits per account."""
-
-    def admit(self, account: Account, tokens: int, now: float) -> float | None:
-        """Take a request of ``tokens`` tokens; return seconds to wait if refused."""
-
-
-class RequestBudget(RetryBudget, Protocol):
-    """Retry budget that is filled by requests."""
-
-    def record_request(self, now: float) -> None:
-        """Count a request, of which a share may be retried."""
-
-
 class ConfigSource(Protocol):
     """The configuration in force."""
 
@@ -266,24 +219,24 @@
 class Dependencies:
     """Everything the gateway is built from.
 
-    ``announce_crash`` tells all peers about a suspect request; it is awaited before
-    the request is retried or answered.
+    ``announce`` tells all peers about suspect requests, and waits for announcements
+    that are still on their way; it is awaited before a request is sent, retried or
+    answered.
     """
 
     clock: Clock
     config: ConfigSource
     freshness: Freshness
     addresses: Addresses
-    limits: Limits
     router: Router
     engines: EngineClient
-    budget: RequestBudget
+    budget: RetryBudget
     scope: Callable[[AccountId, ModelId, WeightVersion, AdapterId | None], str]
     block_keys: Callable[[str, bytes], Sequence[BlockKey]]
     kv: KvService | None
     actions: ActionService
     prompts: PromptStore
-    announce_crash: Callable[[BackendServerId, Fingerprint], Awaitable[None]]
+    announce: Callable[[Sequence[Announcement]], Awaitable[None]]
     events: EventRing
     metrics: Metrics
 
@@ -297,13 +250,7 @@
     "Dependencies",
     "Freshness",
     "KvService",
-    "Limits",
     "PromptStore",
-    "Refuse",
-    "RequestBudget",
-    "RouteRequest",
     "Router",
-    "Send",
     "StoredPrompt",
-    "Wait",
 ]
--- a/src/chivesaddle/gateway/errors.py
+++ b/src/chivesaddle/gateway/errors.py
@@ -33,13 +33,6 @@
     status = 405
 
 
-class RateLimited(ChivesaddleError):
-    """The account exceeds its limit."""
-
-    code = "rate_limit_exceeded"
-    status = 429
-
-
 class Draining(ChivesaddleError):
     """The daemon is shutting down."""
 
@@ -116,7 +109,6 @@
     "MethodNotAllowed",
     "ModelNotFound",
     "NotFound",
-    "RateLimited",
     "RequestGivenUp",
     "Unauthorized",
     "error_body",
--- a/src/chivesaddle/gateway/flow.py
+++ b/src/chivesaddle/gateway/flow.py
@@ -17,8 +17,8 @@
     StreamRelay,
     Target,
 )
-from chivesaddle.gateway.dependencies import Dependencies, RouteRequest
-from chivesaddle.gateway.errors import ModelNotFound, NotFound, RateLimited
+from chivesaddle.gateway.dependencies import Dependencies
+from chivesaddle.gateway.errors import ModelNotFound, NotFound
 from chivesaddle.gateway.guide import RequestGuide, ResumeGuide
 from chivesaddle.gateway.request_ids import RunLocation, name_of, new_name
 from chivesaddle.gateway.streaming import Sink
@@ -27,6 +27,7 @@
     Completion,
     prompt_tokens,
 )
+from chivesaddle.routing import RouteRequest
 
 # Longest wait for a first token that a caller with nobody else to ask still accepts.
 INTERACTIVE_DEADLINE_S = 10.0
@@ -105,7 +106,6 @@
         adapter = _adapter(model, completion)
         await self._add_stored_prompt(account, completion)
         prompt = completion.prompt_bytes()
-        self._admit(account, completion, prompt)
         scope = deps.scope(account.id, model.id, model.weight_version, adapter)
         keys = tuple(deps.block_keys(scope, prompt))
         wait_s = INTERACTIVE_DEADLINE_S if interactive else BATCH_DEADLINE_S
@@ -120,6 +120,7 @@
             max_tokens=completion.max_tokens or DEFAULT_MAX_TOKENS,
             interactive=interactive,
             deadline=deps.clock.seconds() + wait_s,
+            request_id=RequestId(name),
         )
         guide = RequestGuide(deps, route, name, scope)
         try:
@@ -206,18 +207,6 @@
             )
             completion.put_first(stored.text)
 
-    def _admit(self, account: Account, completion: Completion, prompt: bytes) -> None:
-        now = self._deps.clock.seconds()
-        tokens = prompt_tokens(prompt) + (completion.max_tokens or DEFAULT_MAX_TOKENS)
-        wait_s = self._deps.limits.admit(account, tokens, now)
-        if wait_s is not None:
-            raise RateLimited(
-                f"Account {account.id} exceeds its limit",
-                remedy=f"Try again in {wait_s:.1f} s",
-                retry_after_s=wait_s,
-            )
-        self._deps.budget.record_request(now)
-
     def _resume_targets(
         self, first: BackendServerId, model_id: ModelId
     ) -> list[Target]:
--- a/src/chivesaddle/gateway/guide.py
+++ b/src/chivesaddle/gateway/guide.py
@@ -1,15 +1,15 @@
 """Steering of one request between routing, KV import and the relay."""
 
 import dataclasses
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import Any
 
 from twisted.internet.defer import CancelledError
 
-from chivesaddle.core.aio import sleep_until, with_deadline
+from chivesaddle.core.aio import log_failure, sleep_until, start, with_deadline
 from chivesaddle.core.errors import ChivesaddleError
 from chivesaddle.core.events import EventKind
-from chivesaddle.core.ids import BackendServerId, BlockKey
+from chivesaddle.core.ids import BackendServerId
 from chivesaddle.core.logs import PartLogger
 from chivesaddle.core.model import BackendServer
 from chivesaddle.engines import (
@@ -22,14 +22,16 @@
     Target,
     VersionNotLoaded,
 )
-from chivesaddle.gateway.dependencies import (
-    Dependencies,
+from chivesaddle.gateway.dependencies import Dependencies
+from chivesaddle.gateway.errors import NotFound, RequestGivenUp
+from chivesaddle.routing import (
+    Announcement,
     Refuse,
     RouteRequest,
     Send,
+    StoredCopy,
     Wait,
 )
-from chivesaddle.gateway.errors import NotFound, RequestGivenUp
 
 # Time for a continuation, whose first-token deadline has passed already.
 CONTINUE_S = 10.0
@@ -68,6 +70,8 @@
         self._excluded: frozenset[BackendServerId] = frozenset()
         self._sent_to: BackendServerId | None = None
         self._answering = False
+        self._looked_up = False
+        self._stored: Any = None
         self.finished_at: BackendServer | None = None
 
     async def select(self) -> Target:
@@ -80,6 +84,10 @@
         RequestGivenUp
             The deadline passed while waiting.
         """
+        refusal = self._deps.router.admit(self._request, self._deps.clock.seconds())
+        if refusal is not None:
+            raise refusal.error
+        await self._find_copies()
         while True:
             now = self._deps.clock.seconds()
             match self._deps.router.choose(self._request, now, self._excluded):
@@ -88,10 +96,10 @@
                     if server is not None:
                         return await self._prepare(decision, server, now)
                     self._excluded |= {decision.server_id}
-                case Refuse() as refusal:
-                    raise refusal.error
-                case Wait() as wait:
-                    await self._wait(wait.until, now)
+                case Refuse(error):
+                    raise error
+                case Wait(until):
+                    await self._wait(until, now)
 
     def started(self, target: Target) -> None:
         """Note that the request is sent."""
@@ -101,7 +109,7 @@
         """Note the first token and the time it took."""
         now = self._deps.clock.seconds()
         self._answering = True
-        self._deps.router.record_first_token(self._request, target.server_id, now)
+        self._deps.router.record_first_token(self._request.request_id, now)
         elapsed_ms = (now - self._received_at) * 1_000
         self._deps.metrics.timing("gateway.first_token", elapsed_ms)
         self._event(
@@ -115,7 +123,16 @@
     def finished(self, target: Target, answer: RelayedAnswer) -> None:
         """Note the complete answer."""
         self.finished_at = self._server(target.server_id)
-        self._close(self._deps.router.record_finish)
+        self._sent_to = None
+        announcements = self._deps.router.record_finish(
+            self._request.request_id,
+            self._deps.clock.seconds(),
+            self._request.prefix_keys,
+        )
+        if announcements:
+            # The answer need not wait: this only lifts a suspicion.
+            told = start(self._announce(announcements))
+            told.addErrback(log_failure(_log, "announcement failed"))
         self._event(EventKind.REQUEST_FINISHED, target.server_id, tokens=answer.tokens)
 
     def cancelled(self, target: Target) -> None:
@@ -130,14 +147,15 @@
             EventKind.REQUEST_FAILED, target.server_id, code=error.code, final=False
         )
         self._deps.metrics.incr(f"gateway.failures.{error.code}")
+        now = self._deps.clock.seconds()
         if isinstance(error, EngineCrashed):
-            self._close(router.record_crash)
-            await self._announce(target.server_id)
+            self._sent_to = None
+            await self._announce(router.record_crash(target.server_id, now))
             return
         if isinstance(error, EngineDraining):
-            router.set_leaving(target.server_id)
+            router.set_leaving(target.server_id, now)
         faulty = error.elsewhere and not isinstance(error, _HEALTHY)
-        self._close(router.record_failure if faulty else router.record_cancel)
+        await self._announce(self._end(server_fault=faulty))
 
     async def next_target(self, error: EngineError) -> Target:
         """Return another server than those that failed."""
@@ -150,8 +168,29 @@
         return target
 
     def release(self) -> None:
-        """Give up the place at the server, if one is held."""
-        self._close(self._deps.router.record_cancel)
+        """Give up the place at the server or in the queue, if one is held."""
+        self._deps.router.cancel(self._request.request_id)
+        announcements = self._end(server_fault=False)
+        if announcements:
+            told = start(self._announce(announcements))
+            told.addErrback(log_failure(_log, "announcement failed"))
+
+    async def _find_copies(self) -> None:
+        """Look up stored copies of the prompt once; without them it is recomputed."""
+        keys = self._request.prefix_keys
+        if self._deps.kv is None or not keys or self._looked_up:
+            return
+        self._looked_up = True
+        try:
+            found = await self._deps.kv.find(self._scope, keys, self._request.deadline)
+        except ChivesaddleError as error:
+            _log.info("no stored copy of %s: %s", self._name, error)
+            return
+        if found is None:
+            return
+        self._stored = found
+        copy = StoredCopy(found.store_id, found.blocks, found.wait_s, found.block_s)
+        self._request = dataclasses.replace(self._request, copies=(copy,))
 
     async def _prepare(
         self, decision: Send, server: BackendServer, now: float
@@ -159,31 +198,35 @@
         self._excluded |= {server.id}
         self._sent_to = server.id
         # Recorded before the import, so that others see the place as taken.
-        self._deps.router.record_start(self._request, server.id, now)
+        announcements = self._deps.router.record_start(self._request, decision, now)
+        if announcements:
+            await self._announce(announcements)
         if decision.import_from is not None and decision.import_blocks:
-            keys = self._request.prefix_keys[: decision.import_blocks]
-            await self._import(keys, server, now)
+            await self._import(decision, server, now)
         return Target(server.id, server.url)
 
-    async def _import(
-        self, keys: Sequence[BlockKey], server: BackendServer, now: float
-    ) -> None:
+    async def _import(self, decision: Send, server: BackendServer, now: float) -> None:
         """Load blocks; a failure costs only their recomputation."""
-        kv = self._deps.kv
-        if kv is None:
+        if self._deps.kv is None or self._stored is None:
             return
         deadline = min(now + KV_LOAD_S, self._request.deadline)
         try:
-            prefix = await kv.find(self._scope, keys, deadline)
-            if prefix is not None:
-                await kv.load(prefix, server, deadline)
-                self._event(EventKind.KV_IMPORTED, server.id, blocks=len(keys))
-        except CancelledError:
-            raise
+            loaded = await self._deps.kv.load(
+                self._stored,
+                server,
+                deadline,
+                interactive=self._request.interactive,
+                cached_blocks=decision.cached_blocks,
+            )
         except ChivesaddleError as error:
             self._event(EventKind.KV_IMPORT_REJECTED, server.id, code=error.code)
-        except Exception:
-            _log.exception("import into %s failed unexpectedly", server.id)
+            return
+        keys = self._request.prefix_keys[: loaded.blocks]
+        self._deps.router.update_blocks(server.id, keys, ())
+        kind = EventKind.KV_IMPORTED
+        if loaded.error is not None:
+            kind = EventKind.KV_IMPORT_REJECTED
+        self._event(kind, server.id, blocks=loaded.blocks)
 
     async def _wait(self, until: float, now: float) -> None:
         deadline = self._request.deadline
@@ -196,27 +239,31 @@
         resume_at = min(max(until, now + MIN_WAIT_S), deadline)
         await sleep_until(self._deps.clock, resume_at)
 
-    async def _announce(self, server_id: BackendServerId) -> None:
+    async def _announce(self, announcements: Sequence[Announcement]) -> None:
         clock = self._deps.clock
-        told = self._deps.announce_crash(server_id, self._request.fingerprint)
+        told = self._deps.announce(announcements)
         try:
             await with_deadline(
-                clock, clock.seconds() + ANNOUNCE_S, told, "crash announcement"
+                clock, clock.seconds() + ANNOUNCE_S, told, "announcement"
             )
         except CancelledError:
             raise
         except Exception as error:
-            _log.warning("crash of %s not announced: %s", server_id, error)
+            _log.warning("suspects of %s not announced: %s", self._name, error)
 
     def _server(self, server_id: BackendServerId) -> BackendServer | None:
         return self._deps.config.state.backend_servers_by_id.get(server_id)
 
-    def _close(
-        self, record: Callable[[RouteRequest, BackendServerId, float], None]
-    ) -> None:
+    def _end(self, *, server_fault: bool) -> Sequence[Announcement]:
+        """End the run at the server, if there is one."""
         server_id, self._sent_to = self._sent_to, None
-        if server_id is not None:
-            record(self._request, server_id, self._deps.clock.seconds())
+        if server_id is None:
+            return ()
+        return self._deps.router.record_failure(
+            self._request.request_id,
+            self._deps.clock.seconds(),
+            server_fault=server_fault,
+        )
 
     def _event(
         self, kind: EventKind, server_id: BackendServerId, **detail: Any
--- a/src/chivesaddle/routing/cost.py
+++ b/src/chivesaddle/routing/cost.py
@@ -15,6 +15,7 @@
     work_s: float
     import_from: StoreId | None = None
     import_blocks: int = 0
+    cached_blocks: int = 0
 
     @property
     def first_token_s(self) -> float:
@@ -42,7 +43,9 @@
             total_s = load_s + _prefill_tokens(request, copy.blocks) / rate
             if total_s < best_s:
                 best_s, best_copy, best_blocks = total_s, copy.store_id, copy.blocks
-    return Prediction(server.queue_s(now), best_s, best_copy, best_blocks)
+    return Prediction(
+        server.queue_s(now), best_s, best_copy, best_blocks, cached_blocks
+    )
 
 
 def _prefill_tokens(request: RouteRequest, blocks: int) -> int:
--- a/src/chivesaddle/routing/decisions.py
+++ b/src/chivesaddle/routing/decisions.py
@@ -51,7 +51,7 @@
 class AccountLimited(ChivesaddleError):
     """The account is over its limit of requests or tokens per second."""
 
-    code = "account_limited"
+    code = "rate_limit_exceeded"
     status = 429
 
 
@@ -104,12 +104,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Send the request now; import the first ``import_blocks`` blocks before."""
+    """Send the request now; import the first ``import_blocks`` blocks before.
+
+    ``cached_blocks`` leading blocks are on the server already.
+    """
 
     server_id: BackendServerId
     predicted_first_token_s: float
     import_from: StoreId | None = None
     import_blocks: int = 0
+    cached_blocks: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chivesaddle/routing/router.py
+++ b/src/chivesaddle/routing/router.py
@@ -130,6 +130,17 @@
             return self._choose_isolated(request, eligible, now)
         return self._choose_in_turn(request, eligible, now)
 
+    def admit(self, request: RouteRequest, now: float) -> Refuse | None:
+        """Refuse a request that may not run, before anything is looked up for it.
+
+        Charges the account's limits once; `choose` does the same for a request that
+        was not admitted before.
+        """
+        if self.suspects.verdict(request.fingerprint, now) is Verdict.REJECTED:
+            return self._refuse(request, self._crash_refusal(request, now))
+        limited = self._charge(request, now)
+        return None if limited is None else Refuse(limited)
+
     def may_retry(self, now: float) -> bool:
         """Take one retry from the budget; False if it is spent."""
         return self.retry_budget.try_spend(now)
@@ -659,6 +670,7 @@
         prediction.first_token_s,
         prediction.import_from,
         prediction.import_blocks,
+        prediction.cached_blocks,
     )
 
 
--- a/tests/core/test_core.py
+++ b/tests/core/test_core.py
@@ -46,6 +46,14 @@
         clock.advance(2)
         assert cancelled and outcome[0].check(DeadlineExceeded)
 
+    def test_cancelled_work_that_fails_otherwise_still_missed_its_deadline(self, clock):
+        """Guards against a late HTTP answer being reported as a broken connection."""
+        outcome = []
+        work = Deferred(lambda waiting: waiting.errback(OSError("aborted")))
+        start(with_deadline(clock, 2.0, work, "read")).addBoth(outcome.append)
+        clock.advance(2)
+        assert outcome[0].check(DeadlineExceeded)
+
     def test_work_that_finishes_in_time_leaves_no_timer(self, clock):
         start(with_deadline(clock, 2.0, sleep_until(clock, 1.0), "sleep"))
         clock.advance(1)
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -13,7 +13,6 @@
 from twisted.python.failure import Failure
 from twisted.web.client import ResponseDone
 
-from chivesaddle.core.errors import ChivesaddleError
 from chivesaddle.core.events import EventRing
 from chivesaddle.core.metrics import NoMetrics
 from chivesaddle.core.model import (
@@ -28,24 +27,7 @@
 from chivesaddle.engines import EngineNotFound, EngineStream
 from chivesaddle.engines.chunks import DONE, encode
 from chivesaddle.gateway import Dependencies, GatewayApi
-
-
-@dataclass
-class Send:
-    server_id: str
-    predicted_first_token_s: float = 0.0
-    import_from: str | None = None
-    import_blocks: int = 0
-
-
-@dataclass
-class Wait:
-    until: float
-
-
-@dataclass
-class Refuse:
-    error: ChivesaddleError
+from chivesaddle.routing import AccountLimited, Refuse, Send, SuspectCrashed, Wait
 
 
 def digest(key):
@@ -82,20 +64,49 @@
         self.decisions = []
         self.requests = []
         self.notes = []
+        self.blocks = []
+        self.limited_for_s = None
+        self._servers_by_id = {}
+
+    def admit(self, request, now):
+        if self.limited_for_s is None:
+            return None
+        return Refuse(AccountLimited("limited", retry_after_s=self.limited_for_s))
 
     def choose(self, request, now, excluded=frozenset()):
         self.requests.append(request)
         if self.decisions:
             return self.decisions.pop(0)
-        return Send(min({"a", "b", "c"} - excluded))
+        return Send(min({"a", "b", "c"} - excluded), 0.0)
+
+    def cancel(self, request_id):
+        pass
+
+    def record_start(self, request, sent, now):
+        self._servers_by_id[request.request_id] = sent.server_id
+        self.notes.append(("start", sent.server_id))
+        return ()
+
+    def record_first_token(self, request_id, now):
+        self.notes.append(("first_token", self._servers_by_id[request_id]))
 
-    def __getattr__(self, name):
-        if not name.startswith("record_"):
-            raise AttributeError(name)
-        kind = name.removeprefix("record_")
-        return lambda request, server_id, now: self.notes.append((kind, server_id))
+    def record_finish(self, request_id, now, prefix_keys=()):
+        self.notes.append(("finish", self._servers_by_id.pop(request_id)))
+        return ()
 
-    def set_leaving(self, server_id):
+    def record_failure(self, request_id, now, *, server_fault=True):
+        kind = "failure" if server_fault else "cancel"
+        self.notes.append((kind, self._servers_by_id.pop(request_id)))
+        return ()
+
+    def record_crash(self, server_id, now):
+        self.notes.append(("crash", server_id))
+        return (SuspectCrashed("f", "c", server_id, "d1"),)
+
+    def update_blocks(self, server_id, stored, evicted):
+        self.blocks.append((server_id, len(stored)))
+
+    def set_leaving(self, server_id, now):
         self.notes.append(("leaving", server_id))
 
 
@@ -220,12 +231,13 @@
         self.saved = []
 
     async def find(self, scope, keys, deadline):
-        return list(keys)
+        return SimpleNamespace(store_id="s1", blocks=1, wait_s=0.0, block_s=0.01)
 
-    async def load(self, prefix, server, deadline):
+    async def load(self, prefix, server, deadline, *, interactive, cached_blocks):
         if self.failure:
-            raise self.failure
-        self.loaded.append((prefix, server.id))
+            return SimpleNamespace(blocks=0, error=self.failure)
+        self.loaded.append((prefix.blocks, server.id))
+        return SimpleNamespace(blocks=prefix.blocks, error=None)
 
     async def save(self, scope, keys, server):
         self.saved.append((list(keys), server.id))
@@ -241,7 +253,6 @@
     actions: Actions = field(default_factory=Actions)
     kv: Kv = field(default_factory=Kv)
     confirmed: bool = True
-    limited_for_s: float | None = None
     announced: list = field(default_factory=list)
     announcing: Any = None
 
@@ -249,8 +260,8 @@
         self.engines = Engines(self.clock)
         self.events = EventRing("d1")
 
-    async def announce(self, server_id, fingerprint):
-        self.announced.append(server_id)
+    async def announce(self, announcements):
+        self.announced += [announcement.server_id for announcement in announcements]
         if self.announcing is not None:
             await self.announcing
 
@@ -264,18 +275,15 @@
                     urls=["http://d1"], valid_until=now + 10
                 )
             ),
-            limits=SimpleNamespace(admit=lambda account, n, now: self.limited_for_s),
             router=self.router,
             engines=self.engines,
-            budget=SimpleNamespace(
-                try_spend=lambda now: True, record_request=lambda now: None
-            ),
+            budget=SimpleNamespace(try_spend=lambda now: True),
             scope=lambda *parts: digest(repr(parts))[:32],
             block_keys=lambda scope, data: [digest(scope)] * (len(data) // 1024),
             kv=self.kv,
             actions=self.actions,
             prompts=self.prompts,
-            announce_crash=self.announce,
+            announce=self.announce,
             events=self.events,
             metrics=NoMetrics(),
         )
--- a/tests/gateway/test_flow.py
+++ b/tests/gateway/test_flow.py
@@ -91,14 +91,16 @@
     def test_blocks_are_loaded_before_the_request_is_sent(
         self, complete, fakes, faults
     ):
-        decision = faults.Send("b", import_from="s1", import_blocks=1)
+        decision = faults.Send("b", 0.0, import_from="s1", import_blocks=1)
         fakes.router.decisions = [decision]
         complete(prompt="x" * 2048)
-        assert [(len(p), s) for p, s in fakes.kv.loaded] == [(1, "b")]
+        assert fakes.kv.loaded == [(1, "b")]
+        assert fakes.router.blocks == [("b", 1)]
+        assert fakes.router.requests[0].copies[0].store_id == "s1"
 
     def test_a_failed_load_only_costs_recomputation(self, complete, fakes, faults):
         fakes.kv.failure = ChivesaddleError("store died")
-        decision = faults.Send("b", import_from="s1", import_blocks=1)
+        decision = faults.Send("b", 0.0, import_from="s1", import_blocks=1)
         fakes.router.decisions = [decision]
         assert complete(prompt="x" * 2048).response.status == 200
         assert "kv_import_rejected" in fakes.event_kinds()
--- a/tests/gateway/test_routes.py
+++ b/tests/gateway/test_routes.py
@@ -129,7 +129,7 @@
         assert caller.response.status == 200
 
     def test_an_account_over_its_limit_is_told_when_to_come_back(self, complete, fakes):
-        fakes.limited_for_s = 2.5
+        fakes.router.limited_for_s = 2.5
         answer = complete()
         assert (answer.response.status, answer.code) == (429, "rate_limit_exceeded")
         assert answer.response.headers["retry-after"] == "3"
