--- /dev/null
+++ b/src/chivesaddle/tools/fleet.py
@@ -0,0 +1,408 @@
+"""A fleet of fakes and daemons on loopback, in Kursuskoda's shape.
+
+``python -m chivesaddle.tools.fleet`` starts it, writes ``build/fleet.json`` and stops
+it on SIGINT or SIGTERM.
+"""
+
+import json
+import secrets
+import signal
+import time
+import types
+from pathlib import Path
+from typing import Annotated, Any
+
+import httpx
+import typer
+
+from chivesaddle.tools import kursuskoda as shape
+from chivesaddle.tools.operations import (
+    apply_operations,
+    booking_urls,
+    checks_fence,
+    first_operations,
+    key_digest,
+)
+from chivesaddle.tools.processes import (
+    Processes,
+    ProcessSpec,
+    ToolError,
+    free_ports,
+    wait_until,
+)
+
+DAEMON_MODULE = "chivesaddle.daemon.main"
+STANDINS_MODULE = "chivesaddle.standins"
+# A daemon serves until the last address answer that named it has expired (10 s).
+DAEMON_STOP_S = 20.0
+STANDIN_STOP_S = 5.0
+SPREAD_WAIT_S = 30.0
+MAX_RUN_S = 4 * 3_600.0
+
+
+class Fleet:
+    """Processes of one deployment; a context manager that starts and stops them.
+
+    Parameters
+    ----------
+    build_dir : pathlib.Path
+        Directory of settings, logs and ``fleet.json``.
+    daemons : int
+        Number of daemons; 0 starts the fakes only.
+    speeds : Speeds
+        Virtual speeds of the fakes.
+
+    Attributes
+    ----------
+    urls_by_name : dict
+        Base URLs of the fakes.
+    callers, operators : list of str
+        Base URLs of the daemons, in the order of their names.
+    keys_by_account : dict
+        Bearer key of each account.
+    operator_key, viewer_key : str
+        Keys for the operators' API.
+    """
+
+    def __init__(
+        self,
+        build_dir: Path = Path("build"),
+        *,
+        daemons: int = 3,
+        speeds: shape.Speeds | None = None,
+    ) -> None:
+        self._build_dir = build_dir
+        self._speeds = speeds or shape.Speeds()
+        self._processes = Processes(build_dir / "logs")
+        self._daemon_count = daemons
+        self._zones_by_name: dict[str, str] = {}
+        self._instances_by_name: dict[str, dict[str, Any]] = {}
+        self._tags_by_instance: dict[str, str] = {}
+        self._standin_names: list[str] = []
+        self._daemon_names: list[str] = []
+        self.urls_by_name: dict[str, str] = {}
+        self.callers: list[str] = []
+        self.operators: list[str] = []
+        self.operator_key = secrets.token_urlsafe(24)
+        self.viewer_key = secrets.token_urlsafe(24)
+        self.keys_by_account = {
+            name: secrets.token_urlsafe(24) for name in shape.WEIGHTS_BY_ACCOUNT
+        }
+
+    def __enter__(self) -> "Fleet":
+        self.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self.stop()
+
+    @property
+    def pids(self) -> dict[str, int]:
+        """Process ids of the running processes, by name."""
+        return self._processes.pids
+
+    def start(self) -> None:
+        """Start and configure everything; stops it again if that fails.
+
+        Raises
+        ------
+        ToolError
+            If a process does not serve, or the configuration is refused.
+        """
+        try:
+            self._start_standins()
+            if self._daemon_count:
+                self._start_daemons()
+                self._configure()
+            self._write_description()
+        except BaseException:
+            self.stop()
+            raise
+
+    def stop(self) -> None:
+        """Stop the processes started here, daemons first."""
+        self._processes.stop(self._daemon_names, DAEMON_STOP_S)
+        self._processes.stop(self._standin_names, STANDIN_STOP_S)
+
+    def kill(self, name: str) -> None:
+        """End a process at once."""
+        self._processes.kill(name)
+
+    def terminate(self, name: str) -> None:
+        """Ask a process to end gracefully, without waiting."""
+        self._processes.terminate(name)
+
+    def pause(self, name: str) -> None:
+        """Stop a process from running until `resume`."""
+        self._processes.pause(name)
+
+    def resume(self, name: str) -> None:
+        """Let a paused process run again."""
+        self._processes.resume(name)
+
+    def restart(self, name: str) -> None:
+        """End a process if it runs and start it again on the same ports."""
+        self._processes.restart(name)
+        self._write_description()
+
+    def set_faults(self, name: str, **switches: Any) -> None:
+        """Replace the fault switches of a fake; none switches all off."""
+        url = f"{self.urls_by_name[name]}/control/faults"
+        httpx.put(url, json=switches, timeout=10.0).raise_for_status()
+
+    def counters(self, name: str) -> dict[str, int]:
+        """Return the counters of a fake."""
+        url = f"{self.urls_by_name[name]}/control/counters"
+        return httpx.get(url, timeout=10.0).raise_for_status().json()
+
+    def set_instance_state(self, name: str, state: str) -> None:
+        """Change an instance's state in the platform's list: live or leaving."""
+        value = {**self._instances_by_name[name], "state": state}
+        self._put_instance(name, value, {"If-Match": self._tags_by_instance[name]})
+
+    def remove_instance(self, name: str) -> None:
+        """Remove an instance from the platform's list."""
+        httpx.delete(
+            self._instance_url(name),
+            headers={"If-Match": self._tags_by_instance.pop(name)},
+            timeout=10.0,
+        ).raise_for_status()
+
+    def describe(self) -> dict[str, Any]:
+        """Return what ``fleet.json`` holds."""
+        return {
+            "callers": self.callers,
+            "operators": self.operators,
+            "accounts": self.keys_by_account,
+            "operator_key": self.operator_key,
+            "viewer_key": self.viewer_key,
+            "models": {shape.MODEL: shape.WEIGHT_VERSION},
+            "services": {
+                shape.SERVICE: {
+                    "urls": booking_urls(self.urls_by_name),
+                    "operations": shape.REPEATABLE_BY_OPERATION,
+                }
+            },
+            "pids": self.pids,
+            "zones": self._zones_by_name,
+            "standins": self.urls_by_name,
+        }
+
+    def _start_standins(self) -> None:
+        roles = self._standin_roles()
+        for name, port in zip(roles, free_ports(len(roles)), strict=True):
+            self.urls_by_name[name] = f"http://127.0.0.1:{port}"
+        self._standin_names = list(roles)
+        self._processes.start(
+            ProcessSpec(
+                name,
+                STANDINS_MODULE,
+                (
+                    role,
+                    "--port",
+                    self.urls_by_name[name].rpartition(":")[2],
+                    "--exit-with-parent",
+                    *arguments,
+                ),
+                f"{self.urls_by_name[name]}/control/counters",
+            )
+            for name, (role, *arguments) in roles.items()
+        )
+        for numbered, zones, role in (
+            ("engine", shape.ENGINE_ZONES, "backend_server"),
+            ("store", shape.STORE_ZONES, "store"),
+        ):
+            for n, zone in enumerate(zones, 1):
+                name = f"{numbered}-{n}"
+                self._register(name, role, zone, url=self.urls_by_name[name])
+        for n, zone in enumerate(shape.BOOKING_ZONES, 1):
+            self._zones_by_name[f"booking-{n}"] = zone
+
+    def _standin_roles(self) -> dict[str, tuple[str, ...]]:
+        speeds = self._speeds
+        engine = (
+            "engine",
+            "--model",
+            f"{shape.MODEL}:{shape.WEIGHT_VERSION}:{shape.ADAPTER}",
+            f"--prefill-tokens-per-s={speeds.prefill_tokens_per_s}",
+            f"--decode-tokens-per-s={speeds.decode_tokens_per_s}",
+        )
+        store = (
+            "store",
+            f"--memory-bytes-per-s={speeds.memory_bytes_per_s}",
+            f"--disk-bytes-per-s={speeds.disk_bytes_per_s}",
+            f"--bytes-per-block={speeds.bytes_per_block}",
+        )
+        roles: dict[str, tuple[str, ...]] = {
+            "object-api": (
+                "object-api",
+                f"--instances-lag-s={speeds.instances_lag_s}",
+            ),
+            "weights": ("weights",),
+        }
+        for n in range(1, len(shape.ENGINE_ZONES) + 1):
+            fence = ("--checks-fence",) if checks_fence(n) else ()
+            roles[f"engine-{n}"] = engine + fence
+        for n in range(1, len(shape.STORE_ZONES) + 1):
+            roles[f"store-{n}"] = store
+        for n in range(1, len(shape.BOOKING_ZONES) + 1):
+            roles[f"booking-{n}"] = ("booking", "--name", f"booking-{n}")
+        return roles
+
+    def _start_daemons(self) -> None:
+        ports = iter(free_ports(3 * self._daemon_count))
+        specs = []
+        for n in range(1, self._daemon_count + 1):
+            name = f"daemon-{n}"
+            zone = shape.ZONES[(n - 1) % len(shape.ZONES)]
+            settings = self._settings(name, zone, next(ports), next(ports), next(ports))
+            path = self._build_dir / f"{name}.json"
+            path.write_text(json.dumps(settings, indent=2))
+            caller_url = settings["caller_url"]
+            operator_url = f"http://127.0.0.1:{settings['operators']['port']}"
+            self._register(
+                name,
+                "daemon",
+                zone,
+                caller_url=caller_url,
+                operator_url=operator_url,
+                peer_address=f"127.0.0.1:{settings['peers']['port']}",
+            )
+            self.callers.append(caller_url)
+            self.operators.append(operator_url)
+            self._daemon_names.append(name)
+            specs.append(
+                ProcessSpec(
+                    name,
+                    DAEMON_MODULE,
+                    ("--config", str(path.resolve())),
+                    f"{caller_url}/healthz",
+                )
+            )
+        self._processes.start(specs)
+
+    def _settings(
+        self, name: str, zone: str, callers: int, operators: int, peers: int
+    ) -> dict[str, Any]:
+        keys = (("operator", self.operator_key), ("viewer", self.viewer_key))
+        return {
+            "daemon_id": name,
+            "zone": zone,
+            "region": shape.REGION,
+            "callers": {"port": callers},
+            "operators": {"port": operators},
+            "peers": {"port": peers},
+            "caller_url": f"http://127.0.0.1:{callers}",
+            "platform_url": self.urls_by_name["object-api"],
+            "operator_keys": [
+                {"name": f"fleet-{role}", "role": role, "key_sha256": key_digest(key)}
+                for role, key in keys
+            ],
+        }
+
+    def _configure(self) -> None:
+        operations = first_operations(self.keys_by_account, self.urls_by_name)
+        apply_operations(
+            self.operators[0], self.operator_key, operations, "first configuration"
+        )
+        if not wait_until(self._is_configured, SPREAD_WAIT_S):
+            raise ToolError(
+                f"The configuration is not in effect on every daemon after "
+                f"{SPREAD_WAIT_S:g} s"
+            )
+
+    def _is_configured(self) -> bool:
+        key = next(iter(self.keys_by_account.values()))
+        headers = {"Authorization": f"Bearer {key}"}
+        for url in self.callers:
+            try:
+                found = httpx.get(f"{url}/v1/models", headers=headers, timeout=5.0)
+            except httpx.HTTPError:
+                return False
+            if found.status_code != 200 or shape.MODEL not in found.text:
+                return False
+        return True
+
+    def _register(self, name: str, role: str, zone: str, **addresses: str) -> None:
+        value = {
+            "role": role,
+            "zone": zone,
+            "region": shape.REGION,
+            "caller_url": "",
+            "operator_url": "",
+            "peer_address": "",
+            "url": "",
+            **addresses,
+            "state": "live",
+        }
+        self._put_instance(name, value, {"If-None-Match": "*"})
+        self._zones_by_name[name] = zone
+
+    def _put_instance(
+        self, name: str, value: dict[str, Any], precondition: dict[str, str]
+    ) -> None:
+        answer = httpx.put(
+            self._instance_url(name), json=value, headers=precondition, timeout=10.0
+        ).raise_for_status()
+        self._instances_by_name[name] = value
+        # Reads of the list lag, so versions are remembered from writes.
+        self._tags_by_instance[name] = f'"{answer.json()["version"]}"'
+
+    def _instance_url(self, name: str) -> str:
+        return f"{self.urls_by_name['object-api']}/objects/instances/{name}"
+
+    def _write_description(self) -> None:
+        text = json.dumps(self.describe(), indent=2)
+        (self._build_dir / "fleet.json").write_text(text)
+
+
+def stop_on_signals() -> None:
+    """Turn the first SIGINT or SIGTERM into KeyboardInterrupt and ignore further ones.
+
+    A second signal would interrupt the stopping of the child processes.
+    """
+    numbers = (signal.SIGINT, signal.SIGTERM)
+
+    def interrupt(*_: Any) -> None:
+        for number in numbers:
+            signal.signal(number, signal.SIG_IGN)
+        raise KeyboardInterrupt
+
+    for number in numbers:
+        signal.signal(number, interrupt)
+
+
+def main(
+    daemons: Annotated[
+        int, typer.Option(help="Number of daemons; 0 starts the fakes only", min=0)
+    ] = 3,
+    build_dir: Annotated[
+        Path, typer.Option(help="Directory of settings, logs and fleet.json")
+    ] = Path("build"),
+    max_run_s: Annotated[
+        float, typer.Option(help="Stop by itself after so many seconds")
+    ] = MAX_RUN_S,
+) -> None:
+    """Start a fleet on loopback and run it until SIGINT or SIGTERM."""
+    stop_on_signals()
+    try:
+        with Fleet(build_dir, daemons=daemons):
+            typer.echo(f"ready: {build_dir / 'fleet.json'}")
+            time.sleep(max_run_s)
+    except KeyboardInterrupt:
+        typer.echo("stopped")
+    except ToolError as error:
+        typer.echo(f"fleet: {error}", err=True)
+        raise typer.Exit(1) from None
+
+
+if __name__ == "__main__":
+    typer.run(main)
+
+
+__all__ = ["Fleet", "stop_on_signals"]
--- /dev/null
+++ b/tests/standins/test_http.py
@@ -0,0 +1,171 @@
+import json
+
+import httpx
+import pytest
+
+from chivesaddle.standins.blocks import block_keys
+from chivesaddle.standins.expected import expected_text
+from chivesaddle.tools import kursuskoda as shape
+from chivesaddle.tools.fleet import Fleet
+
+SALT = "0a" * 16
+PROMPT = "course handbook " * 256
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    """Fakes only, as real processes."""
+    with Fleet(tmp_path_factory.mktemp("build"), daemons=0) as running:
+        yield running
+
+
+@pytest.fixture
+def engine(fleet):
+    return fleet.urls_by_name["engine-1"]
+
+
+@pytest.fixture
+def store(fleet):
+    return fleet.urls_by_name["store-1"]
+
+
+def ask(engine, request_id, **fields):
+    body = {
+        "model": shape.MODEL,
+        "prompt": PROMPT,
+        "max_tokens": 4,
+        "request_id": request_id,
+        "cache_salt": SALT,
+        **fields,
+    }
+    return httpx.post(f"{engine}/v1/completions", json=body, timeout=30)
+
+
+class TestEngineOverHttp:
+    def test_blocks_exported_to_a_store_are_reused_after_eviction(
+        self, fleet, engine, store
+    ):
+        expected = expected_text(shape.MODEL, shape.WEIGHT_VERSION, PROMPT, 4)
+        first = ask(engine, "export-1").json()
+        keys = block_keys(SALT, PROMPT.encode())
+        transfer = {"cache_salt": SALT, "block_keys": keys}
+        exported = httpx.post(
+            f"{engine}/kv/exports", json={**transfer, "target": store}
+        )
+        record = {"scope": SALT, "tokens": 1_024, **exported.json()}
+        put = httpx.put(f"{store}/manifests/{keys[-1]}", json=record)
+        assert put.json()["tier"] == "memory"
+        httpx.post(f"{engine}/control/evict", json={})
+        staged = httpx.post(
+            f"{engine}/kv/imports", json={**transfer, "source": store, "import_id": "i"}
+        )
+        assert staged.json() == exported.json()
+        httpx.post(f"{engine}/kv/imports/i/commit")
+        again = ask(engine, "export-2").json()
+        assert again["usage"]["prompt_tokens_details"]["cached_tokens"] == 1_024
+        assert [a["choices"][0]["text"] for a in (first, again)] == [expected] * 2
+
+    def test_cut_stream_resumes_at_the_next_token(self, fleet, engine):
+        fleet.set_faults("engine-1", cut_next=1, cut_after_tokens=2)
+        with pytest.raises(httpx.RemoteProtocolError):
+            ask(engine, "cut", stream=True)
+        resumed = httpx.get(
+            f"{engine}/v1/streams/cut?after=2", headers={"X-Cache-Salt": SALT}
+        )
+        events = [line[6:] for line in resumed.text.splitlines() if line]
+        assert events[-1] == "[DONE]"
+        chunks = [json.loads(event) for event in events[:-1]]
+        assert [chunk["token_index"] for chunk in chunks] == [2, 3, 4]
+        expected = expected_text(shape.MODEL, shape.WEIGHT_VERSION, PROMPT, 4)
+        start = expected_text(shape.MODEL, shape.WEIGHT_VERSION, PROMPT, 2)
+        text = "".join(chunk["choices"][0]["text"] for chunk in chunks)
+        assert start + text == expected
+
+    def test_block_freed_during_an_export_is_reported(self, fleet, engine, store):
+        ask(engine, "freed")
+        fleet.set_faults("engine-1", free_in_export_next=1)
+        keys = block_keys(SALT, PROMPT.encode())
+        body = {"cache_salt": SALT, "block_keys": keys, "target": store}
+        assert httpx.post(f"{engine}/kv/exports", json=body).status_code == 409
+
+    def test_corrupt_import_shows_in_its_checksum(self, fleet, engine, store):
+        ask(engine, "corrupt")
+        keys = block_keys(SALT, PROMPT.encode())
+        body = {"cache_salt": SALT, "block_keys": keys}
+        sent = httpx.post(f"{engine}/kv/exports", json={**body, "target": store}).json()
+        fleet.set_faults("engine-1", corrupt_import_next=1)
+        staged = httpx.post(
+            f"{engine}/kv/imports", json={**body, "source": store, "import_id": "c"}
+        ).json()
+        assert staged["blocks"][0]["checksum"] != sent["blocks"][0]["checksum"]
+        assert staged["blocks"][1:] == sent["blocks"][1:]
+
+    def test_marked_prompt_ends_the_process(self, fleet):
+        fleet.set_faults("engine-4", crash_marker="BOOM")
+        with pytest.raises(httpx.HTTPError):
+            ask(fleet.urls_by_name["engine-4"], "crash", prompt="BOOM")
+        fleet.restart("engine-4")
+        assert ask(fleet.urls_by_name["engine-4"], "after").status_code == 200
+
+
+class TestObjectApiOverHttp:
+    @pytest.fixture
+    def url(self, fleet):
+        fleet.set_faults("object-api")
+        return f"{fleet.urls_by_name['object-api']}/objects"
+
+    def test_conditional_writes_use_entity_tags(self, url):
+        name = f"{url}/leases/zone-reader%2Ftartu-a"
+        created = httpx.put(name, json={"term": 1}, headers={"If-None-Match": "*"})
+        tag = {"If-Match": f'"{created.json()["version"]}"'}
+        assert httpx.put(name, json={"term": 2}, headers=tag).status_code == 200
+        assert httpx.put(name, json={"term": 3}, headers=tag).status_code == 412
+        assert httpx.get(name).json()["value"] == {"term": 2}
+        listed = httpx.get(f"{url}/leases?prefix=zone-reader/").json()["items"]
+        assert [item["name"] for item in listed] == ["zone-reader/tartu-a"]
+
+    def test_lost_answer_closes_the_connection_after_the_effect(self, fleet, url):
+        fleet.set_faults("object-api", writes=["lost_after_effect"])
+        with pytest.raises(httpx.HTTPError):
+            httpx.put(f"{url}/k/lost", json={"x": 1}, headers={"If-None-Match": "*"})
+        assert httpx.get(f"{url}/k/lost").json()["value"] == {"x": 1}
+
+    def test_outage_answers_503(self, fleet, url):
+        fleet.set_faults("object-api", outage=True)
+        assert httpx.get(f"{url}/k/any").status_code == 503
+
+    def test_silenced_connection_never_answers_while_new_ones_do(self, fleet, url):
+        """Guards against a fault that breaks new connections as well."""
+        with httpx.Client(timeout=30) as client:
+            assert client.get(f"{url}/k").status_code == 200
+            fleet.set_faults("object-api", silent_connections=True)
+            with pytest.raises(httpx.TimeoutException):
+                client.get(f"{url}/k", timeout=0.3)
+        assert httpx.get(f"{url}/k").status_code == 200
+
+    def test_unknown_fault_switch_is_refused(self, fleet, url):
+        with pytest.raises(httpx.HTTPStatusError, match="400"):
+            fleet.set_faults("object-api", no_such_switch=True)
+
+
+class TestBookingOverHttp:
+    @pytest.fixture
+    def url(self, fleet):
+        return fleet.urls_by_name["booking-3"]
+
+    def runs(self, url):
+        return len(httpx.get(f"{url}/control/log").json()["runs"])
+
+    def reserve(self, url):
+        return httpx.post(f"{url}/operations/reserve_seat", json={"course": "c"})
+
+    @pytest.mark.parametrize(
+        ("switch", "ran"), [("lose_before_run_next", 0), ("lose_answer_next", 1)]
+    )
+    def test_lost_answer_before_or_after_the_run(self, fleet, url, switch, ran):
+        before = self.runs(url)
+        fleet.set_faults("booking-3", **{switch: 1})
+        with pytest.raises(httpx.HTTPError):
+            self.reserve(url)
+        assert self.runs(url) == before + ran
+        assert self.reserve(url).status_code == 200
