Reject invalid salts early and re-check fencing tokens when orders apply

An invalid cache salt raised inside the scheduler and left the engine's queue blocked; it is now refused at submission. A delayed order took effect even if a later one had been accepted, which an engine that checks tokens must not do. A reader whose event number predates an engine's restart waited forever; it is now answered with next 0. Load history is bounded by age.

--- a/src/chivesaddle/standins/blocks.py
+++ b/src/chivesaddle/standins/blocks.py
@@ -73,10 +73,13 @@
     >>> render_chat([{"role": "user", "content": "Hi"}])
     '<|user|>Hi\n'
     """
-    return "".join(
-        f"<|{message['role']}|>{_content_text(message.get('content'))}\n"
-        for message in messages
-    )
+    return "".join(map(_message_text, messages))
+
+
+def _message_text(message: Any) -> str:
+    if not isinstance(message, dict) or not isinstance(message.get("role"), str):
+        raise InvalidValue(f"Message {message!r} has no role", field="messages")
+    return f"<|{message['role']}|>{_content_text(message.get('content'))}\n"
 
 
 def _content_text(content: Any) -> str:
--- a/src/chivesaddle/standins/engine.py
+++ b/src/chivesaddle/standins/engine.py
@@ -5,10 +5,11 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
 from twisted.web.server import Request
 
 from chivesaddle.core.aio import Clock
-from chivesaddle.core.errors import InvalidValue
+from chivesaddle.core.errors import ChivesaddleError, InvalidValue
 from chivesaddle.standins.blocks import render_chat
 from chivesaddle.standins.connections import close
 from chivesaddle.standins.engine_core import (
@@ -220,11 +221,24 @@
             model = field_of(order, "model", str)
             await fetch_weights(self._weights_url, model, str(version))
         delay_s = self.faults.order_delay_s
-        done = self.run_even_if_caller_leaves(delay_s, lambda: models.apply(order))
-        if not delay_s:
+        ignores_fence = self.faults.ignore_fence
+
+        def apply() -> None:
+            # A later order may have been accepted while this one was delayed.
+            models.check_fence(fence, ignores_fence)
+            models.apply(order)
+
+        done = self.run_even_if_caller_leaves(delay_s, apply)
+        if delay_s:
+            done.addErrback(self._count_dropped_order)
+        else:
             await done
         return Answer({"accepted": True, "fence": models.fence})
 
+    def _count_dropped_order(self, failure: Failure) -> None:
+        failure.trap(ChivesaddleError)
+        self.counters["dropped_orders"] += 1
+
     async def _state(self, request: Request) -> Answer:
         return Answer(self.core.models.to_json())
 
--- a/src/chivesaddle/standins/engine_core.py
+++ b/src/chivesaddle/standins/engine_core.py
@@ -21,6 +21,9 @@
 from chivesaddle.standins.prefix_cache import CacheEvents, PrefixCache
 from chivesaddle.standins.text import TextSource, generated_count
 
+# Longest lag of load reports that a fault switch can ask for.
+LOAD_HISTORY_S = 60.0
+
 
 @dataclass(frozen=True)
 class EngineConfig:
@@ -184,12 +187,15 @@
         Rejected
             503 draining, 404 unknown model or adapter, 409 version not loaded or
             request id of another cache salt, 429 queue full.
+        InvalidValue
+            If the cache salt is not hexadecimal.
         """
         if self.faults.draining:
             raise Rejected(503, "draining", "The engine is draining", retry_after_s=1)
         version = self.models.resolve(
             completion.model, completion.weight_version, completion.adapter
         )
+        block_keys(completion.cache_salt, b"")  # refuses a salt that is not hexadecimal
         earlier = self.streams_by_id.get(completion.request_id)
         if earlier and earlier.completion.cache_salt != completion.cache_salt:
             raise Rejected(
@@ -252,10 +258,10 @@
             "queued_prefill_tokens": sum(stream.context_tokens for stream in waiting),
             "state": "draining" if self.faults.draining else "serving",
         }
-        self._load_history.append((now, report))
-        # A lag set later may reach back further than the current one.
-        while len(self._load_history) > 10_000:
-            self._load_history.popleft()
+        history = self._load_history
+        history.append((now, report))
+        while len(history) > 1 and history[1][0] < now - LOAD_HISTORY_S:
+            history.popleft()
 
     def _call_later(self, delay_s: float, call: Callable[[], None]) -> None:
         def due() -> None:
--- a/src/chivesaddle/standins/faults.py
+++ b/src/chivesaddle/standins/faults.py
@@ -119,7 +119,7 @@
     slowdown: float = Field(default=1.0, gt=0)
     events_lost_next: int = Field(default=0, ge=0)
     events_lag_s: float | None = Field(default=None, ge=0)
-    load_lag_s: float | None = Field(default=None, ge=0)
+    load_lag_s: float | None = Field(default=None, ge=0, le=60)
     free_in_export_next: int = Field(default=0, ge=0)
     corrupt_export_next: int = Field(default=0, ge=0)
     corrupt_import_next: int = Field(default=0, ge=0)
--- a/src/chivesaddle/standins/prefix_cache.py
+++ b/src/chivesaddle/standins/prefix_cache.py
@@ -46,7 +46,12 @@
         self._events.append(CacheEvent(self.seq, type, block_key, visible_at))
 
     def after(self, seq: int) -> dict[str, Any]:
-        """Return the visible events after ``seq`` and the number to ask for next."""
+        """Return the visible events after ``seq`` and the number to ask for next.
+
+        A number from before the engine restarted is answered with ``next`` 0.
+        """
+        if seq > self.seq:
+            return {"next": 0, "events": []}
         now = self._clock.seconds()
         found = []
         for event in self._events:
--- a/tests/standins/test_engine_core.py
+++ b/tests/standins/test_engine_core.py
@@ -1,5 +1,6 @@
 import pytest
 
+from chivesaddle.core.errors import InvalidValue
 from chivesaddle.standins.blocks import block_keys
 from chivesaddle.standins.engine_core import (
     Completion,
@@ -141,6 +142,12 @@
         with pytest.raises(Rejected):
             engine.find_stream("r", SALT)
 
+    def test_salt_that_is_not_hexadecimal_is_refused_before_it_runs(self, engine):
+        """Guards against an exception that leaves the engine's queue blocked."""
+        with pytest.raises(InvalidValue):
+            ask(engine, "r", salt="not hexadecimal")
+        assert ask(engine, "next").state is StreamState.PREFILLING
+
 
 class TestModels:
     @pytest.mark.parametrize(
@@ -185,6 +192,10 @@
         assert [event["seq"] for event in found["events"]] == [3, 4, 5, 6, 7, 8]
         assert found["next"] == 8
 
+    def test_number_from_before_a_restart_is_answered_with_zero(self, engine):
+        """Guards against readers that wait forever for numbers of a dead process."""
+        assert engine.events.after(500) == {"next": 0, "events": []}
+
 
 class TestFaults:
     def test_marked_prompt_crashes_when_it_runs(self, engine, clock, crashes):
--- a/tests/standins/test_http.py
+++ b/tests/standins/test_http.py
@@ -7,6 +7,7 @@
 from chivesaddle.standins.expected import expected_text
 from chivesaddle.tools import kursuskoda as shape
 from chivesaddle.tools.fleet import Fleet
+from chivesaddle.tools.processes import wait_until
 
 SALT = "0a" * 16
 PROMPT = "course handbook " * 256
@@ -100,6 +101,20 @@
         assert staged["blocks"][0]["checksum"] != sent["blocks"][0]["checksum"]
         assert staged["blocks"][1:] == sent["blocks"][1:]
 
+    def test_delayed_order_is_dropped_after_a_later_one(self, fleet):
+        """Guards against a fencing engine that lets a stale order take effect."""
+        url = fleet.urls_by_name["engine-3"]
+        fleet.set_faults("engine-3", order_delay_s=0.3)
+        late = {"fence": 1, "order": "set_role", "role": "prefill"}
+        assert httpx.post(f"{url}/orders", json=late).status_code == 200
+        fleet.set_faults("engine-3")
+        order = {"fence": 2, "order": "set_role", "role": "decode"}
+        httpx.post(f"{url}/orders", json=order)
+        assert wait_until(
+            lambda: fleet.counters("engine-3").get("dropped_orders") == 1, 30
+        )
+        assert httpx.get(f"{url}/state").json()["role"] == "decode"
+
     def test_marked_prompt_ends_the_process(self, fleet):
         fleet.set_faults("engine-4", crash_marker="BOOM")
         with pytest.raises(httpx.HTTPError):
