Transfer blocks over several kept connections

A 64-block import on one new connection per block made the returning prompt wait for connection set-up instead of the simulated link. The demo waits for idle links before each ask, so that saves of an earlier prompt do not count as link use of the next.

--- a/src/chivesaddle/standins/http_client.py
+++ b/src/chivesaddle/standins/http_client.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
+from functools import cache
 from typing import Any
 
 from treq.client import HTTPClient
@@ -10,6 +11,7 @@
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseFailed
 
 TIMEOUT_S = 30.0
+MAX_CONNECTIONS = 8
 
 
 @dataclass(frozen=True)
@@ -25,25 +27,31 @@
         return json.loads(self.body)
 
 
+@cache
+def _client() -> HTTPClient:
+    from twisted.internet import reactor
+
+    pool = HTTPConnectionPool(reactor)
+    pool.maxPersistentPerHost = MAX_CONNECTIONS
+    agent: Any = Agent(reactor, pool)
+    return HTTPClient(agent)
+
+
 async def send(
     method: str,
     url: str,
     body: bytes = b"",
     headers: Mapping[bytes | str, bytes | str] | None = None,
 ) -> Response:
-    """Send one request on a connection of its own and read the whole answer.
+    """Send one request and read the whole answer.
 
     Raises
     ------
     OSError
         If the other side cannot be reached or closes the connection early.
     """
-    from twisted.internet import reactor
-
-    agent: Any = Agent(reactor, HTTPConnectionPool(reactor, persistent=False))
-    client = HTTPClient(agent)
     try:
-        response = await client.request(
+        response = await _client().request(
             method, url, data=body, headers=dict(headers or {}), timeout=TIMEOUT_S
         )
         data = await response.content()
@@ -57,4 +65,4 @@
     )
 
 
-__all__ = ["Response", "send"]
+__all__ = ["MAX_CONNECTIONS", "Response", "send"]
--- a/src/chivesaddle/tools/demo.py
+++ b/src/chivesaddle/tools/demo.py
@@ -19,7 +19,7 @@
 from chivesaddle.standins.expected import expected_text
 from chivesaddle.tools import kursuskoda as shape
 from chivesaddle.tools.fleet import Fleet, stop_on_signals
-from chivesaddle.tools.processes import ToolError, wait_until
+from chivesaddle.tools.processes import HTTP, ToolError, wait_until
 
 ACCOUNT = "tallinn-team"
 PROMPT_BYTES = 64 * BLOCK_BYTES
@@ -28,6 +28,7 @@
 SAVE_WAIT_S = 30.0
 # Daemons learn of the eviction from cache events, which engines publish late.
 GAP_S = 3.0
+IDLE_S = 0.5
 MOST = 0.5
 ENGINES = tuple(f"engine-{n}" for n in range(1, len(shape.ENGINE_ZONES) + 1))
 STORES = tuple(f"store-{n}" for n in range(1, len(shape.STORE_ZONES) + 1))
@@ -97,6 +98,8 @@
         self._fleet = fleet
         self._speeds = speeds
         key = fleet.keys_by_account[ACCOUNT]
+        # Connections are kept, so that only the first asks include setting them up.
+        self._client = httpx.Client(timeout=60.0)
         self._headers = {"Authorization": f"Bearer {key}"}
 
     def run(self) -> list[Claim]:
@@ -142,14 +145,14 @@
             "max_tokens": max_tokens,
             "stream": True,
         }
+        self._wait_until_links_are_idle()
         before, started_at = self._totals(), time.monotonic()
         text, first_token_at = "", None
-        with httpx.stream(
+        with self._client.stream(
             "POST",
             f"{self._fleet.callers[daemon]}/v1/completions",
             json=body,
             headers=self._headers,
-            timeout=60.0,
         ) as response:
             if response.status_code != 200:
                 detail = response.read().decode(errors="replace")
@@ -172,6 +175,13 @@
             link_bytes / (capacity * len(STORES) * elapsed_s),
         )
 
+    def _wait_until_links_are_idle(self) -> None:
+        # Saves of an earlier prompt would count as link use of this one.
+        earlier, now = None, self._totals()
+        while now != earlier:
+            time.sleep(IDLE_S)
+            earlier, now = now, self._totals()
+
     def _totals(self) -> dict[str, int]:
         names = ("computed_prompt_tokens", "memory_link_bytes", "disk_link_bytes")
         found = [self._fleet.counters(name) for name in (*ENGINES, *STORES)]
@@ -181,7 +191,7 @@
         wanted = len(prompt.encode()) // BLOCK_BYTES
         for name in STORES:
             url = f"{self._fleet.urls_by_name[name]}/manifests"
-            page = httpx.get(url, params={"limit": 1_000}, timeout=10.0).json()
+            page = HTTP.get(url, params={"limit": 1_000}).json()
             if any(len(m["blocks"]) >= wanted for m in page["manifests"]):
                 return True
         return False
@@ -189,10 +199,10 @@
     def _evict(self) -> None:
         for name in ENGINES:
             url = f"{self._fleet.urls_by_name[name]}/control/evict"
-            httpx.post(url, json={}, timeout=10.0).raise_for_status()
+            HTTP.post(url, json={}).raise_for_status()
 
     def _reserve(self, daemon: int) -> Any:
-        response = httpx.post(
+        response = HTTP.post(
             f"{self._fleet.callers[daemon]}/v1/services/{shape.SERVICE}/reserve_seat",
             json={"course": "negotiation-1", "member": "member-17"},
             headers={**self._headers, "Idempotency-Key": "demo-reservation-1"},
@@ -208,8 +218,8 @@
         return sum(
             run["operation"] == "reserve_seat"
             for n in range(1, len(shape.BOOKING_ZONES) + 1)
-            for run in httpx.get(
-                f"{self._fleet.urls_by_name[f'booking-{n}']}/control/log", timeout=10.0
+            for run in HTTP.get(
+                f"{self._fleet.urls_by_name[f'booking-{n}']}/control/log"
             ).json()["runs"]
         )
 
--- a/src/chivesaddle/tools/fleet.py
+++ b/src/chivesaddle/tools/fleet.py
@@ -24,6 +24,7 @@
     key_digest,
 )
 from chivesaddle.tools.processes import (
+    HTTP,
     Processes,
     ProcessSpec,
     ToolError,
@@ -153,12 +154,12 @@
     def set_faults(self, name: str, **switches: Any) -> None:
         """Replace the fault switches of a fake; none switches all off."""
         url = f"{self.urls_by_name[name]}/control/faults"
-        httpx.put(url, json=switches, timeout=10.0).raise_for_status()
+        HTTP.put(url, json=switches).raise_for_status()
 
     def counters(self, name: str) -> dict[str, int]:
         """Return the counters of a fake."""
         url = f"{self.urls_by_name[name]}/control/counters"
-        return httpx.get(url, timeout=10.0).raise_for_status().json()
+        return HTTP.get(url).raise_for_status().json()
 
     def set_instance_state(self, name: str, state: str) -> None:
         """Change an instance's state in the platform's list: live or leaving."""
@@ -167,10 +168,9 @@
 
     def remove_instance(self, name: str) -> None:
         """Remove an instance from the platform's list."""
-        httpx.delete(
+        HTTP.delete(
             self._instance_url(name),
             headers={"If-Match": self._tags_by_instance.pop(name)},
-            timeout=10.0,
         ).raise_for_status()
 
     def describe(self) -> dict[str, Any]:
@@ -321,7 +321,7 @@
         headers = {"Authorization": f"Bearer {key}"}
         for url in self.callers:
             try:
-                found = httpx.get(f"{url}/v1/models", headers=headers, timeout=5.0)
+                found = HTTP.get(f"{url}/v1/models", headers=headers, timeout=5.0)
             except httpx.HTTPError:
                 return False
             if found.status_code != 200 or shape.MODEL not in found.text:
@@ -346,8 +346,8 @@
     def _put_instance(
         self, name: str, value: dict[str, Any], precondition: dict[str, str]
     ) -> None:
-        answer = httpx.put(
-            self._instance_url(name), json=value, headers=precondition, timeout=10.0
+        answer = HTTP.put(
+            self._instance_url(name), json=value, headers=precondition
         ).raise_for_status()
         self._instances_by_name[name] = value
         # Reads of the list lag, so versions are remembered from writes.
--- a/src/chivesaddle/tools/processes.py
+++ b/src/chivesaddle/tools/processes.py
@@ -19,6 +19,11 @@
 POLL_S = 0.05
 
 
+# Creating a client loads certificates, so one is shared. Connections are not kept,
+# since fault switches can silence open ones.
+HTTP = httpx.Client(timeout=10.0, limits=httpx.Limits(max_keepalive_connections=0))
+
+
 class ToolError(Exception):
     """A process did not start, or a call of a tool was refused."""
 
@@ -71,7 +76,7 @@
                     + self.log_tail(name)
                 )
             try:
-                return httpx.get(spec.health_url, timeout=1.0).status_code == 200
+                return HTTP.get(spec.health_url, timeout=1.0).status_code == 200
             except httpx.HTTPError:
                 return False
 
@@ -165,4 +170,4 @@
     return ports
 
 
-__all__ = ["ProcessSpec", "Processes", "ToolError", "free_ports", "wait_until"]
+__all__ = ["HTTP", "ProcessSpec", "Processes", "ToolError", "free_ports", "wait_until"]
