Let fakes finish requests whose caller has left

A frozen or slow fake dropped a request when its caller gave up, so the late run that causes double bookings could not happen. Bookings are known at every URL of the service: an instance asks its siblings.

--- a/src/chivesaddle/standins/__main__.py
+++ b/src/chivesaddle/standins/__main__.py
@@ -196,12 +196,15 @@
 def booking(
     port: Port,
     name: Annotated[str, typer.Option(help="Prefix of booking ids")] = "booking",
+    sibling: Annotated[
+        list[str], typer.Option(help="URL of another instance; repeat for more")
+    ] = [],  # noqa: B006
     exit_with_parent: ExitWithParent = False,
 ) -> None:
     """Serve the booking service."""
     from chivesaddle.standins.booking import BookingShell
 
-    serve(port, exit_with_parent, lambda clock: BookingShell(clock, name))
+    serve(port, exit_with_parent, lambda clock: BookingShell(clock, name, sibling))
 
 
 if __name__ == "__main__":
--- a/src/chivesaddle/standins/booking_core.py
+++ b/src/chivesaddle/standins/booking_core.py
@@ -22,15 +22,25 @@
         self._bookings: dict[str, dict[str, Any]] = {}
         self.log: list[dict[str, Any]] = []
 
-    def run(self, operation: str, body: dict[str, Any]) -> dict[str, Any]:
+    def booking(self, booking_id: str) -> dict[str, Any] | None:
+        """Return a booking made here, or None."""
+        return self._bookings.get(booking_id)
+
+    def run(
+        self,
+        operation: str,
+        body: dict[str, Any],
+        sibling_booking: dict[str, Any] | None = None,
+    ) -> dict[str, Any]:
         """Run an operation once and return its result.
 
-        ``check_reservation`` reads the booking ``booking_id``; ``status`` counts
-        bookings; every other operation makes a booking.
+        ``check_reservation`` reads the booking ``booking_id``, made here or given as
+        ``sibling_booking``; ``status`` counts bookings; every other operation makes a
+        booking.
         """
         match operation:
             case "check_reservation":
-                booking = self._bookings.get(str(body.get("booking_id")))
+                booking = self.booking(str(body.get("booking_id"))) or sibling_booking
                 result: dict[str, Any] = {
                     "reserved": booking is not None,
                     "booking": booking,
--- a/src/chivesaddle/standins/shell.py
+++ b/src/chivesaddle/standins/shell.py
@@ -1,5 +1,6 @@
 """HTTP shell that all fakes share: control routes, faults, counters, errors."""
 
+import io
 import json
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -18,6 +19,13 @@
 from chivesaddle.standins.faults import CommonFaults
 
 
+class CapturedBody(io.BytesIO):
+    """A request's body that stays readable after the connection is lost."""
+
+    def close(self) -> None:
+        """Stay open; Twisted closes the body together with the connection."""
+
+
 @dataclass(frozen=True)
 class Answer:
     """An HTTP answer; a body that is not bytes is sent as JSON."""
@@ -124,7 +132,13 @@
 
     def _add(self, path: str, method: str, respond: Callable[..., Any]) -> None:
         def endpoint(request: Request, **parts: str) -> "Deferred[bytes]":
-            return start(_guarded(request, respond(request, **parts)))
+            request.content = CapturedBody(read_body(request))
+            # Klein cancels the answer when the caller leaves. The request itself goes
+            # on, as it would in a server that does not notice.
+            answer: Deferred[bytes] = Deferred()
+            work = start(_guarded(request, respond(request, **parts)))
+            work.addCallbacks(answer.callback, answer.errback)
+            return answer
 
         endpoint.__name__ = f"{method} {path}"
         self.app.route(path, methods=[method])(endpoint)
@@ -159,7 +173,7 @@
         return await response
     except AnswerLost:
         abort(request.transport)
-        # Klein cancels this wait when it learns of the closed connection.
+        # There is nothing to answer on a closed connection.
         await Deferred()
         raise
     except ChivesaddleError as error:
--- a/src/chivesaddle/tools/fleet.py
+++ b/src/chivesaddle/tools/fleet.py
@@ -208,6 +208,7 @@
                     self.urls_by_name[name].rpartition(":")[2],
                     "--exit-with-parent",
                     *arguments,
+                    *self._sibling_options(name),
                 ),
                 f"{self.urls_by_name[name]}/control/counters",
             )
@@ -251,9 +252,15 @@
         for n in range(1, len(shape.STORE_ZONES) + 1):
             roles[f"store-{n}"] = store
         for n in range(1, len(shape.BOOKING_ZONES) + 1):
-            roles[f"booking-{n}"] = ("booking", "--name", f"booking-{n}")
+            roles[f"booking-{n}"] = ("booking", f"--name=booking-{n}")
         return roles
 
+    def _sibling_options(self, name: str) -> tuple[str, ...]:
+        if not name.startswith("booking-"):
+            return ()
+        others = set(booking_urls(self.urls_by_name)) - {self.urls_by_name[name]}
+        return tuple(f"--sibling={url}" for url in sorted(others))
+
     def _start_daemons(self) -> None:
         ports = iter(free_ports(3 * self._daemon_count))
         specs = []
--- a/tests/standins/test_http.py
+++ b/tests/standins/test_http.py
@@ -3,7 +3,7 @@
 import httpx
 import pytest
 
-from chivesaddle.standins.blocks import block_keys
+from chivesaddle.standins.blocks import block_keys, checksum
 from chivesaddle.standins.expected import expected_text
 from chivesaddle.tools import kursuskoda as shape
 from chivesaddle.tools.fleet import Fleet
@@ -123,6 +123,18 @@
         assert ask(fleet.urls_by_name["engine-4"], "after").status_code == 200
 
 
+class TestStoreOverHttp:
+    def test_store_ends_after_the_set_number_of_transfers(self, fleet):
+        url = f"{fleet.urls_by_name['store-2']}/blocks"
+        headers = {"X-Length": "1", "X-Checksum": checksum(b"x")}
+        fleet.set_faults("store-2", die_after_blocks=1)
+        assert httpx.put(f"{url}/a", content=b"x", headers=headers).status_code == 200
+        with pytest.raises(httpx.HTTPError):
+            httpx.put(f"{url}/b", content=b"x", headers=headers)
+        fleet.restart("store-2")
+        assert httpx.get(f"{url}/a").status_code == 404
+
+
 class TestObjectApiOverHttp:
     @pytest.fixture
     def url(self, fleet):
@@ -174,6 +186,23 @@
     def reserve(self, url):
         return httpx.post(f"{url}/operations/reserve_seat", json={"course": "c"})
 
+    def test_reservation_is_known_at_every_url_of_the_service(self, fleet, url):
+        """Guards against reservations that look lost at another instance."""
+        booking = {"booking_id": self.reserve(url).json()["booking_id"]}
+        other = fleet.urls_by_name["booking-1"]
+        found = httpx.post(f"{other}/operations/check_reservation", json=booking)
+        assert found.json()["reserved"]
+
+    def test_frozen_service_runs_abandoned_requests_after_the_thaw(self, fleet, url):
+        """Guards against a fake that hides late runs, the cause of double bookings."""
+        before = self.runs(url)
+        fleet.set_faults("booking-3", frozen=True)
+        with pytest.raises(httpx.TimeoutException):
+            httpx.post(f"{url}/operations/reserve_seat", json={}, timeout=2)
+        assert self.runs(url) == before
+        fleet.set_faults("booking-3")
+        assert wait_until(lambda: self.runs(url) == before + 1, 30)
+
     @pytest.mark.parametrize(
         ("switch", "ran"), [("lose_before_run_next", 0), ("lose_answer_next", 1)]
     )
