--- a/src/chivesaddle/tools/operations.py
+++ b/src/chivesaddle/tools/operations.py
@@ -115,10 +115,25 @@
 
 
 def apply_operations(
-    operator_url: str, key: str, operations: Sequence[dict[str, Any]], note: str
+    operator_url: str,
+    key: str,
+    operations: Sequence[dict[str, Any]],
+    note: str,
+    transport: httpx.BaseTransport | None = None,
 ) -> dict[str, Any]:
     """Plan operations and confirm the plan, again if another plan came first.
 
+    Parameters
+    ----------
+    operator_url, key : str
+        Base URL and bearer key of the operators' API.
+    operations : sequence of dict
+        Operations of the intent.
+    note : str
+        Reason shown in the plan.
+    transport : httpx.BaseTransport or None
+        Sends the requests; None connects to ``operator_url``.
+
     Returns
     -------
     dict
@@ -133,7 +148,10 @@
     intent = {"operations": list(operations), "note": note}
     headers = {"Authorization": f"Bearer {key}"}
     with httpx.Client(
-        base_url=f"{operator_url}/operator/v1", headers=headers, timeout=15.0
+        base_url=f"{operator_url}/operator/v1",
+        headers=headers,
+        timeout=15.0,
+        transport=transport,
     ) as client:
         while True:
             response = client.post("/plans", json=intent)
