Read ordered weight versions from the weight store

Load orders took effect at once in the fleet, so that nothing exercised a slow or failing weight store. Engines of a fleet read a version they lack before the order is answered; a repeated order reads nothing.

--- a/src/chivesaddle/standins/engine.py
+++ b/src/chivesaddle/standins/engine.py
@@ -216,10 +216,11 @@
         models = self.core.models
         models.check_fence(fence, self.faults.ignore_fence)
         self.counters["orders"] += 1
-        version = order.get("version") or order.get("weight_version")
         if self._weights_url and order["order"] in ("load_model", "load_version"):
             model = field_of(order, "model", str)
-            await fetch_weights(self._weights_url, model, str(version))
+            version = str(order.get("version") or order.get("weight_version"))
+            if version not in models.versions_by_model.get(model, []):
+                await fetch_weights(self._weights_url, model, version)
         delay_s = self.faults.order_delay_s
         ignores_fence = self.faults.ignore_fence
 
--- a/src/chivesaddle/tools/fleet.py
+++ b/src/chivesaddle/tools/fleet.py
@@ -208,7 +208,7 @@
                     self.urls_by_name[name].rpartition(":")[2],
                     "--exit-with-parent",
                     *arguments,
-                    *self._sibling_options(name),
+                    *self._url_options(name),
                 ),
                 f"{self.urls_by_name[name]}/control/counters",
             )
@@ -255,7 +255,9 @@
             roles[f"booking-{n}"] = ("booking", f"--name=booking-{n}")
         return roles
 
-    def _sibling_options(self, name: str) -> tuple[str, ...]:
+    def _url_options(self, name: str) -> tuple[str, ...]:
+        if name.startswith("engine-"):
+            return (f"--weights-url={self.urls_by_name['weights']}",)
         if not name.startswith("booking-"):
             return ()
         others = set(booking_urls(self.urls_by_name)) - {self.urls_by_name[name]}
--- a/tests/standins/test_http.py
+++ b/tests/standins/test_http.py
@@ -101,6 +101,18 @@
         assert staged["blocks"][0]["checksum"] != sent["blocks"][0]["checksum"]
         assert staged["blocks"][1:] == sent["blocks"][1:]
 
+    def test_ordered_version_is_read_from_the_weight_store_once(self, fleet):
+        url = fleet.urls_by_name["engine-2"]
+        order = {"fence": 1, "order": "load_version", "version": "v2"}
+        for _ in range(2):
+            answer = httpx.post(
+                f"{url}/orders", json={**order, "model": shape.MODEL}, timeout=30
+            )
+            assert answer.status_code == 200
+        state = httpx.get(f"{url}/state").json()
+        assert state["models"] == {shape.MODEL: ["v1", "v2"]}
+        assert fleet.counters("weights")["link_bytes"] == 1 << 20
+
     def test_delayed_order_is_dropped_after_a_later_one(self, fleet):
         """Guards against a fencing engine that lets a stale order take effect."""
         url = fleet.urls_by_name["engine-3"]
