--- a/src/chivesaddle/platform/__init__.py
+++ b/src/chivesaddle/platform/__init__.py
@@ -1,5 +1,6 @@
 """Access to the platform's object API."""
 
+from chivesaddle.platform.client import HttpObjectApi
 from chivesaddle.platform.memory import Faults, MemoryObjectApi, WriteFault
 
-__all__ = ["Faults", "MemoryObjectApi", "WriteFault"]
+__all__ = ["Faults", "HttpObjectApi", "MemoryObjectApi", "WriteFault"]
