Add configuration plans, confirms, freshness and stored prompts

An accepted change must be in force everywhere and never revert although operators race and answers are lost.

--- /dev/null
+++ b/src/chivesaddle/configuration/__init__.py
@@ -0,0 +1,40 @@
+"""Configuration: intents, plans, the state in force, freshness, stored prompts."""
+
+from chivesaddle.configuration.errors import (
+    ChangesCompacted,
+    ConfigUnconfirmed,
+    ConfirmOutcomeUnknown,
+    NoMajorityContact,
+    PlanNotFound,
+    PlanOutdated,
+    PromptNotFound,
+    RevisionGap,
+)
+from chivesaddle.configuration.freshness import Freshness
+from chivesaddle.configuration.in_force import ConfigHolder
+from chivesaddle.configuration.operations import Intent, parse_intent
+from chivesaddle.configuration.plan import Change, Plan, redacted
+from chivesaddle.configuration.prompts import PromptStore, StoredPrompt
+from chivesaddle.configuration.service import ConfigService, Confirmation
+
+__all__ = [
+    "Change",
+    "ChangesCompacted",
+    "ConfigHolder",
+    "ConfigService",
+    "ConfigUnconfirmed",
+    "ConfirmOutcomeUnknown",
+    "Confirmation",
+    "Freshness",
+    "Intent",
+    "NoMajorityContact",
+    "Plan",
+    "PlanNotFound",
+    "PlanOutdated",
+    "PromptNotFound",
+    "PromptStore",
+    "RevisionGap",
+    "StoredPrompt",
+    "parse_intent",
+    "redacted",
+]
--- /dev/null
+++ b/src/chivesaddle/configuration/errors.py
@@ -0,0 +1,70 @@
+"""Failures of planning and confirming configuration changes."""
+
+from chivesaddle.core.errors import ChivesaddleError
+
+
+class PlanNotFound(ChivesaddleError):
+    """No plan has this id, or it was deleted because it is long outdated."""
+
+    code = "plan_not_found"
+    status = 404
+
+
+class PlanOutdated(ChivesaddleError):
+    """The configuration changed after the plan was computed; nothing was written."""
+
+    code = "plan_outdated"
+    status = 409
+
+
+class NoMajorityContact(ChivesaddleError):
+    """A majority of the daemons is not heard from; nothing was written."""
+
+    code = "no_majority_contact"
+    status = 503
+
+
+class ConfirmOutcomeUnknown(ChivesaddleError):
+    """The confirm was sent and may have taken effect; the platform does not answer."""
+
+    code = "confirm_outcome_unknown"
+    status = 503
+
+
+class ConfigUnconfirmed(ChivesaddleError):
+    """The daemon cannot tell whether its configuration is the newest."""
+
+    code = "configuration_unconfirmed"
+    status = 503
+
+
+class ChangesCompacted(ChivesaddleError):
+    """Changes after a revision are no longer kept; a snapshot is needed."""
+
+    code = "changes_compacted"
+    status = 410
+
+
+class RevisionGap(ChivesaddleError):
+    """A change does not follow the held revision."""
+
+    code = "revision_gap"
+
+
+class PromptNotFound(ChivesaddleError):
+    """The account has no stored prompt with this id."""
+
+    code = "prompt_not_found"
+    status = 404
+
+
+__all__ = [
+    "ChangesCompacted",
+    "ConfigUnconfirmed",
+    "ConfirmOutcomeUnknown",
+    "NoMajorityContact",
+    "PlanNotFound",
+    "PlanOutdated",
+    "PromptNotFound",
+    "RevisionGap",
+]
--- /dev/null
+++ b/src/chivesaddle/configuration/plan.py
@@ -0,0 +1,210 @@
+"""Changes and the plan that operators read before they confirm one."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from chivesaddle.configuration.operations import ConfigOperation, parse_operations
+from chivesaddle.core.ids import ChangeId, Revision
+from chivesaddle.core.model import (
+    BackendServerState,
+    ConfigState,
+    Entity,
+)
+
+_KINDS = (
+    ("account", "accounts_by_id"),
+    ("model", "models_by_id"),
+    ("backend server", "backend_servers_by_id"),
+    ("store", "stores_by_id"),
+    ("service", "services_by_id"),
+)
+
+
+@dataclass(frozen=True)
+class Change:
+    """Operations computed against ``parent``; in force they make ``revision``."""
+
+    id: ChangeId
+    parent: Revision
+    revision: Revision
+    operations: tuple[ConfigOperation, ...]
+    note: str
+    operator: str
+
+    def to_json(self) -> dict[str, Any]:
+        """Return plain JSON values, key digests included."""
+        return {
+            "id": self.id,
+            "parent": self.parent,
+            "revision": self.revision,
+            "operations": [o.model_dump(mode="json") for o in self.operations],
+            "note": self.note,
+            "operator": self.operator,
+        }
+
+    @classmethod
+    def from_json(cls, data: Mapping[str, Any]) -> "Change":
+        """Build a change from the result of `to_json`; further keys are ignored."""
+        return cls(
+            ChangeId(data["id"]),
+            Revision(data["parent"]),
+            Revision(data["revision"]),
+            parse_operations(data["operations"]),
+            data["note"],
+            data["operator"],
+        )
+
+
+@dataclass(frozen=True)
+class Plan:
+    """A change with its readable difference and warnings."""
+
+    change: Change
+    differences: tuple[str, ...]
+    warnings: tuple[str, ...]
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the stored form."""
+        return self.change.to_json() | {
+            "differences": list(self.differences),
+            "warnings": list(self.warnings),
+        }
+
+    @classmethod
+    def from_json(cls, data: Mapping[str, Any]) -> "Plan":
+        """Build a plan from the result of `to_json`."""
+        return cls(
+            Change.from_json(data), tuple(data["differences"]), tuple(data["warnings"])
+        )
+
+    def to_public_json(self) -> dict[str, Any]:
+        """Return the form for operators, without key digests."""
+        return redacted(self.to_json())
+
+
+def redacted(data: Any) -> Any:
+    """Replace key digests in JSON values by their number.
+
+    Examples
+    --------
+    >>> redacted({"id": "a", "key_sha256": ["00ff", "11ee"]})
+    {'id': 'a', 'keys': 2}
+    """
+    match data:
+        case dict():
+            rest = {k: redacted(v) for k, v in data.items() if k != "key_sha256"}
+            digests = data.get("key_sha256")
+            return rest if digests is None else rest | {"keys": len(digests)}
+        case list() | tuple():
+            return [redacted(item) for item in data]
+    return data
+
+
+def differences(before: ConfigState, after: ConfigState) -> tuple[str, ...]:
+    """Describe what is added, changed and removed, one line each."""
+    lines: list[str] = []
+    for kind, attribute in _KINDS:
+        old, new = getattr(before, attribute), getattr(after, attribute)
+        for key in sorted(old.keys() | new.keys()):
+            if key not in old:
+                lines.append(f"add {kind} {key}: {_summary(new[key])}")
+            elif key not in new:
+                lines.append(f"remove {kind} {key}")
+            elif old[key] != new[key]:
+                lines.append(f"change {kind} {key}: {_changed(old[key], new[key])}")
+    return tuple(lines) or ("no difference",)
+
+
+def warnings(before: ConfigState, after: ConfigState) -> tuple[str, ...]:
+    """Describe consequences that an operator may not expect."""
+    return tuple(
+        [
+            *_server_warnings(before, after),
+            *_model_warnings(before, after),
+            *_account_warnings(before, after),
+            *_removal_warnings(before, after),
+        ]
+    )
+
+
+def _serving(state: ConfigState, model: str) -> int:
+    return sum(
+        model in server.models and server.state is BackendServerState.SERVING
+        for server in state.backend_servers_by_id.values()
+    )
+
+
+def _server_warnings(before: ConfigState, after: ConfigState) -> Iterator[str]:
+    for model in sorted(after.models_by_id):
+        had, has = _serving(before, model), _serving(after, model)
+        if has:
+            continue
+        if had:
+            yield (
+                f"model {model} loses its last serving backend server; "
+                "its requests will be rejected"
+            )
+        else:
+            yield f"model {model} has no serving backend server"
+
+
+def _model_warnings(before: ConfigState, after: ConfigState) -> Iterator[str]:
+    for key, model in sorted(after.models_by_id.items()):
+        old = before.models_by_id.get(key)
+        if old is not None and old.weight_version != model.weight_version:
+            yield (
+                f"model {key} swaps weight version {old.weight_version} for "
+                f"{model.weight_version}; cached blocks of the old version are not "
+                "used for new requests"
+            )
+        for adapter in sorted(set(old.adapters if old else ()) - set(model.adapters)):
+            yield f"model {key} loses adapter {adapter}"
+
+
+def _account_warnings(before: ConfigState, after: ConfigState) -> Iterator[str]:
+    for key, account in sorted(after.accounts_by_id.items()):
+        old = before.accounts_by_id.get(key)
+        if not account.key_sha256:
+            yield f"account {key} has no key and cannot send requests"
+        elif old is not None and set(old.key_sha256) - set(account.key_sha256):
+            yield f"account {key} loses a key; callers that use it will be rejected"
+
+
+def _removal_warnings(before: ConfigState, after: ConfigState) -> Iterator[str]:
+    for key in sorted(before.accounts_by_id.keys() - after.accounts_by_id.keys()):
+        yield f"account {key} is removed; its requests will be rejected"
+    if before.stores_by_id and not after.stores_by_id:
+        yield "no KV cache store is left; returning prompts will be recomputed"
+    for service in sorted(before.services_by_id.keys() - after.services_by_id.keys()):
+        yield f"service {service} is removed; its operations will be rejected"
+
+
+def _fields(entity: Entity) -> dict[str, Any]:
+    data = entity.model_dump(mode="json")
+    del data["id"]
+    return data
+
+
+def _summary(entity: Entity) -> str:
+    return ", ".join(f"{k}={_shown(k, v)}" for k, v in _fields(entity).items())
+
+
+def _changed(old: Entity, new: Entity) -> str:
+    before, after = _fields(old), _fields(new)
+    return ", ".join(
+        "keys replaced"
+        if name == "key_sha256"
+        else f"{name} {_shown(name, before[name])} -> {_shown(name, value)}"
+        for name, value in after.items()
+        if before[name] != value
+    )
+
+
+def _shown(name: str, value: Any) -> str:
+    if name == "key_sha256":
+        return f"{len(value)} key(s)"
+    return str(value)
+
+
+__all__ = ["Change", "Plan", "differences", "redacted", "warnings"]
--- /dev/null
+++ b/tests/configuration/test_plan.py
@@ -0,0 +1,120 @@
+import pytest
+
+from chivesaddle.configuration import parse_intent, redacted
+from chivesaddle.configuration.operations import apply_operations, check_consistency
+from chivesaddle.configuration.plan import differences, warnings
+from chivesaddle.core.errors import InvalidValue
+from chivesaddle.core.model import ConfigState
+
+DIGEST = "ab" * 32
+MODEL = {"kind": "put_model", "id": "assistant", "weight_version": "1"}
+ACCOUNT = {"kind": "put_account", "id": "tartu", "key_sha256": [DIGEST]}
+
+
+def server(name, **fields):
+    place = {"url": "http://127.0.0.1:1", "zone": "z1", "models": ["assistant"]}
+    return {"kind": "put_backend_server", "id": name, **place, **fields}
+
+
+def after(state, *operations):
+    intent = parse_intent({"operations": list(operations)})
+    return apply_operations(state, intent.operations, state.revision + 1)
+
+
+@pytest.fixture
+def base():
+    return after(ConfigState.empty(), MODEL, server("s1"), server("s2"), ACCOUNT)
+
+
+class TestIntent:
+    @pytest.mark.parametrize(
+        "data, field",
+        [
+            ({"operations": []}, "operations"),
+            ({"operations": [{"kind": "make_account"}]}, "operations.0"),
+            ({"operations": [MODEL | {"colour": 1}]}, "operations.0.put_model.colour"),
+            ([], "(top level)"),
+        ],
+    )
+    def test_wrong_field_is_named(self, data, field):
+        with pytest.raises(InvalidValue) as caught:
+            parse_intent(data)
+        assert caught.value.field == field
+
+    def test_error_does_not_repeat_the_value(self):
+        """Guards against a key that was put into a wrong field reaching a log."""
+        with pytest.raises(InvalidValue) as caught:
+            parse_intent({"operations": [ACCOUNT | {"key": "secret-key"}]})
+        assert "secret-key" not in str(caught.value)
+
+
+class TestEffect:
+    def test_drain_keeps_the_server_and_its_other_fields(self, base):
+        state = after(base, {"kind": "drain_backend_server", "id": "s1"})
+        drained = state.backend_servers_by_id["s1"]
+        assert drained.state.value == "draining"
+        assert drained.url == base.backend_servers_by_id["s1"].url
+
+    @pytest.mark.parametrize(
+        "kind", ["account", "model", "backend_server", "store", "service"]
+    )
+    def test_deleting_an_unknown_object_is_refused(self, base, kind):
+        with pytest.raises(InvalidValue, match=r"no .* gone"):
+            after(base, {"kind": f"delete_{kind}", "id": "gone"})
+
+    def test_model_that_servers_name_cannot_be_deleted(self, base):
+        with pytest.raises(InvalidValue, match="s1 names model assistant"):
+            check_consistency(after(base, {"kind": "delete_model", "id": "assistant"}))
+
+    def test_two_accounts_cannot_share_a_key(self, base):
+        """Guards against one account's prompts reaching another account."""
+        with pytest.raises(InvalidValue, match="share a key"):
+            check_consistency(after(base, ACCOUNT | {"id": "tallinn"}))
+
+
+class TestReadablePlan:
+    def test_added_changed_and_removed_objects_are_listed(self, base):
+        state = after(
+            base,
+            server("s3", zone="z2"),
+            ACCOUNT | {"weight": 2.0},
+            {"kind": "delete_backend_server", "id": "s2"},
+        )
+        lines = differences(base, state)
+        assert lines[0] == "change account tartu: weight 1.0 -> 2.0"
+        assert lines[1] == "remove backend server s2"
+        assert lines[2].startswith("add backend server s3: url=http://127.0.0.1:1")
+
+    def test_key_digests_do_not_appear(self, base):
+        """Guards against secrets in plans that are presented to a board."""
+        state = after(
+            base, ACCOUNT | {"key_sha256": ["cd" * 32]}, ACCOUNT | {"id": "b"}
+        )
+        text = str(differences(base, state)) + str(redacted(state.to_json()))
+        assert DIGEST not in text and "cd" * 32 not in text
+
+    @pytest.mark.parametrize(
+        "operations, warning",
+        [
+            (
+                [MODEL | {"id": "booking"}],
+                "model booking has no serving backend server",
+            ),
+            (
+                [
+                    {"kind": "drain_backend_server", "id": "s1"},
+                    {"kind": "delete_backend_server", "id": "s2"},
+                ],
+                "model assistant loses its last serving backend server",
+            ),
+            ([MODEL | {"weight_version": "2"}], "swaps weight version 1 for 2"),
+            ([{"kind": "delete_account", "id": "tartu"}], "account tartu is removed"),
+            ([ACCOUNT | {"key_sha256": ["cd" * 32]}], "account tartu loses a key"),
+        ],
+    )
+    def test_surprising_consequence_is_warned_of(self, base, operations, warning):
+        found = warnings(base, after(base, *operations))
+        assert [w for w in found if warning in w], found
+
+    def test_harmless_change_has_no_warning(self, base):
+        assert warnings(base, after(base, server("s3"))) == ()
