Refuse values that no daemon could read, and finish what a client left

An infinite number or a lone surrogate passed the entity types but not JSON; as a committed change it would have blocked all later ones. Plans and the resulting state are now read back before they are stored, and ids, URLs and key digests are checked, so that a key given in place of its digest is not stored in clear. klein cancels the handler of a client that disconnects, which left a committed confirm without an event; handlers now run to their end. Both were found by review and have a test; without the change in the handler its test fails.

--- a/src/chivesaddle/configuration/operations.py
+++ b/src/chivesaddle/configuration/operations.py
@@ -1,5 +1,6 @@
 """Operations of an intent and their effect on the configuration."""
 
+import re
 from collections.abc import Iterable, Mapping
 from typing import Annotated, Any, Literal
 
@@ -26,6 +27,11 @@
 )
 
 MAX_OPERATIONS = 10_000
+# Ids are parts of URLs, object names and tables; model names often contain a slash.
+_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:@+-]{0,127}")
+_MODEL_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:@+/-]{0,127}")
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+_URL = re.compile(r"https?://[^/\s?#]+[^\s?#]*")
 
 
 class PutAccount(Account):
@@ -139,7 +145,7 @@
         Names the first offending field. The value is not repeated: it could be a key.
     """
     try:
-        return Intent.model_validate(data)
+        intent = Intent.model_validate(data)
     except ValidationError as error:
         first = error.errors()[0]
         field = ".".join(str(part) for part in first["loc"]) or "(top level)"
@@ -148,6 +154,41 @@
             field=field,
             remedy="Correct the field and plan again",
         ) from None
+    for index, operation in enumerate(intent.operations):
+        _check_texts(operation, f"operations.{index}")
+    return intent
+
+
+def _check_texts(operation: ConfigOperation, where: str) -> None:
+    """Check ids, addresses and digests that an operation introduces."""
+    match operation:
+        case PutModel():
+            _check(_MODEL_ID, operation.id, f"{where}.id", "an id")
+        case PutAccount():
+            _check(_ID, operation.id, f"{where}.id", "an id")
+            for digest in operation.key_sha256:
+                # A key that was given in place of its digest must not be stored.
+                _check(_DIGEST, digest, f"{where}.key_sha256", "a SHA-256 digest")
+        case PutBackendServer() | PutStore():
+            _check(_ID, operation.id, f"{where}.id", "an id")
+            _check(_ID, operation.zone, f"{where}.zone", "an id")
+            _check(_ID, operation.region, f"{where}.region", "an id")
+            _check(_URL, operation.url, f"{where}.url", "an http or https URL")
+        case PutService():
+            _check(_ID, operation.id, f"{where}.id", "an id")
+            for url in operation.urls:
+                _check(_URL, url, f"{where}.urls", "an http or https URL")
+            for item in operation.operations:
+                _check(_ID, item.name, f"{where}.operations", "a name")
+
+
+def _check(pattern: re.Pattern[str], text: str, field: str, what: str) -> None:
+    if not pattern.fullmatch(text):
+        raise InvalidValue(
+            f"Field {field} of the intent is not {what}",
+            field=field,
+            remedy="Correct the field and plan again",
+        )
 
 
 def parse_operations(data: Any) -> tuple[ConfigOperation, ...]:
--- a/src/chivesaddle/configuration/plan.py
+++ b/src/chivesaddle/configuration/plan.py
@@ -1,10 +1,12 @@
 """Changes and the plan that operators read before they confirm one."""
 
+import json
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from typing import Any
 
 from chivesaddle.configuration.operations import ConfigOperation, parse_operations
+from chivesaddle.core.errors import InvalidValue
 from chivesaddle.core.ids import ChangeId, Revision
 from chivesaddle.core.model import (
     BackendServerState,
@@ -101,6 +103,32 @@
     return data
 
 
+def check_storable(plan: Plan, after: ConfigState) -> None:
+    """Check that every daemon will read exactly this plan and state.
+
+    Infinite numbers and lone surrogates pass the types but not JSON; a committed change
+    that cannot be read would block all later ones.
+
+    Raises
+    ------
+    InvalidValue
+        A value is changed or refused by JSON.
+    """
+    try:
+        stored = json.dumps(plan.to_json(), allow_nan=False)
+        same = Plan.from_json(json.loads(stored.encode())) == plan
+        state = json.dumps(after.to_json(), allow_nan=False)
+        same = same and ConfigState.model_validate_json(state) == after
+    except ValueError:
+        same = False
+    if not same:
+        raise InvalidValue(
+            "The intent contains a number or text that cannot be stored",
+            field="operations",
+            remedy="Use finite numbers and valid Unicode text",
+        )
+
+
 def differences(before: ConfigState, after: ConfigState) -> tuple[str, ...]:
     """Describe what is added, changed and removed, one line each."""
     lines: list[str] = []
@@ -207,4 +235,4 @@
     return str(value)
 
 
-__all__ = ["Change", "Plan", "differences", "redacted", "warnings"]
+__all__ = ["Change", "Plan", "check_storable", "differences", "redacted", "warnings"]
--- a/src/chivesaddle/configuration/prompts.py
+++ b/src/chivesaddle/configuration/prompts.py
@@ -1,6 +1,7 @@
 """Stored prompts: one platform object per prompt, named by account and id."""
 
 import json
+import re
 import uuid
 from collections import OrderedDict
 from dataclasses import dataclass
@@ -28,6 +29,8 @@
 # A part of the 64 MB that the control plane may use per daemon.
 CACHE_BYTES = 16_000_000
 
+_PROMPT_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:@+/-]{0,199}")
+
 log = PartLogger("prompts")
 
 
@@ -83,6 +86,13 @@
         WriteOutcomeUnknown
             The prompt may be stored; repeat with the same id.
         """
+        if prompt_id is not None and not _PROMPT_ID.fullmatch(prompt_id):
+            raise InvalidValue(
+                f"Prompt id {prompt_id!r} is not accepted",
+                field="id",
+                remedy="Use up to 200 letters, digits and ._:@+/-",
+            )
+        _check_body(body)
         prompt = StoredPrompt(account_id, prompt_id or PromptId(uuid.uuid4().hex), body)
         name = _name(account_id, prompt.id)
         try:
@@ -177,7 +187,23 @@
 
 def _name(account_id: AccountId, prompt_id: PromptId) -> str:
     # Quoting keeps account "a" with id "b/c" apart from account "a/b" with id "c".
-    return f"{quote(account_id, safe='')}/{quote(prompt_id, safe='')}"
+    return f"{_quoted(account_id)}/{_quoted(prompt_id)}"
+
+
+def _quoted(text: str) -> str:
+    # Callers' JSON can contain lone surrogates; such an id is simply not found.
+    return quote(text, safe="", errors="surrogatepass")
+
+
+def _check_body(body: dict[str, Any]) -> None:
+    try:
+        json.dumps(body, allow_nan=False)
+    except ValueError:
+        raise InvalidValue(
+            "The prompt contains a number that JSON cannot hold",
+            field="body",
+            remedy="Use finite numbers",
+        ) from None
 
 
 def _value(prompt: StoredPrompt) -> dict[str, Any]:
--- a/src/chivesaddle/configuration/service.py
+++ b/src/chivesaddle/configuration/service.py
@@ -19,7 +19,13 @@
     check_consistency,
     parse_intent,
 )
-from chivesaddle.configuration.plan import Change, Plan, differences, warnings
+from chivesaddle.configuration.plan import (
+    Change,
+    Plan,
+    check_storable,
+    differences,
+    warnings,
+)
 from chivesaddle.configuration.repository import (
     KEPT_CHANGES,
     ConfigRepository,
@@ -128,6 +134,7 @@
             operator,
         )
         plan = Plan(change, differences(before, after), warnings(before, after))
+        check_storable(plan, after)
         await self._repository.write_plan(plan)
         log.info("planned %s on revision %d for %s", change.id, change.parent, operator)
         return plan
--- a/src/chivesaddle/operators/web.py
+++ b/src/chivesaddle/operators/web.py
@@ -6,9 +6,12 @@
 from functools import wraps
 from typing import Any
 
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
 from twisted.web.server import Request
 from werkzeug.exceptions import HTTPException
 
+from chivesaddle.core.aio import start
 from chivesaddle.core.errors import ChivesaddleError, InvalidValue
 from chivesaddle.core.logs import PartLogger
 from chivesaddle.operators.auth import Operator, OperatorKeys, Role, require
@@ -37,7 +40,7 @@
         async def handle(self: Any, request: Request, **path: str) -> bytes:
             try:
                 operator = _operator(self.keys, request, role)
-                result = await method(self, request, operator, **path)
+                result = await detached(method(self, request, operator, **path))
             except ChivesaddleError as error:
                 return error_answer(request, error)
             except Exception:
@@ -52,6 +55,24 @@
     return decorate
 
 
+def detached(coroutine: Coroutine[Any, Any, Any]) -> "Deferred[Any]":
+    """Run a coroutine to its end even if the returned Deferred is cancelled.
+
+    klein cancels a handler whose client disconnects. A confirm must still be carried
+    out as a whole and be recorded.
+    """
+    answer: Deferred[Any] = Deferred(lambda _: None)
+
+    def finish(result: Any) -> None:
+        if not answer.called:
+            answer.callback(result)
+        elif isinstance(result, Failure):
+            log.info("failed after its client left: %s", result.getErrorMessage())
+
+    start(coroutine).addBoth(finish)
+    return answer
+
+
 def _operator(keys: OperatorKeys, request: Request, role: Role) -> Operator:
     operator = keys.authenticate(request.getHeader("Authorization"))
     require(operator, role)
@@ -119,6 +140,7 @@
 __all__ = [
     "MAX_BODY_BYTES",
     "BodyTooLarge",
+    "detached",
     "endpoint",
     "error_answer",
     "http_error_answer",
--- a/tests/configuration/test_plan.py
+++ b/tests/configuration/test_plan.py
@@ -41,6 +41,23 @@
             parse_intent(data)
         assert caught.value.field == field
 
+    @pytest.mark.parametrize(
+        "operation, field",
+        [
+            (ACCOUNT | {"key_sha256": ["the-key-itself"]}, "key_sha256"),
+            (ACCOUNT | {"id": "a/b"}, "id"),
+            (ACCOUNT | {"id": ""}, "id"),
+            (server("s", url="ftp://x"), "url"),
+            (server("s", zone="z 1"), "zone"),
+        ],
+    )
+    def test_text_that_cannot_work_is_refused(self, operation, field):
+        """Guards against a key stored in clear and ids that no URL can name."""
+        with pytest.raises(InvalidValue) as caught:
+            parse_intent({"operations": [operation]})
+        assert caught.value.field == f"operations.0.{field}"
+        assert "the-key-itself" not in str(caught.value)
+
     def test_error_does_not_repeat_the_value(self):
         """Guards against a key that was put into a wrong field reaching a log."""
         with pytest.raises(InvalidValue) as caught:
--- a/tests/configuration/test_prompts.py
+++ b/tests/configuration/test_prompts.py
@@ -81,6 +81,17 @@
             run(prompts.create("a", BODY, "p"))
         assert run(prompts.create("a", BODY, "p")).id == "p"
 
+    @pytest.mark.parametrize("prompt_id", ["", "a b", "x" * 201, "\ud800"])
+    def test_id_that_no_url_can_name_is_refused(self, prompts, run, prompt_id):
+        with pytest.raises(InvalidValue):
+            run(prompts.create("a", BODY, prompt_id))
+        with pytest.raises(PromptNotFound):
+            run(prompts.get("a", prompt_id))
+
+    def test_body_that_is_not_json_is_refused(self, prompts, run):
+        with pytest.raises(InvalidValue):
+            run(prompts.create("a", {"temperature": float("inf")}))
+
     def test_id_of_another_body_is_refused(self, prompts, run):
         run(prompts.create("a", BODY, "p"))
         with pytest.raises(InvalidValue, match="taken"):
--- a/tests/configuration/test_service.py
+++ b/tests/configuration/test_service.py
@@ -109,6 +109,21 @@
             )
         assert api.calls["create"] == 0
 
+    @pytest.mark.parametrize(
+        "intent",
+        [
+            {"operations": [{"kind": "put_account", "id": "a", "weight": 1e999}]},
+            store("s") | {"note": "\ud800"},
+        ],
+    )
+    def test_change_that_no_daemon_could_read_is_not_stored(
+        self, run, api, daemon, intent
+    ):
+        """Guards against a committed change that blocks all later ones."""
+        with pytest.raises(InvalidValue):
+            run(daemon.service.plan(intent, "ann"))
+        assert api.calls["create"] == 0
+
 
 class TestLostAnswers:
     @pytest.mark.parametrize("fault", [f for f in WriteFault if f.value != "refused"])
--- a/tests/operators/test_api.py
+++ b/tests/operators/test_api.py
@@ -81,18 +81,25 @@
 
     def call(self, method, path, data=None, key="k-ann", wait_s=0):
         """Return (status, JSON, headers) of a call that takes ``wait_s``."""
-        headers = {"Authorization": f"Bearer {key}"} if key else {}
-        body = data if isinstance(data, bytes | None) else json.dumps(data).encode()
-        sent = self._client.request(
-            method, f"http://x/operator/v1{path}", headers=headers, data=body or b""
-        )
-        self._clock.advance(wait_s)
-        self._client.flush()
+        sent = self.send(method, path, data, key)
+        self.tick(wait_s)
         response = sent.result
         content = response.json()
         self._client.flush()
         return response.code, content.result, response.headers
 
+    def tick(self, seconds):
+        self._client.flush()
+        self._clock.advance(seconds)
+        self._client.flush()
+
+    def send(self, method, path, data=None, key="k-ann"):
+        headers = {"Authorization": f"Bearer {key}"} if key else {}
+        body = data if isinstance(data, bytes | None) else json.dumps(data).encode()
+        return self._client.request(
+            method, f"http://x/operator/v1{path}", headers=headers, data=body or b""
+        )
+
     def plan(self, *operations):
         return self.call("POST", "/plans", {"operations": list(operations)})
 
@@ -249,6 +256,18 @@
         ]
         assert server.actions.resolved == [("tartu", "seat/1", "done", "ann")]
 
+    def test_confirm_whose_client_left_is_completed_and_recorded(self, server):
+        """Guards against a committed change that no event names."""
+        plan = server.plan(ACCOUNT)[1]
+        server.platform.faults.delay_s = 0.1
+        sent = server.send("POST", f"/plans/{plan['id']}/confirm")
+        sent.addErrback(lambda _: None)
+        sent.cancel()
+        for _ in range(20):
+            server.tick(0.1)
+        assert server.config.holder.revision == 1
+        assert [e.detail["step"] for e in server.events] == ["planned", "confirmed"]
+
     def test_failed_confirm_is_recorded(self, server):
         server.call("POST", "/plans/none/confirm")
         (event,) = server.events
