Let a lease that is started again wait for its release

A trial of 6,000 random interleavings found two holders: a lease that was started while its stop was still releasing acquired again, and the release then gave the new holding away. The start now waits for the release. The new test fails without the change.

--- a/src/chivesaddle/platform/lease.py
+++ b/src/chivesaddle/platform/lease.py
@@ -145,6 +145,8 @@
         self._core = _Core()
         self._machine = _machine(self._core)
         self._loop: Deferred[None] | None = None
+        self._releasing = False
+        self._start_after_release = False
         self._timer: DelayedCall | None = None
         self._until = 0.0
         self._term = 0
@@ -189,7 +191,14 @@
             self._rival_until = max(self._rival_until, self._clock.seconds() + TTL_S)
 
     def start(self) -> None:
-        """Start to acquire and then renew."""
+        """Start to acquire and then renew.
+
+        While a `stop` is still releasing, the start waits for it: the release would
+        otherwise give away what was just acquired again.
+        """
+        if self._releasing:
+            self._start_after_release = True
+            return
         if self._loop is not None:
             return
         self._machine.begin()
@@ -201,6 +210,7 @@
 
         If the platform cannot be reached the lease expires by itself.
         """
+        self._start_after_release = False
         loop, self._loop = self._loop, None
         if loop is None:
             return
@@ -210,8 +220,15 @@
         self._machine.end()
         loop.cancel()
         if may_hold or self._pending is not None:
-            await self._release()
+            self._releasing = True
+            try:
+                await self._release()
+            finally:
+                self._releasing = False
         self._own = None
+        if self._start_after_release:
+            self._start_after_release = False
+            self.start()
 
     async def _run(self) -> None:
         while True:
--- a/tests/platform/test_lease.py
+++ b/tests/platform/test_lease.py
@@ -183,6 +183,21 @@
         api.faults.delay_s = 0
         assert run(api.get("leases", "repair/r", deadline=9)).value["holder"] == ""
 
+    def test_start_during_a_release_waits_for_it(self, api, clock, lease, run):
+        """Guards against a release that gives away a lease acquired meanwhile."""
+        lease.start()
+        api.faults.delay_s = 0.25
+        start(lease.stop())
+        api.faults.delay_s = 0.0
+        lease.start()
+
+        def check():
+            stored = run(api.get("leases", "repair/r", deadline=9)).value["holder"]
+            assert lease.held_at(clock.seconds()) <= (stored == lease.holder)
+
+        advance(clock, 3, check)
+        assert lease.held_at(clock.seconds())
+
 
 class TestRelayedObservations:
     def test_candidate_that_hears_the_holder_does_not_read_the_platform(
