--- a/src/chivesaddle/core/aio.py
+++ b/src/chivesaddle/core/aio.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, Protocol, TypeVar
 
@@ -39,7 +40,11 @@
 
 
 def install_reactor() -> None:
-    """Install the asyncio reactor; call before importing ``twisted.internet.reactor``.
+    """Install the asyncio reactor with a monotonic clock.
+
+    Call before anything imports ``twisted.internet.reactor``; klein and treq do.
+    Twisted's own ``seconds`` is the wall clock, on which a clock adjustment would move
+    lease margins and send deadlines.
 
     Raises
     ------
@@ -50,6 +55,10 @@
 
     asyncioreactor.install(asyncio.new_event_loop())
 
+    from twisted.internet import reactor
+
+    setattr(reactor, "seconds", time.monotonic)  # noqa: B010
+
 
 def start(coroutine: Coroutine[Any, Any, T]) -> "Deferred[T]":
     """Start a Twisted coroutine and return the Deferred of its result."""
--- a/src/chivesaddle/engines/client.py
+++ b/src/chivesaddle/engines/client.py
@@ -107,11 +107,16 @@
         )
         return await self._stream(response, deadline)
 
-    async def cancel(self, url: str, request_id: RequestId, deadline: float) -> None:
+    async def cancel(
+        self, url: str, request_id: RequestId, cache_salt: str, deadline: float
+    ) -> None:
         """End a run; a run that is already gone is no failure."""
         try:
             await self._call(
-                "DELETE", f"{url}/v1/streams/{quote(request_id, safe='')}", deadline
+                "DELETE",
+                f"{url}/v1/streams/{quote(request_id, safe='')}",
+                deadline,
+                headers={"X-Cache-Salt": cache_salt},
             )
         except EngineNotFound:
             return
@@ -214,13 +219,21 @@
         return stream
 
     async def _call(
-        self, method: str, url: str, deadline: float, body: Any = None
+        self,
+        method: str,
+        url: str,
+        deadline: float,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
     ) -> Any:
+        sent_headers = dict(headers or {})
+        if body is not None:
+            sent_headers["Content-Type"] = "application/json"
         response = await self._connections.request(
             method,
             url,
             data=None if body is None else json.dumps(body).encode(),
-            headers={} if body is None else {"Content-Type": "application/json"},
+            headers=sent_headers,
             deadline=deadline,
         )
         content = await self._read(response, deadline)
--- a/src/chivesaddle/engines/relay.py
+++ b/src/chivesaddle/engines/relay.py
@@ -306,9 +306,11 @@
 
     def _cancel(self, request: RelayRequest, target: Target) -> None:
         deadline = self._clock.seconds() + CANCEL_DEADLINE_S
-        start(self._client.cancel(target.url, request.request_id, deadline)).addErrback(
-            log_failure(_log, f"cancelling {request.request_id} failed")
-        )
+        start(
+            self._client.cancel(
+                target.url, request.request_id, request.cache_salt, deadline
+            )
+        ).addErrback(log_failure(_log, f"cancelling {request.request_id} failed"))
 
 
 def _accept_all(
--- a/src/chivesaddle/engines/reports.py
+++ b/src/chivesaddle/engines/reports.py
@@ -83,7 +83,7 @@
     """What an engine has loaded, its role and the last fencing token it saw."""
 
     models: dict[str, tuple[str, ...]]
-    adapters: tuple[str, ...] = ()
+    adapters: dict[str, tuple[str, ...]] = {}
     role: str = ""
     fence: int = 0
 
--- a/src/chivesaddle/orders/desired.py
+++ b/src/chivesaddle/orders/desired.py
@@ -16,13 +16,13 @@
     versions_by_model_id : dict
         Loaded weight versions of each model.
     adapters : frozenset
-        Loaded adapters.
+        Loaded adapters, each as a pair of model and adapter.
     role : str
         Role name as in `chivesaddle.core.model.BackendServerRole`.
     """
 
     versions_by_model_id: dict[ModelId, frozenset[WeightVersion]]
-    adapters: frozenset[AdapterId]
+    adapters: frozenset[tuple[ModelId, AdapterId]]
     role: str
 
     @classmethod
@@ -33,7 +33,11 @@
                 ModelId(model): frozenset(map(WeightVersion, versions))
                 for model, versions in data.get("models", {}).items()
             },
-            frozenset(map(AdapterId, data.get("adapters", ()))),
+            frozenset(
+                (ModelId(model), AdapterId(adapter))
+                for model, adapters in data.get("adapters", {}).items()
+                for adapter in adapters
+            ),
             data.get("role", ""),
         )
 
@@ -56,8 +60,9 @@
 
 @dataclass(frozen=True)
 class LoadAdapter:
-    """Load an adapter."""
+    """Load an adapter of a model."""
 
+    model: ModelId
     adapter: AdapterId
 
 
@@ -84,8 +89,8 @@
             return {"order": "load_version", "model": model, "version": version}
         case UnloadVersion(model, version):
             return {"order": "unload_version", "model": model, "version": version}
-        case LoadAdapter(adapter):
-            return {"order": "load_adapter", "adapter": adapter}
+        case LoadAdapter(model, adapter):
+            return {"order": "load_adapter", "model": model, "adapter": adapter}
         case SetRole(role):
             return {"order": "set_role", "role": role}
 
@@ -105,7 +110,7 @@
             model.id: frozenset({model.weight_version, *model.preload})
             for model in models
         },
-        frozenset(AdapterId(a) for model in models for a in model.adapters),
+        frozenset((model.id, AdapterId(a)) for model in models for a in model.adapters),
         server.role.value,
     )
 
@@ -119,7 +124,10 @@
             versions - found.versions_by_model_id.get(model, frozenset())
         )
     ]
-    orders += [LoadAdapter(a) for a in sorted(desired.adapters - found.adapters)]
+    orders += [
+        LoadAdapter(model, adapter)
+        for model, adapter in sorted(desired.adapters - found.adapters)
+    ]
     if found.role != desired.role:
         orders.append(SetRole(desired.role))
     return orders
--- a/src/chivesaddle/platform/client.py
+++ b/src/chivesaddle/platform/client.py
@@ -243,6 +243,8 @@
         try:
             return await with_deadline(self._clock, deadline, start(exchange()), what)
         except (DeadlineExceeded, _ConnectionBroken) as failure:
+            if isinstance(failure.__cause__, _NOT_SENT):
+                raise PlatformUnavailable(f"{what} was not sent") from failure
             raise WriteOutcomeUnknown(f"No answer to {what}: {failure}") from failure
         except (ChivesaddleError, CancelledError):
             raise
