Record relayed readings only for a revision that is held

A peer's reading of a newer head must not confirm the older configuration that this daemon still applies; the plain recording cannot tell the two apart.

--- a/src/chivesaddle/configuration/service.py
+++ b/src/chivesaddle/configuration/service.py
@@ -215,6 +215,18 @@
             }
         self._reported.set()
 
+    def record_relayed_reading(self, revision: Revision, age_s: float) -> bool:
+        """Record a peer's platform reading of the head at ``revision``.
+
+        Returns False, and records nothing, while the holder lacks that revision: the
+        reading does not confirm an older configuration. The caller then reads the
+        changes and reports again.
+        """
+        if self.holder.revision < revision:
+            return False
+        self.freshness.record_platform_reading(age_s, self._clock.seconds())
+        return True
+
     async def _read_head(self) -> tuple[Head, float]:
         """Read the head; return it with the time before the read."""
         # The age counts from before the read, when the platform may have answered.
--- a/tests/configuration/test_service.py
+++ b/tests/configuration/test_service.py
@@ -342,6 +342,12 @@
             run(behind.service.refresh())
         assert behind.freshness.reading_age(0) is None
 
+    def test_relayed_reading_of_a_newer_head_confirms_nothing(self, daemon):
+        assert not daemon.service.record_relayed_reading(1, 0.5)
+        assert daemon.freshness.reading_age(0) is None
+        assert daemon.service.record_relayed_reading(0, 0.5)
+        assert daemon.freshness.reading_age(0) == 0.5
+
     def test_age_counts_from_before_the_read(self, api, clock, daemon):
         api.faults.delay_s = 0.5
         start(daemon.service.refresh())
