Test actions service and client directly

The interleavings reach some cases too rarely: late holders after an operator's resolution, settling after an outage, and what the client knows after each kind of broken connection.

--- a/tests/actions/conftest.py
+++ b/tests/actions/conftest.py
@@ -248,6 +248,9 @@
 
         start(resolve()).addErrback(lambda failure: failure.trap(ChivesaddleError))
 
+    def close(self, daemon):
+        return start(self.daemons[daemon].actions.close())
+
     def pause(self, daemon, seconds):
         gate = self.daemons[daemon].gate
         gate.paused = gate.was_paused = True
