--- a/src/chivesaddle/actions/record.py
+++ b/src/chivesaddle/actions/record.py
@@ -176,6 +176,15 @@
         """Name of the record."""
         return record_name(self.account_id, self.key)
 
+    def is_same_as(self, other: "ActionRequest") -> bool:
+        """Tell whether the other request asks for the same operation."""
+        return self.fingerprint == other.fingerprint
+
+    @property
+    def fingerprint(self) -> tuple[ServiceId, str, str]:
+        """What must be equal in every request under one key."""
+        return self.service, self.operation, body_digest(self.body)
+
 
 @dataclass(frozen=True)
 class ActionRecord:
@@ -215,8 +224,7 @@
 
     def check_same_request(self, request: ActionRequest) -> None:
         """Raise `IdempotencyKeyReused` if the record is of a different request."""
-        asked = (request.service, request.operation, body_digest(request.body))
-        if asked != (self.service, self.operation, self.body_digest):
+        if request.fingerprint != (self.service, self.operation, self.body_digest):
             raise IdempotencyKeyReused(
                 f"Idempotency key {request.key!r} was used for a different request",
                 remedy="Use a new key for each distinct request",
