Add peers: exchange, zone relay, announcements and collection

Daemons need membership, fresh configuration and each other's reports without a watch per daemon. Only answers and echoed pushes count for freshness, because a call may wait in the buffers of a paused process for any time.

--- /dev/null
+++ b/src/chivesaddle/peers/__init__.py
@@ -0,0 +1,27 @@
+"""Daemons among each other: membership, exchange, relays and announcements."""
+
+from chivesaddle.peers.addresses import ADDRESS_TTL_S, AddressAnswer
+from chivesaddle.peers.channels import Channels, PeerUnreachable
+from chivesaddle.peers.collecting import CollectedEvents, FleetAnswer
+from chivesaddle.peers.membership import Member, Membership, MemberState
+from chivesaddle.peers.ports import ConfigurationPort, FreshnessPort, LeasePort
+from chivesaddle.peers.reports import ServerReport, SuspectReport
+from chivesaddle.peers.service import Peers
+
+__all__ = [
+    "ADDRESS_TTL_S",
+    "AddressAnswer",
+    "Channels",
+    "CollectedEvents",
+    "ConfigurationPort",
+    "FleetAnswer",
+    "FreshnessPort",
+    "LeasePort",
+    "Member",
+    "MemberState",
+    "Membership",
+    "PeerUnreachable",
+    "Peers",
+    "ServerReport",
+    "SuspectReport",
+]
--- /dev/null
+++ b/src/chivesaddle/peers/channels.py
@@ -0,0 +1,115 @@
+"""Calls to peers, each with a deadline, over one connection per peer."""
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from grpclib.client import Channel as GrpclibChannel
+from twisted.internet.defer import CancelledError, Deferred
+
+from chivesaddle.core.aio import Clock, from_asyncio, with_deadline
+from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded
+from chivesaddle.peers.proto.peer_grpc import PeerStub
+from chivesaddle.peers.traffic import Traffic
+
+
+class PeerUnreachable(ChivesaddleError):
+    """A peer did not answer; whether it got the message is unknown."""
+
+    code = "peer_unreachable"
+    status = 503
+
+
+class Channel(Protocol):
+    """One connection to a peer."""
+
+    def call(self, method: str, message: Any) -> "Deferred[Any]":
+        """Call a method of the service; the Deferred can be cancelled."""
+
+    def close(self) -> None:
+        """Close the connection and fail its calls."""
+
+
+class GrpcChannel:
+    """`Channel` by grpclib; connects at the first call."""
+
+    def __init__(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self._channel = GrpclibChannel(host, int(port))
+        self._stub = PeerStub(self._channel)
+
+    def call(self, method: str, message: Any) -> "Deferred[Any]":
+        """Call a method of the service."""
+        return from_asyncio(getattr(self._stub, method)(message))
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._channel.close()
+
+
+class Channels:
+    """Channels by address; one that missed a deadline is replaced by a new one.
+
+    An open connection can go silent for good while new ones work, and nothing but a
+    missed deadline shows it.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        traffic: Traffic,
+        factory: Callable[[str], Channel] = GrpcChannel,
+    ) -> None:
+        self._clock = clock
+        self._traffic = traffic
+        self._factory = factory
+        self._channels_by_address: dict[str, Channel] = {}
+
+    async def call(
+        self, address: str, method: str, message: Any, *, deadline: float
+    ) -> Any:
+        """Call a method of the peer at ``address``.
+
+        Raises
+        ------
+        PeerUnreachable
+            If no answer came by ``deadline`` or the connection failed.
+        """
+        channel = self._channels_by_address.get(address)
+        if channel is None:
+            channel = self._channels_by_address[address] = self._factory(address)
+        self._traffic.record(message.ByteSize(), self._clock.seconds())
+        try:
+            answer = await with_deadline(
+                self._clock, deadline, channel.call(method, message), method
+            )
+        except CancelledError:
+            raise
+        # grpclib and the sockets below it raise errors of many kinds; all of them
+        # mean that this connection is of no more use.
+        except Exception as error:
+            self._replace(address, channel)
+            reason = error.message if isinstance(error, DeadlineExceeded) else error
+            raise PeerUnreachable(
+                f"{method} at {address} failed: {reason!s}",
+                remedy="Check that the daemon runs and that its peer port is reachable",
+            ) from error
+        self._traffic.record(answer.ByteSize(), self._clock.seconds())
+        return answer
+
+    def keep_only(self, addresses: set[str]) -> None:
+        """Close the channels to all other addresses."""
+        for address in self._channels_by_address.keys() - addresses:
+            self._channels_by_address.pop(address).close()
+
+    def close(self) -> None:
+        """Close all channels."""
+        self.keep_only(set())
+
+    def _replace(self, address: str, channel: Channel) -> None:
+        # A call that failed earlier on the same channel may have replaced it already.
+        if self._channels_by_address.get(address) is channel:
+            del self._channels_by_address[address]
+        channel.close()
+
+
+__all__ = ["Channel", "Channels", "GrpcChannel", "PeerUnreachable"]
--- /dev/null
+++ b/src/chivesaddle/peers/demand.py
@@ -0,0 +1,62 @@
+"""Demand per account of all other daemons, from the parts heard of."""
+
+from collections import Counter
+from collections.abc import Mapping
+
+from chivesaddle.core.ids import AccountId, DaemonId
+
+# Large fleets exchange with a few peers per second; several rounds make a sample.
+DEMAND_TTL_S = 10.0
+# The largest accounts cause nearly all of the demand.
+MAX_ACCOUNTS = 16
+
+
+def largest(demand_by_account: Mapping[AccountId, float]) -> dict[AccountId, float]:
+    """Return the accounts with the largest demand, at most `MAX_ACCOUNTS`."""
+    ranked = sorted(demand_by_account.items(), key=lambda item: (-item[1], item[0]))
+    return {account: tokens for account, tokens in ranked[:MAX_ACCOUNTS] if tokens > 0}
+
+
+class DemandShare:
+    """Latest demand that each peer reported.
+
+    Examples
+    --------
+    >>> share = DemandShare()
+    >>> share.record("d-1", {"acc": 10.0}, now=0.0)
+    >>> share.by_account_id(other_daemons=2, now=1.0)
+    {'acc': 20.0}
+    """
+
+    def __init__(self) -> None:
+        self._reports_by_daemon_id: dict[
+            DaemonId, tuple[float, dict[AccountId, float]]
+        ] = {}
+
+    def record(
+        self, daemon_id: DaemonId, demand: dict[AccountId, float], now: float
+    ) -> None:
+        """Replace the report of a daemon."""
+        self._reports_by_daemon_id[daemon_id] = (now + DEMAND_TTL_S, demand)
+
+    def by_account_id(self, other_daemons: int, now: float) -> dict[AccountId, float]:
+        """Return the others' summed demand.
+
+        The sum over the daemons heard from is scaled to ``other_daemons``, the number
+        of other live daemons.
+        """
+        self._reports_by_daemon_id = {
+            daemon_id: (valid_until, demand)
+            for daemon_id, (valid_until, demand) in self._reports_by_daemon_id.items()
+            if now < valid_until
+        }
+        total: Counter[AccountId] = Counter()
+        for _, demand in self._reports_by_daemon_id.values():
+            for account, tokens in demand.items():
+                total[account] += tokens  # type: ignore[assignment]
+        heard = len(self._reports_by_daemon_id)
+        scale = max(1.0, other_daemons / heard) if heard else 1.0
+        return {account: tokens * scale for account, tokens in sorted(total.items())}
+
+
+__all__ = ["DemandShare", "largest"]
--- /dev/null
+++ b/src/chivesaddle/peers/reports.py
@@ -0,0 +1,153 @@
+"""Urgent reports: each is handed to the listeners once, however often it arrives."""
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from chivesaddle.core.ids import BackendServerId, DaemonId, Fingerprint
+from chivesaddle.peers.proto import peer_pb2 as pb
+
+# A report that every announcement missed still spreads by exchange in this time.
+RELAY_FOR_S = 10.0
+MAX_RELAYED = 8
+MAX_SEEN = 10_000
+
+
+@dataclass(frozen=True)
+class SuspectReport:
+    """News of a request that may crash servers.
+
+    Attributes
+    ----------
+    server : BackendServerId
+        Server that runs it in isolation; None if none does.
+    cleared : bool
+        It completed, or an operator cleared it.
+    """
+
+    fingerprint: Fingerprint
+    crashes: int = 0
+    server: BackendServerId | None = None
+    cleared: bool = False
+
+
+@dataclass(frozen=True)
+class ServerReport:
+    """News of a backend server."""
+
+    server: BackendServerId
+    leaving: bool = True
+
+
+@dataclass(frozen=True)
+class LeavingDaemon:
+    """A daemon that takes no new callers.
+
+    ``incarnation`` is at least that of the process that is leaving and less than that
+    of its successor.
+    """
+
+    daemon: DaemonId
+    incarnation: int
+
+
+Content = SuspectReport | ServerReport | LeavingDaemon
+
+
+class ReportLog:
+    """Reports made here or received, with their origin and number.
+
+    Numbers start at the incarnation, the milliseconds at which the process started, so
+    that the reports of a restarted daemon are new.
+    """
+
+    def __init__(self, origin: DaemonId, incarnation: int) -> None:
+        self._origin = origin
+        self._number = incarnation
+        self._relay_until_by_id: OrderedDict[
+            tuple[str, int], tuple[float, pb.Report]
+        ] = OrderedDict()
+        self._listeners: list[Callable[[Content], None]] = []
+
+    def add_listener(self, listener: Callable[[Content], None]) -> None:
+        """Call ``listener`` with the content of each report of another daemon."""
+        self._listeners.append(listener)
+
+    def create(self, content: Content, now: float) -> pb.Report:
+        """Return a new report of this daemon."""
+        self._number += 1
+        report = _to_message(self._origin, self._number, content)
+        self._remember(report, now)
+        return report
+
+    def receive(self, reports: Iterable[pb.Report], now: float) -> list[pb.Report]:
+        """Tell the listeners about reports not seen before, and return those."""
+        new = []
+        for report in reports:
+            if self._is_known(report):
+                continue
+            self._remember(report, now)
+            new.append(report)
+            content = _from_message(report)
+            if content:
+                for listener in self._listeners:
+                    listener(content)
+        return new
+
+    def recent(self, now: float) -> list[pb.Report]:
+        """Return the newest reports that are still relayed."""
+        relayed = [
+            report
+            for relay_until, report in self._relay_until_by_id.values()
+            if now < relay_until
+        ]
+        return relayed[-MAX_RELAYED:]
+
+    def _is_known(self, report: pb.Report) -> bool:
+        key = (report.origin, report.number)
+        return report.origin == self._origin or key in self._relay_until_by_id
+
+    def _remember(self, report: pb.Report, now: float) -> None:
+        key = (report.origin, report.number)
+        self._relay_until_by_id[key] = (now + RELAY_FOR_S, report)
+        if len(self._relay_until_by_id) > MAX_SEEN:
+            self._relay_until_by_id.popitem(last=False)
+
+
+def _to_message(origin: DaemonId, number: int, content: Content) -> pb.Report:
+    match content:
+        case SuspectReport(fingerprint, crashes, server, cleared):
+            suspect = pb.SuspectReport(
+                fingerprint=fingerprint,
+                crashes=crashes,
+                server=server or "",
+                cleared=cleared,
+            )
+            return pb.Report(origin=origin, number=number, suspect=suspect)
+        case ServerReport(server, leaving):
+            news = pb.ServerReport(server=server, leaving=leaving)
+            return pb.Report(origin=origin, number=number, server=news)
+        case LeavingDaemon(daemon, _):
+            return pb.Report(origin=origin, number=number, leaving_daemon=daemon)
+
+
+def _from_message(report: pb.Report) -> Content | None:
+    match report.WhichOneof("content"):
+        case "suspect":
+            found = report.suspect
+            return SuspectReport(
+                Fingerprint(found.fingerprint),
+                found.crashes,
+                BackendServerId(found.server) if found.server else None,
+                found.cleared,
+            )
+        case "server":
+            server = BackendServerId(report.server.server)
+            return ServerReport(server, report.server.leaving)
+        case "leaving_daemon":
+            return LeavingDaemon(DaemonId(report.leaving_daemon), report.number)
+    # A content of a newer version; relayed but not understood.
+    return None
+
+
+__all__ = ["Content", "LeavingDaemon", "ReportLog", "ServerReport", "SuspectReport"]
--- /dev/null
+++ b/src/chivesaddle/peers/server.py
@@ -0,0 +1,80 @@
+"""The gRPC server for calls of peers."""
+
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
+
+from grpclib.server import Server, Stream
+
+from chivesaddle.core.aio import from_asyncio, to_asyncio
+from chivesaddle.core.settings import Listen
+from chivesaddle.peers.proto.peer_grpc import PeerBase
+
+Handler = Callable[[str, Any], Coroutine[Any, Any, Any]]
+
+
+class PeerServer(Protocol):
+    """Accepts calls of peers."""
+
+    async def start(self) -> None:
+        """Listen."""
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+
+
+class GrpcPeerServer:
+    """`PeerServer` by grpclib.
+
+    Parameters
+    ----------
+    handle : callable
+        Twisted coroutine function of a method name and its message.
+    """
+
+    def __init__(self, listen: Listen, handle: Handler) -> None:
+        self._listen = listen
+        self._handle = handle
+        self._server: Server | None = None
+
+    async def start(self) -> None:
+        """Listen on the configured address."""
+        # Created here because grpclib takes the running loop.
+        self._server = Server([_Service(self._handle)])
+        await from_asyncio(self._server.start(self._listen.host, self._listen.port))
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._server:
+            self._server.close()
+            await from_asyncio(self._server.wait_closed())
+
+
+class _Service(PeerBase):
+    def __init__(self, handle: Handler) -> None:
+        self._handle = handle
+
+    async def _answer(self, method: str, stream: Stream[Any, Any]) -> None:
+        message = await stream.recv_message()
+        if message is not None:
+            await stream.send_message(await to_asyncio(self._handle(method, message)))
+
+    async def Exchange(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        await self._answer("Exchange", stream)
+
+    async def GetChanges(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        await self._answer("GetChanges", stream)
+
+    async def GetEvents(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        await self._answer("GetEvents", stream)
+
+    async def GetStatus(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        await self._answer("GetStatus", stream)
+
+    async def Announce(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        await self._answer("Announce", stream)
+
+    async def Push(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        await self._answer("Push", stream)
+
+
+__all__ = ["GrpcPeerServer", "PeerServer"]
--- /dev/null
+++ b/src/chivesaddle/peers/service.py
@@ -0,0 +1,556 @@
+"""A daemon among its peers: exchange, relay, announcements and collection."""
+
+import json
+import time
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import Any
+
+from twisted.internet.defer import Deferred, DeferredList, maybeDeferred
+from twisted.internet.task import LoopingCall
+
+from chivesaddle.core.aio import Clock, log_failure, start
+from chivesaddle.core.errors import ChivesaddleError
+from chivesaddle.core.events import Event, EventFilter, EventKind, EventRing
+from chivesaddle.core.ids import AccountId, DaemonId
+from chivesaddle.core.logs import PartLogger
+from chivesaddle.core.metrics import Metrics, NoMetrics
+from chivesaddle.core.objects import ObjectApi
+from chivesaddle.core.settings import Settings
+from chivesaddle.peers.addresses import ADDRESS_TTL_S, AddressAnswer, address_answer
+from chivesaddle.peers.announcing import AnnouncementPlan, zone_peers
+from chivesaddle.peers.channels import Channels, PeerUnreachable
+from chivesaddle.peers.collecting import (
+    CollectedEvents,
+    FleetAnswer,
+    collect,
+    events_from_message,
+    events_to_message,
+    filter_from_message,
+    filter_to_message,
+    merge_events,
+    status_from_message,
+)
+from chivesaddle.peers.demand import DemandShare
+from chivesaddle.peers.exchange import Exchange, choose_peers
+from chivesaddle.peers.instances import InstanceTable
+from chivesaddle.peers.membership import HEARD_TTL_S, Member, Membership, MemberState
+from chivesaddle.peers.ports import ConfigurationPort, FreshnessPort, LeasePort
+from chivesaddle.peers.proto import peer_pb2 as pb
+from chivesaddle.peers.reports import (
+    Content,
+    LeavingDaemon,
+    ReportLog,
+    ServerReport,
+    SuspectReport,
+)
+from chivesaddle.peers.server import GrpcPeerServer, Handler, PeerServer
+from chivesaddle.peers.traffic import Traffic
+from chivesaddle.peers.zone_push import PushReceiver, PushSender
+from chivesaddle.peers.zone_reader import ZoneReader
+
+ROUND_S = 1.0
+# Less than a round, so that a silent peer does not delay the next one.
+EXCHANGE_WITHIN_S = 0.8
+CATCH_UP_WITHIN_S = 2.0
+# A crashed request waits for this before it is retried.
+ANNOUNCE_WITHIN_S = 0.5
+# Leaves the announcer time to hear of it.
+FORWARD_WITHIN_S = 0.3
+MAX_FORWARDERS_TRIED = 3
+
+_log = PartLogger("peers")
+
+
+class Peers:
+    """See the module's description.
+
+    Parameters
+    ----------
+    own : Member
+        This daemon, with its addresses and incarnation.
+    channels : Channels
+        Calls to peers.
+    make_server : callable
+        Returns the server that passes calls to the handler it is given.
+    status_source : callable
+        Returns this daemon's status as JSON values.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        clock: Clock,
+        api: ObjectApi,
+        lease: LeasePort,
+        configuration: ConfigurationPort,
+        freshness: FreshnessPort,
+        events: EventRing,
+        channels: Channels,
+        traffic: Traffic,
+        make_server: Callable[[Handler], PeerServer],
+        *,
+        status_source: Callable[[], dict[str, Any]] = dict,
+        metrics: Metrics | None = None,
+        random: Random | None = None,
+    ) -> None:
+        self._clock = clock
+        self._lease = lease
+        self._configuration = configuration
+        self._freshness = freshness
+        self._events = events
+        self._channels = channels
+        self._status_source = status_source
+        self._metrics = metrics or NoMetrics()
+        self._random = random or Random()
+        self.traffic = traffic
+        self.membership = Membership(own)
+        self._table = InstanceTable()
+        self._push_sender = PushSender(own.id, self._table)
+        self._push_receiver = PushReceiver(self._table, self._random.getrandbits(48))
+        self._demand = DemandShare()
+        self._reports = ReportLog(own.id, own.incarnation)
+        self._reports.add_listener(self._take_report)
+        self._suspect_listeners: list[Callable[[SuspectReport], None]] = []
+        self._server_listeners: list[Callable[[ServerReport], None]] = []
+        self._instance_listeners: list[Callable[[dict[str, Any]], None]] = []
+        self._exchange = Exchange(
+            self.membership,
+            freshness,
+            configuration,
+            events.clock,
+            self._demand,
+            self._reports,
+            clock.seconds(),
+            self._random,
+        )
+        self._zone_reader = ZoneReader(
+            clock,
+            api,
+            lease,
+            configuration,
+            freshness,
+            self._table,
+            self._take_instances,
+            self._note_platform,
+        )
+        self._server = make_server(self.handle)
+        self._rounds = [
+            self._looping_call(self._exchange_round),
+            self._looping_call(self._push_round),
+        ]
+        self._states_by_daemon_id: dict[DaemonId, MemberState] = {}
+        self._catching_up = False
+        self._turn = 0
+        self.serve_until: float | None = None
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: Settings,
+        clock: Clock,
+        api: ObjectApi,
+        lease: LeasePort,
+        configuration: ConfigurationPort,
+        freshness: FreshnessPort,
+        events: EventRing,
+        *,
+        status_source: Callable[[], dict[str, Any]] = dict,
+        metrics: Metrics | None = None,
+    ) -> "Peers":
+        """Build the peers of a daemon over gRPC."""
+        own = Member(
+            settings.daemon_id,
+            settings.zone,
+            settings.region,
+            peer_address=settings.peers.address,
+            caller_url=settings.caller_url,
+            operator_url=f"http://{settings.operators.address}",
+            incarnation=int(time.time() * 1_000),
+        )
+        traffic = Traffic()
+        return cls(
+            own,
+            clock,
+            api,
+            lease,
+            configuration,
+            freshness,
+            events,
+            Channels(clock, traffic),
+            traffic,
+            lambda handle: GrpcPeerServer(settings.peers, handle),
+            status_source=status_source,
+            metrics=metrics,
+        )
+
+    async def start(self) -> None:
+        """Accept calls, then start to read and exchange."""
+        await self._server.start()
+        self._zone_reader.start()
+        for looping_call in self._rounds:
+            looping_call.start(ROUND_S)
+
+    async def stop(self) -> None:
+        """Stop everything; peers see this daemon as unreachable."""
+        for looping_call in self._rounds:
+            if looping_call.running:
+                looping_call.stop()
+        self._zone_reader.stop()
+        self._channels.close()
+        await self._server.stop()
+
+    # Interface to other slices
+
+    def set_demand_source(self, source: Callable[[], dict[AccountId, float]]) -> None:
+        """Set the function that returns this daemon's own demand by account."""
+        self._exchange.demand_source = source
+
+    def demand_by_account_id(self) -> dict[AccountId, float]:
+        """Return the summed demand of all other daemons."""
+        now = self._clock.seconds()
+        live = self.membership.members(now, MemberState.LIVE, MemberState.LEAVING)
+        others = sum(member is not self.membership.own for member in live)
+        return self._demand.by_account_id(others, now)
+
+    def on_suspect(self, listener: Callable[[SuspectReport], None]) -> None:
+        """Call ``listener`` with other daemons' reports of suspect requests."""
+        self._suspect_listeners.append(listener)
+
+    def on_server_report(self, listener: Callable[[ServerReport], None]) -> None:
+        """Call ``listener`` with other daemons' reports of backend servers."""
+        self._server_listeners.append(listener)
+
+    def on_instances(self, listener: Callable[[dict[str, Any]], None]) -> None:
+        """Call ``listener`` with the instance list by name after each change."""
+        self._instance_listeners.append(listener)
+
+    def announce_suspect(self, report: SuspectReport) -> "Deferred[list[DaemonId]]":
+        """Tell all daemons; see `announce`."""
+        return self.announce(report)
+
+    def announce_server(self, report: ServerReport) -> "Deferred[list[DaemonId]]":
+        """Tell all daemons; see `announce`."""
+        return self.announce(report)
+
+    def announce(self, content: Content) -> "Deferred[list[DaemonId]]":
+        """Tell all daemons within `ANNOUNCE_WITHIN_S`.
+
+        Returns
+        -------
+        Deferred of list of DaemonId
+            Daemons that did not confirm; they learn of it by exchange.
+        """
+        report = self._reports.create(content, self._clock.seconds())
+        return start(self._announce([report]))
+
+    def address_answer(self, now: float) -> AddressAnswer:
+        """Return the addresses that callers may use."""
+        self.membership.own.confirmed = self._freshness.is_confirmed(now)
+        self._turn += 1
+        return address_answer(self.membership, now, self._turn)
+
+    def start_leaving(self) -> "Deferred[None]":
+        """Leave all address answers; sets ``serve_until``.
+
+        Until then callers may still use an answer that named this daemon. A daemon
+        that missed the announcement stops naming it when it is no longer heard of.
+        """
+        own = self.membership.own
+        if self.serve_until is None:
+            own.leaving = True
+            latest = self._clock.seconds() + HEARD_TTL_S + ADDRESS_TTL_S
+            self.serve_until = latest
+        return self.announce(LeavingDaemon(own.id, own.incarnation)).addCallback(
+            self._shorten_leaving
+        )
+
+    async def collect_events(
+        self, wanted: EventFilter, deadline: float
+    ) -> CollectedEvents:
+        """Return the fleet's events; daemons that did not answer are named."""
+
+        async def ask(peer: Member, peer_deadline: float) -> list[Event]:
+            message = filter_to_message(wanted)
+            return events_from_message(
+                await self._call(peer, "GetEvents", message, peer_deadline)
+            )
+
+        peers = self.membership.peers(self._clock.seconds())
+        answer = await collect(self._clock, peers, ask, deadline)
+        answer.answers_by_daemon_id[self.membership.own.id] = self._events.select(
+            wanted
+        )
+        return merge_events(answer, wanted)
+
+    async def collect_status(self, deadline: float) -> FleetAnswer[dict[str, Any]]:
+        """Return each daemon's status; daemons that did not answer are named."""
+
+        async def ask(peer: Member, peer_deadline: float) -> dict[str, Any]:
+            message = pb.StatusRequest()
+            return status_from_message(
+                await self._call(peer, "GetStatus", message, peer_deadline)
+            )
+
+        peers = self.membership.peers(self._clock.seconds())
+        answer = await collect(self._clock, peers, ask, deadline)
+        answer.answers_by_daemon_id[self.membership.own.id] = self._status_source()
+        return answer
+
+    # Calls of peers
+
+    async def handle(self, method: str, message: Any) -> Any:
+        """Answer a call of a peer."""
+        now = self._clock.seconds()
+        self.traffic.record(message.ByteSize(), now)
+        answer = await self._answer(method, message, now)
+        self.traffic.record(answer.ByteSize(), self._clock.seconds())
+        return answer
+
+    async def _answer(self, method: str, message: Any, now: float) -> Any:
+        match method:
+            case "Exchange":
+                self._exchange.receive(message, now)
+                return self._exchange.build(now, answer=True)
+            case "Push":
+                return self._receive_push(message, now)
+            case "Announce":
+                new = self._reports.receive(message.reports, now)
+                if message.forward and new:
+                    zone = zone_peers(self.membership, now)
+                    await self._tell(zone, new, FORWARD_WITHIN_S)
+                return pb.Empty()
+            case "GetChanges":
+                changes = await self._configuration.changes_after(message.after)
+                return pb.Changes(revision=self._configuration.revision, change=changes)
+            case "GetEvents":
+                events = self._events.select(filter_from_message(message))
+                return events_to_message(events)
+            case "GetStatus":
+                return pb.Status(status=json.dumps(self._status_source()).encode())
+        raise PeerUnreachable(f"Method {method} is not known")
+
+    def _receive_push(self, push: pb.ZonePush, now: float) -> pb.ZonePushReply:
+        before = self._table.revision
+        if self._push_receiver.receive(push, now):
+            self._lease.observe(push.lease_version)
+            if self._table.revision != before:
+                self._take_instances()
+            age = self._push_receiver.reading_age_s(push, now)
+            if push.revision > self._configuration.revision:
+                self._run(self._catch_up_with_push(push, age, now))
+            elif age is not None:
+                self._freshness.record_platform_reading(age, now)
+        return self._push_receiver.reply(now)
+
+    async def _catch_up_with_push(
+        self, push: pb.ZonePush, age: float | None, received_at: float
+    ) -> None:
+        reader = self.membership.get(DaemonId(push.sender))
+        address = reader.peer_address if reader else ""
+        if await self._catch_up(address, push.revision) and age is not None:
+            now = self._clock.seconds()
+            self._freshness.record_platform_reading(age + now - received_at, now)
+
+    # Rounds
+
+    async def _exchange_with(self, peer: Member) -> None:
+        sent_at = self._clock.seconds()
+        try:
+            answer = await self._call(
+                peer,
+                "Exchange",
+                self._exchange.build(sent_at),
+                sent_at + EXCHANGE_WITHIN_S,
+            )
+        except PeerUnreachable as error:
+            _log.debug("%s", error.message)
+            return
+        behind = self._exchange.receive_answer(answer, sent_at, self._clock.seconds())
+        if behind and await self._catch_up(peer.peer_address, answer.revision):
+            self._exchange.record_reading(answer, sent_at, self._clock.seconds())
+
+    def _exchange_round(self) -> Deferred:
+        now = self._clock.seconds()
+        self.membership.forget_gone(now)
+        self._report_changed_members(now)
+        self._freshness.set_members(self.membership.zones_by_daemon_id(now))
+        self._channels.keep_only({p.peer_address for p in self.membership.peers(now)})
+        self._metrics.gauge("peers.bytes_per_s", self.traffic.bytes_per_s(now))
+        self._exchange.start_round(now)
+        chosen = choose_peers(self.membership, now, self._random)
+        return self._run_all(self._exchange_with(peer) for peer in chosen)
+
+    def _push_round(self) -> Deferred:
+        now = self._clock.seconds()
+        age = self._freshness.reading_age(now)
+        if age is None or not self._zone_reader.is_reader():
+            return self._run_all([])
+        peers = zone_peers(self.membership, now)
+        return self._run_all(self._push_to(peer, now, age) for peer in peers)
+
+    async def _push_to(self, peer: Member, now: float, age: float) -> None:
+        push = self._push_sender.build(
+            peer.id,
+            lease_version=self._lease.version,
+            revision=self._configuration.revision,
+            reading_age_s=age,
+        )
+        try:
+            reply = await self._call(peer, "Push", push, now + EXCHANGE_WITHIN_S)
+        except PeerUnreachable:
+            self._push_sender.forget(peer.id)
+        else:
+            self._push_sender.record_reply(peer.id, reply)
+
+    async def _catch_up(self, address: str, wanted: int) -> bool:
+        """Get the changes up to a revision from a peer, else from the platform."""
+        if self._catching_up:
+            return False
+        self._catching_up = True
+        try:
+            await self._get_changes(address)
+            if self._configuration.revision < wanted:
+                await self._configuration.refresh()
+        except ChivesaddleError as error:
+            _log.warning("revision %d not fetched: %s", wanted, error)
+        finally:
+            self._catching_up = False
+        return self._configuration.revision >= wanted
+
+    async def _get_changes(self, address: str) -> None:
+        request = pb.ChangesRequest(after=self._configuration.revision)
+        deadline = self._clock.seconds() + CATCH_UP_WITHIN_S
+        try:
+            found = await self._channels.call(
+                address, "GetChanges", request, deadline=deadline
+            )
+        except PeerUnreachable as error:
+            _log.warning("%s", error.message)
+        else:
+            self._configuration.apply(list(found.change))
+
+    # Announcements
+
+    async def _announce(self, reports: list[pb.Report]) -> list[DaemonId]:
+        plan = AnnouncementPlan.for_fleet(self.membership, self._clock.seconds())
+        missed: list[DaemonId] = []
+        tell_zone = self._tell(plan.direct, reports, ANNOUNCE_WITHIN_S)
+        tell_others = [
+            self._tell_one_of(candidates, reports)
+            for candidates in plan.candidates_by_zone.values()
+        ]
+        for _, part in await DeferredList(
+            [start(t) for t in (tell_zone, *tell_others)]
+        ):
+            missed += part
+        return missed
+
+    async def _tell(
+        self, peers: list[Member], reports: list[pb.Report], within_s: float
+    ) -> list[DaemonId]:
+        """Tell peers; return those that did not confirm.
+
+        A peer that is unreachable already is told as well, but not waited for.
+        """
+        now = self._clock.seconds()
+        message = pb.Announcement(reports=reports)
+        missed: list[DaemonId] = []
+
+        async def tell(peer: Member) -> None:
+            try:
+                await self._call(peer, "Announce", message, now + within_s)
+            except PeerUnreachable:
+                missed.append(peer.id)
+
+        awaited = []
+        for peer in peers:
+            told = self._run(tell(peer))
+            if self.membership.state_of(peer.id, now) is not MemberState.UNREACHABLE:
+                awaited.append(told)
+            elif not told.called:
+                missed.append(peer.id)
+        await DeferredList(awaited)
+        return sorted(set(missed))
+
+    async def _tell_one_of(
+        self, candidates: list[Member], reports: list[pb.Report]
+    ) -> list[DaemonId]:
+        """Tell a zone through the first of its daemons that answers."""
+        message = pb.Announcement(reports=reports, forward=True)
+        for peer in candidates[:MAX_FORWARDERS_TRIED]:
+            deadline = self._clock.seconds() + ANNOUNCE_WITHIN_S
+            try:
+                await self._call(peer, "Announce", message, deadline)
+            except PeerUnreachable:
+                continue
+            # Whether every daemon of the zone was reached is not known.
+            return [c.id for c in candidates if c is not peer]
+        return [candidate.id for candidate in candidates]
+
+    def _shorten_leaving(self, missed: list[DaemonId]) -> None:
+        if not missed:
+            self.serve_until = self._clock.seconds() + ADDRESS_TTL_S
+
+    # Effects
+
+    def _take_report(self, content: Content) -> None:
+        match content:
+            case SuspectReport():
+                for on_suspect in self._suspect_listeners:
+                    on_suspect(content)
+            case ServerReport():
+                for on_server in self._server_listeners:
+                    on_server(content)
+            case LeavingDaemon(daemon, incarnation):
+                self.membership.record_leaving(daemon, incarnation)
+
+    def _take_instances(self) -> None:
+        values = self._table.values_by_name
+        self.membership.update_instances(values)
+        for listener in self._instance_listeners:
+            listener(values)
+
+    def _note_platform(self, reachable: bool) -> None:
+        self._exchange.platform_reachable = reachable
+
+    def _report_changed_members(self, now: float) -> None:
+        states = {
+            member.id: self.membership.state_of(member.id, now)
+            for member in self.membership.members(now, *MemberState)
+        }
+        for daemon_id in sorted(states.keys() | self._states_by_daemon_id.keys()):
+            state = states.get(daemon_id, MemberState.GONE)
+            if state is not self._states_by_daemon_id.get(daemon_id):
+                self._events.record(
+                    EventKind.MEMBER_CHANGED, object=daemon_id, state=state.value
+                )
+        self._states_by_daemon_id = states
+
+    # Helpers
+
+    def _looping_call(self, take_round: Callable[[], Deferred]) -> LoopingCall:
+        def guarded() -> Deferred:
+            # A failed round must not end the loop.
+            work = maybeDeferred(take_round)
+            return work.addErrback(log_failure(_log, "round failed"))
+
+        looping_call = LoopingCall(guarded)
+        looping_call.clock = self._clock  # type: ignore[assignment]
+        return looping_call
+
+    def _call(
+        self, peer: Member, method: str, message: Any, deadline: float
+    ) -> Coroutine[Any, Any, Any]:
+        return self._channels.call(
+            peer.peer_address, method, message, deadline=deadline
+        )
+
+    def _run(self, work: Coroutine[Any, Any, Any]) -> Deferred:
+        return start(work).addErrback(log_failure(_log, "call failed"))
+
+    def _run_all(self, works: Any) -> Deferred:
+        return DeferredList([self._run(work) for work in works])
+
+
+__all__ = ["Peers"]
--- /dev/null
+++ b/src/chivesaddle/peers/traffic.py
@@ -0,0 +1,42 @@
+"""Bytes of control traffic per second."""
+
+from collections import deque
+
+WINDOW_S = 10.0
+
+
+class Traffic:
+    """Counts message bytes in both directions, without the framing of the transport.
+
+    Examples
+    --------
+    >>> traffic = Traffic()
+    >>> traffic.record(500, now=0.0)
+    >>> traffic.record(500, now=9.0)
+    >>> traffic.bytes_per_s(now=9.5), traffic.bytes_per_s(now=12.0)
+    (100.0, 50.0)
+    """
+
+    def __init__(self) -> None:
+        self._sizes: deque[tuple[float, int]] = deque()
+        self._sum = 0
+        self.total_bytes = 0
+
+    def record(self, size: int, now: float) -> None:
+        """Add a message of ``size`` bytes."""
+        self._sizes.append((now, size))
+        self._sum += size
+        self.total_bytes += size
+        self._drop_old(now)
+
+    def bytes_per_s(self, now: float) -> float:
+        """Return the mean over the last `WINDOW_S` seconds."""
+        self._drop_old(now)
+        return self._sum / WINDOW_S
+
+    def _drop_old(self, now: float) -> None:
+        while self._sizes and self._sizes[0][0] <= now - WINDOW_S:
+            self._sum -= self._sizes.popleft()[1]
+
+
+__all__ = ["Traffic"]
