Add the daemon and carry the router's suspect announcements between peers

The daemon builds the slices, connects them and shuts down gracefully. The peers' report of a suspect request lacked crash and run ids, without which a cleared crash could count again, so the messages now carry the router's announcements as they are. A daemon that was started or cut off asks a peer for what it missed. The poller also reads loaded weight versions.

--- a/src/chivesaddle/actions/repeatable.py
+++ b/src/chivesaddle/actions/repeatable.py
@@ -19,7 +19,7 @@
     def record_request(self, now: float) -> None:
         """Count a first try."""
 
-    def try_retry(self, now: float) -> bool:
+    def try_spend(self, now: float) -> bool:
         """Take one retry from the budget; False if none is left."""
 
 
@@ -29,7 +29,7 @@
     def record_request(self, now: float) -> None:
         """Ignore a first try."""
 
-    def try_retry(self, now: float) -> bool:
+    def try_spend(self, now: float) -> bool:
         """Allow the retry."""
         return True
 
@@ -69,7 +69,7 @@
                 self._urls.record_failure(url, self._clock.seconds())
                 failure = error
             now = self._clock.seconds()
-            if now >= deadline or tries_left == 1 or not self._budget.try_retry(now):
+            if now >= deadline or tries_left == 1 or not self._budget.try_spend(now):
                 break
         raise ServiceUnavailable(
             f"Service {service.id!r} did not answer {operation!r}: {failure.message}",
--- /dev/null
+++ b/src/chivesaddle/daemon/main.py
@@ -0,0 +1,88 @@
+"""Command line of the daemon: ``chivesaddled --config FILE``."""
+
+import signal
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+from chivesaddle.core.aio import install_reactor, start
+from chivesaddle.core.logs import PartLogger, configure
+from chivesaddle.core.settings import Settings, SettingsError
+
+EXIT_INVALID_SETTINGS = 2
+
+log = PartLogger("daemon")
+
+
+def serve(
+    config: Annotated[Path, typer.Option(help="JSON file with the settings")],
+    check: Annotated[
+        bool, typer.Option("--check", help="Check the settings and exit")
+    ] = False,
+) -> None:
+    """Serve callers, operators and peers until SIGTERM or SIGINT.
+
+    The first signal drains: the daemon leaves the address answers and finishes what is
+    in flight. A second one stops it at once.
+    """
+    try:
+        settings = Settings.from_config(config)
+    except SettingsError as error:
+        typer.echo(f"chivesaddled: {error}", err=True)
+        raise typer.Exit(EXIT_INVALID_SETTINGS) from None
+    if check:
+        typer.echo("settings are valid")
+        return
+    configure(settings.daemon_id, settings.log_level)
+    if not _run(settings):
+        raise typer.Exit(1)
+
+
+def _run(settings: Settings) -> bool:
+    """Run the daemon; return False if it could not start."""
+    install_reactor()
+    # Imported here: the HTTP libraries import the reactor, which must be ours.
+    from twisted.internet import reactor as installed
+
+    from chivesaddle.daemon.app import Daemon, run_until_stopped
+
+    reactor: Any = installed
+    daemon = Daemon.from_settings(settings, reactor)
+    stopping = False
+    started = True
+
+    def failed(failure: Any) -> None:
+        nonlocal started
+        started = False
+        log.error("not started: %s", failure.getErrorMessage())
+        reactor.stop()
+
+    def stop() -> None:
+        nonlocal stopping
+        if stopping:
+            reactor.stop()
+            return
+        stopping = True
+        start(run_until_stopped(daemon, reactor)).addErrback(failed)
+
+    def handle(*_: Any) -> None:
+        reactor.callFromThread(stop)
+
+    reactor.callWhenRunning(lambda: start(daemon.start()).addErrback(failed))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, handle)
+    reactor.run(installSignalHandlers=False)
+    return started
+
+
+def main() -> None:
+    """Run the command line."""
+    typer.run(serve)
+
+
+if __name__ == "__main__":
+    main()
+
+
+__all__ = ["main", "serve"]
--- a/src/chivesaddle/engines/poller.py
+++ b/src/chivesaddle/engines/poller.py
@@ -11,10 +11,13 @@
 from chivesaddle.core.logs import PartLogger
 from chivesaddle.engines.client import EngineClient
 from chivesaddle.engines.errors import EngineError
-from chivesaddle.engines.reports import CacheEvents, LoadReport
+from chivesaddle.engines.reports import CacheEvents, EngineState, LoadReport
 
 POLL_INTERVAL_S = 1.0
 POLL_DEADLINE_S = 1.0
+# Weight versions change rarely; until they are read again, a request that meets a
+# missing version goes to another server.
+STATE_INTERVAL_S = 3.0
 _log = PartLogger("engines")
 
 
@@ -34,6 +37,9 @@
     ) -> None:
         """Take changes of a server's cached blocks."""
 
+    def update_versions(self, server_id: BackendServerId, state: EngineState) -> None:
+        """Take what a server has loaded."""
+
     def set_leaving(self, server_id: BackendServerId) -> None:
         """Note that a server takes no new work."""
 
@@ -42,6 +48,7 @@
 class _Server:
     url: str
     after: int | None = None
+    state_due: float = 0.0
     known: set[BlockKey] = field(default_factory=set)
     loop: "Deferred[None] | None" = None
 
@@ -104,6 +111,11 @@
         self._sink.update_load(server_id, report, self._clock.seconds())
         if report.draining:
             self._sink.set_leaving(server_id)
+        now = self._clock.seconds()
+        if now >= server.state_due:
+            state = await self._client.state(server.url, deadline)
+            server.state_due = now + STATE_INTERVAL_S
+            self._sink.update_versions(server_id, state)
         if server.after is None:
             await self._read_all(server_id, server)
             return
--- a/src/chivesaddle/gateway/dependencies.py
+++ b/src/chivesaddle/gateway/dependencies.py
@@ -76,7 +76,7 @@
     ) -> None:
         """Note blocks that a server holds now."""
 
-    def set_leaving(self, server_id: BackendServerId, now: float) -> None:
+    def set_leaving(self, server_id: BackendServerId) -> None:
         """Note that a server takes no new work."""
 
 
@@ -101,7 +101,7 @@
 
     async def save(
         self, scope: str, keys: Sequence[BlockKey], server: BackendServer
-    ) -> None:
+    ) -> Any:
         """Export blocks from a server to their home stores."""
 
 
@@ -112,6 +112,10 @@
     def state(self) -> Any:
         """State, a string or an `Enum` of strings."""
 
+    @property
+    def code(self) -> str:
+        """Error code, empty when done."""
+
     @property
     def status(self) -> int:
         """HTTP status for the caller."""
--- a/src/chivesaddle/gateway/guide.py
+++ b/src/chivesaddle/gateway/guide.py
@@ -153,7 +153,7 @@
             await self._announce(router.record_crash(target.server_id, now))
             return
         if isinstance(error, EngineDraining):
-            router.set_leaving(target.server_id, now)
+            router.set_leaving(target.server_id)
         faulty = error.elsewhere and not isinstance(error, _HEALTHY)
         await self._announce(self._end(server_fault=faulty))
 
--- a/src/chivesaddle/gateway/routes.py
+++ b/src/chivesaddle/gateway/routes.py
@@ -355,7 +355,7 @@
     if value is None and result.status >= 400:
         error = ChivesaddleError(f"The action is in state {state}")
         value = error_body(error)
-        value["error"]["code"] = state
+        value["error"]["code"] = result.code
     write_json(request, result.status, value, **headers)
 
 
--- a/src/chivesaddle/orders/desired.py
+++ b/src/chivesaddle/orders/desired.py
@@ -1,10 +1,10 @@
 """What a backend server should hold, and the orders that lead there."""
 
 from dataclasses import dataclass
-from typing import Any
 
 from chivesaddle.core.ids import AdapterId, ModelId, WeightVersion
 from chivesaddle.core.model import BackendServer, ConfigState
+from chivesaddle.engines import EngineState
 
 
 @dataclass(frozen=True)
@@ -26,19 +26,19 @@
     role: str
 
     @classmethod
-    def from_json(cls, data: dict[str, Any]) -> "ServerState":
+    def from_engine(cls, state: EngineState) -> "ServerState":
         """Build the state from an engine's ``GET /state`` answer."""
         return cls(
             {
                 ModelId(model): frozenset(map(WeightVersion, versions))
-                for model, versions in data.get("models", {}).items()
+                for model, versions in state.models.items()
             },
             frozenset(
                 (ModelId(model), AdapterId(adapter))
-                for model, adapters in data.get("adapters", {}).items()
+                for model, adapters in state.adapters.items()
                 for adapter in adapters
             ),
-            data.get("role", ""),
+            state.role,
         )
 
 
@@ -76,23 +76,23 @@
 Order = LoadVersion | UnloadVersion | LoadAdapter | SetRole
 
 
-def order_to_json(order: Order) -> dict[str, str]:
-    """Return the body of ``POST /orders`` without its fencing token.
+def order_to_json(order: Order) -> tuple[str, dict[str, str]]:
+    """Return the name of an order and its arguments for ``POST /orders``.
 
     Examples
     --------
     >>> order_to_json(SetRole("standby"))
-    {'order': 'set_role', 'role': 'standby'}
+    ('set_role', {'role': 'standby'})
     """
     match order:
         case LoadVersion(model, version):
-            return {"order": "load_version", "model": model, "version": version}
+            return "load_version", {"model": model, "version": version}
         case UnloadVersion(model, version):
-            return {"order": "unload_version", "model": model, "version": version}
+            return "unload_version", {"model": model, "version": version}
         case LoadAdapter(model, adapter):
-            return {"order": "load_adapter", "model": model, "adapter": adapter}
+            return "load_adapter", {"model": model, "adapter": adapter}
         case SetRole(role):
-            return {"order": "set_role", "role": role}
+            return "set_role", {"role": role}
 
 
 def desired_state(server: BackendServer, config: ConfigState) -> ServerState:
--- a/src/chivesaddle/orders/task.py
+++ b/src/chivesaddle/orders/task.py
@@ -10,6 +10,7 @@
 from chivesaddle.core.ids import BackendServerId, FencingToken, ZoneId
 from chivesaddle.core.logs import PartLogger
 from chivesaddle.core.model import BackendServer, ConfigState
+from chivesaddle.engines import EngineState
 from chivesaddle.orders.desired import (
     Order,
     ServerState,
@@ -27,11 +28,16 @@
 class OrderClient(Protocol):
     """Access to a model engine's orders and state."""
 
-    async def state(self, url: str, *, deadline: float) -> dict[str, Any]:
+    async def state(self, url: str, deadline: float) -> EngineState:
         """Read what the engine holds."""
 
     async def order(
-        self, url: str, fence: int, order: dict[str, Any], *, deadline: float
+        self,
+        url: str,
+        fence: FencingToken,
+        order: str,
+        arguments: dict[str, Any],
+        deadline: float,
     ) -> None:
         """Send one order; fails if the engine refuses its fencing token."""
 
@@ -40,8 +46,8 @@
     """The part of a lease that the task needs."""
 
     @property
-    def fencing_token(self) -> FencingToken | None:
-        """Token of the current term; None while not held."""
+    def fencing_token(self) -> FencingToken:
+        """Token of the last term that was held."""
 
     def held_at(self, now: float) -> bool:
         """Tell whether the lease is safely held at ``now``."""
@@ -129,8 +135,8 @@
     ) -> None:
         try:
             deadline = self._clock.seconds() + CALL_TIMEOUT_S
-            data = await self._client.state(server.url, deadline=deadline)
-            found = ServerState.from_json(data)
+            state = await self._client.state(server.url, deadline)
+            found = ServerState.from_engine(state)
             for order in reconciler.observe(found, self._clock.seconds()):
                 await self._send(server, order)
         except CancelledError:
@@ -143,15 +149,21 @@
 
     async def _send(self, server: BackendServer, order: Order) -> None:
         now = self._clock.seconds()
-        fence = self._lease.fencing_token
         # A holder that was paused past its term must not send what it decided before.
-        if fence is None or not self._lease.held_at(now):
+        if not self._lease.held_at(now):
             return
-        body = order_to_json(order)
+        fence = self._lease.fencing_token
+        name, arguments = order_to_json(order)
         self._events.record(
-            EventKind.ORDER_SENT, object=server.id, fence=fence, order=body
+            EventKind.ORDER_SENT,
+            object=server.id,
+            fence=fence,
+            order=name,
+            arguments=arguments,
+        )
+        await self._client.order(
+            server.url, fence, name, arguments, now + CALL_TIMEOUT_S
         )
-        await self._client.order(server.url, fence, body, deadline=now + CALL_TIMEOUT_S)
 
 
 __all__ = ["HeldLease", "OrderClient", "OrdersTask"]
--- a/src/chivesaddle/peers/__init__.py
+++ b/src/chivesaddle/peers/__init__.py
@@ -5,7 +5,7 @@
 from chivesaddle.peers.collecting import CollectedEvents, FleetAnswer
 from chivesaddle.peers.membership import Member, Membership, MemberState
 from chivesaddle.peers.ports import ConfigurationPort, FreshnessPort, LeasePort
-from chivesaddle.peers.reports import ServerReport, SuspectReport
+from chivesaddle.peers.reports import ServerReport
 from chivesaddle.peers.service import Peers
 
 __all__ = [
@@ -23,5 +23,4 @@
     "PeerUnreachable",
     "Peers",
     "ServerReport",
-    "SuspectReport",
 ]
--- a/src/chivesaddle/peers/exchange.py
+++ b/src/chivesaddle/peers/exchange.py
@@ -132,6 +132,7 @@
         )
         if member is None:
             return None
+        self._configuration.record_revision(member.id, state.revision)
         if state.HasField("addresses"):
             _take_addresses(member, state.addresses)
         tokens = {AccountId(d.account): d.tokens_per_s for d in state.demand}
--- a/src/chivesaddle/peers/handlers.py
+++ b/src/chivesaddle/peers/handlers.py
@@ -1,7 +1,7 @@
 """Answers to calls of peers."""
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from chivesaddle.core.aio import Clock, log_failure, start
@@ -17,7 +17,7 @@
 from chivesaddle.peers.membership import Membership
 from chivesaddle.peers.ports import ConfigurationPort, FreshnessPort, LeasePort
 from chivesaddle.peers.proto import peer_pb2 as pb
-from chivesaddle.peers.reports import ReportLog
+from chivesaddle.peers.reports import ReportLog, SuspectNews
 from chivesaddle.peers.traffic import Traffic
 from chivesaddle.peers.zone_push import PushReceiver
 
@@ -43,6 +43,7 @@
         freshness: FreshnessPort,
         events: EventRing,
         status_source: Callable[[], dict[str, Any]],
+        suspect_source: Callable[[], Sequence[SuspectNews]],
         on_instances: Callable[[], None],
     ) -> None:
         self._clock = clock
@@ -59,6 +60,7 @@
         self._freshness = freshness
         self._events = events
         self._status_source = status_source
+        self._suspect_source = suspect_source
         self._on_instances = on_instances
 
     async def handle(self, method: str, message: Any) -> Any:
@@ -87,6 +89,10 @@
             case "GetEvents":
                 events = self._events.select(filter_from_message(message))
                 return events_to_message(events)
+            case "GetSuspects":
+                return pb.Announcement(
+                    reports=self._reports.describe(self._suspect_source())
+                )
             case "GetStatus":
                 return pb.Status(status=json.dumps(self._status_source()).encode())
         raise PeerUnreachable(f"Method {method} is not known")
--- a/src/chivesaddle/peers/ports.py
+++ b/src/chivesaddle/peers/ports.py
@@ -39,6 +39,9 @@
     def apply(self, changes: Sequence[bytes]) -> None:
         """Apply changes in order; those already in effect are skipped."""
 
+    def record_revision(self, daemon_id: DaemonId, revision: int) -> None:
+        """Note the revision that a peer has in effect."""
+
     async def refresh(self) -> None:
         """Read the head and missing changes from the platform and apply them."""
 
--- a/src/chivesaddle/peers/proto/peer_grpc.py
+++ b/src/chivesaddle/peers/proto/peer_grpc.py
@@ -30,6 +30,10 @@
     async def GetStatus(self, stream: 'grpclib.server.Stream[chivesaddle.peers.proto.peer_pb2.StatusRequest, chivesaddle.peers.proto.peer_pb2.Status]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def GetSuspects(self, stream: 'grpclib.server.Stream[chivesaddle.peers.proto.peer_pb2.Empty, chivesaddle.peers.proto.peer_pb2.Announcement]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Announce(self, stream: 'grpclib.server.Stream[chivesaddle.peers.proto.peer_pb2.Announcement, chivesaddle.peers.proto.peer_pb2.Empty]') -> None:
         pass
@@ -64,6 +68,12 @@
                 chivesaddle.peers.proto.peer_pb2.StatusRequest,
                 chivesaddle.peers.proto.peer_pb2.Status,
             ),
+            '/chivesaddle.peers.Peer/GetSuspects': grpclib.const.Handler(
+                self.GetSuspects,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                chivesaddle.peers.proto.peer_pb2.Empty,
+                chivesaddle.peers.proto.peer_pb2.Announcement,
+            ),
             '/chivesaddle.peers.Peer/Announce': grpclib.const.Handler(
                 self.Announce,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -106,6 +116,12 @@
             chivesaddle.peers.proto.peer_pb2.StatusRequest,
             chivesaddle.peers.proto.peer_pb2.Status,
         )
+        self.GetSuspects = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/chivesaddle.peers.Peer/GetSuspects',
+            chivesaddle.peers.proto.peer_pb2.Empty,
+            chivesaddle.peers.proto.peer_pb2.Announcement,
+        )
         self.Announce = grpclib.client.UnaryUnaryMethod(
             channel,
             '/chivesaddle.peers.Peer/Announce',
--- a/src/chivesaddle/peers/reports.py
+++ b/src/chivesaddle/peers/reports.py
@@ -4,8 +4,15 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from chivesaddle.core.ids import BackendServerId, DaemonId, Fingerprint
+from chivesaddle.core.ids import BackendServerId, DaemonId, Fingerprint, RequestId
 from chivesaddle.peers.proto import peer_pb2 as pb
+from chivesaddle.routing import Announcement as SuspectNews
+from chivesaddle.routing import (
+    SuspectCleared,
+    SuspectCrashed,
+    SuspectRunning,
+    SuspectStopped,
+)
 
 # A report that every announcement missed still spreads by exchange in this time.
 RELAY_FOR_S = 10.0
@@ -13,24 +20,6 @@
 MAX_SEEN = 10_000
 
 
-@dataclass(frozen=True)
-class SuspectReport:
-    """News of a request that may crash servers.
-
-    Attributes
-    ----------
-    server : BackendServerId
-        Server that runs it in isolation; None if none does.
-    cleared : bool
-        It completed, or an operator cleared it.
-    """
-
-    fingerprint: Fingerprint
-    crashes: int = 0
-    server: BackendServerId | None = None
-    cleared: bool = False
-
-
 @dataclass(frozen=True)
 class ServerReport:
     """News of a backend server."""
@@ -51,7 +40,7 @@
     incarnation: int
 
 
-Content = SuspectReport | ServerReport | LeavingDaemon
+Content = SuspectNews | ServerReport | LeavingDaemon
 
 
 class ReportLog:
@@ -80,6 +69,14 @@
         self._remember(report, now)
         return report
 
+    def describe(self, contents: Iterable[Content]) -> list[pb.Report]:
+        """Return contents as reports of this daemon that are not relayed further."""
+        reports = []
+        for content in contents:
+            self._number += 1
+            reports.append(_to_message(self._origin, self._number, content))
+        return reports
+
     def receive(self, reports: Iterable[pb.Report], now: float) -> list[pb.Report]:
         """Tell the listeners about reports not seen before, and return those."""
         new = []
@@ -115,31 +112,53 @@
 
 
 def _to_message(origin: DaemonId, number: int, content: Content) -> pb.Report:
+    report = pb.Report(origin=origin, number=number)
     match content:
-        case SuspectReport(fingerprint, crashes, server, cleared):
-            suspect = pb.SuspectReport(
-                fingerprint=fingerprint,
-                crashes=crashes,
-                server=server or "",
-                cleared=cleared,
-            )
-            return pb.Report(origin=origin, number=number, suspect=suspect)
+        case SuspectCrashed(fingerprint, crash_id, server, daemon, age_s):
+            crashed = report.suspect_crashed
+            crashed.fingerprint, crashed.crash_id = fingerprint, crash_id
+            crashed.server, crashed.daemon = server, daemon
+            crashed.age_ms = int(age_s * 1_000)
+        case SuspectRunning(fingerprint, run_id, server):
+            running = report.suspect_running
+            running.fingerprint, running.run_id = fingerprint, run_id
+            running.server = server
+        case SuspectStopped(run_id):
+            report.suspect_stopped.run_id = run_id
+        case SuspectCleared(fingerprint, crash_ids):
+            report.suspect_cleared.fingerprint = fingerprint
+            report.suspect_cleared.crash_ids.extend(sorted(crash_ids))
         case ServerReport(server, leaving):
-            news = pb.ServerReport(server=server, leaving=leaving)
-            return pb.Report(origin=origin, number=number, server=news)
-        case LeavingDaemon(daemon, _):
-            return pb.Report(origin=origin, number=number, leaving_daemon=daemon)
+            report.server.server, report.server.leaving = server, leaving
+        case LeavingDaemon(leaving_daemon, _):
+            report.leaving_daemon = leaving_daemon
+    return report
 
 
 def _from_message(report: pb.Report) -> Content | None:
     match report.WhichOneof("content"):
-        case "suspect":
-            found = report.suspect
-            return SuspectReport(
-                Fingerprint(found.fingerprint),
-                found.crashes,
-                BackendServerId(found.server) if found.server else None,
-                found.cleared,
+        case "suspect_crashed":
+            crashed = report.suspect_crashed
+            return SuspectCrashed(
+                Fingerprint(crashed.fingerprint),
+                crashed.crash_id,
+                BackendServerId(crashed.server),
+                DaemonId(crashed.daemon),
+                crashed.age_ms / 1_000,
+            )
+        case "suspect_running":
+            running = report.suspect_running
+            return SuspectRunning(
+                Fingerprint(running.fingerprint),
+                RequestId(running.run_id),
+                BackendServerId(running.server),
+            )
+        case "suspect_stopped":
+            return SuspectStopped(RequestId(report.suspect_stopped.run_id))
+        case "suspect_cleared":
+            cleared = report.suspect_cleared
+            return SuspectCleared(
+                Fingerprint(cleared.fingerprint), frozenset(cleared.crash_ids)
             )
         case "server":
             server = BackendServerId(report.server.server)
@@ -150,4 +169,4 @@
     return None
 
 
-__all__ = ["Content", "LeavingDaemon", "ReportLog", "ServerReport", "SuspectReport"]
+__all__ = ["Content", "LeavingDaemon", "ReportLog", "ServerReport", "SuspectNews"]
--- a/src/chivesaddle/peers/server.py
+++ b/src/chivesaddle/peers/server.py
@@ -76,6 +76,9 @@
     async def GetEvents(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         await self._answer("GetEvents", stream)
 
+    async def GetSuspects(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
+        await self._answer("GetSuspects", stream)
+
     async def GetStatus(self, stream: Stream[Any, Any]) -> None:  # noqa: N802
         await self._answer("GetStatus", stream)
 
--- a/src/chivesaddle/peers/service.py
+++ b/src/chivesaddle/peers/service.py
@@ -1,7 +1,7 @@
 """A daemon among its peers: exchange, relay, announcements and collection."""
 
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from random import Random
 from typing import Any
 
@@ -40,7 +40,7 @@
     LeavingDaemon,
     ReportLog,
     ServerReport,
-    SuspectReport,
+    SuspectNews,
 )
 from chivesaddle.peers.server import GrpcPeerServer, Handler, PeerServer
 from chivesaddle.peers.traffic import Traffic
@@ -104,7 +104,7 @@
         self._demand = DemandShare()
         self._reports = ReportLog(own.id, own.incarnation)
         self._reports.add_listener(self._take_report)
-        self._suspect_listeners: list[Callable[[SuspectReport], None]] = []
+        self._suspect_listeners: list[Callable[[SuspectNews], None]] = []
         self._server_listeners: list[Callable[[ServerReport], None]] = []
         self._instance_listeners: list[Callable[[dict[str, Any]], None]] = []
         self._exchange = Exchange(
@@ -142,6 +142,7 @@
             freshness,
             events,
             status_source,
+            lambda: self._suspect_source(),
             self._take_instances,
         )
         self._server = make_server(handlers.handle)
@@ -152,6 +153,9 @@
         self._states_by_daemon_id: dict[DaemonId, MemberState] = {}
         self._catching_up = False
         self._turn = 0
+        self._suspect_source: Callable[[], Sequence[SuspectNews]] = tuple
+        # Peers that were not heard from when suspects may have been announced.
+        self._unasked: set[DaemonId] = set()
         self.serve_until: float | None = None
 
     @classmethod
@@ -223,7 +227,11 @@
         others = sum(member is not self.membership.own for member in live)
         return self._demand.by_account_id(others, now)
 
-    def on_suspect(self, listener: Callable[[SuspectReport], None]) -> None:
+    def set_suspect_source(self, source: Callable[[], Sequence[SuspectNews]]) -> None:
+        """Set the function that returns all that is known of suspect requests."""
+        self._suspect_source = source
+
+    def on_suspect(self, listener: Callable[[SuspectNews], None]) -> None:
         """Call ``listener`` with other daemons' reports of suspect requests."""
         self._suspect_listeners.append(listener)
 
@@ -235,15 +243,17 @@
         """Call ``listener`` with the instance list by name after each change."""
         self._instance_listeners.append(listener)
 
-    def announce_suspect(self, report: SuspectReport) -> "Deferred[list[DaemonId]]":
+    def announce_suspects(
+        self, news: Sequence[SuspectNews]
+    ) -> "Deferred[list[DaemonId]]":
         """Tell all daemons; see `announce`."""
-        return self.announce(report)
+        return self.announce(*news)
 
     def announce_server(self, report: ServerReport) -> "Deferred[list[DaemonId]]":
         """Tell all daemons; see `announce`."""
         return self.announce(report)
 
-    def announce(self, content: Content) -> "Deferred[list[DaemonId]]":
+    def announce(self, *contents: Content) -> "Deferred[list[DaemonId]]":
         """Tell all daemons within `ANNOUNCE_WITHIN_S`.
 
         Returns
@@ -251,8 +261,9 @@
         Deferred of list of DaemonId
             Daemons that did not confirm; they learn of it by exchange.
         """
-        report = self._reports.create(content, self._clock.seconds())
-        return start(self._announcer.announce([report]))
+        now = self._clock.seconds()
+        reports = [self._reports.create(content, now) for content in contents]
+        return start(self._announcer.announce(reports))
 
     def address_answer(self, now: float) -> AddressAnswer:
         """Return the addresses that callers may use."""
@@ -322,10 +333,28 @@
         except PeerUnreachable as error:
             _log.debug("%s", error.message)
             return
+        await self._catch_up_on_suspects(peer)
         behind = self._exchange.receive_answer(answer, sent_at, self._clock.seconds())
         if behind and await self._catch_up.catch_up(peer.peer_address, answer.revision):
             self._exchange.record_reading(answer, sent_at, self._clock.seconds())
 
+    async def _catch_up_on_suspects(self, peer: Member) -> None:
+        """Ask one peer that has become reachable what this daemon may have missed.
+
+        One answer is enough: reachable peers have told each other. After a partition
+        each side asks a daemon of the other.
+        """
+        if peer.id not in self._unasked:
+            return
+        deadline = self._clock.seconds() + EXCHANGE_WITHIN_S
+        try:
+            answer = await self._call(peer, "GetSuspects", pb.Empty(), deadline)
+        except PeerUnreachable as error:
+            _log.debug("%s", error.message)
+            return
+        self._unasked.clear()
+        self._reports.receive(answer.reports, self._clock.seconds())
+
     def _exchange_round(self) -> Deferred:
         now = self._clock.seconds()
         self.membership.forget_gone(now)
@@ -367,14 +396,14 @@
 
     def _take_report(self, content: Content) -> None:
         match content:
-            case SuspectReport():
-                for on_suspect in self._suspect_listeners:
-                    on_suspect(content)
             case ServerReport():
                 for on_server in self._server_listeners:
                     on_server(content)
             case LeavingDaemon(daemon, incarnation):
                 self.membership.record_leaving(daemon, incarnation)
+            case _:
+                for on_suspect in self._suspect_listeners:
+                    on_suspect(content)
 
     def _take_instances(self) -> None:
         values = self._table.values_by_name
@@ -393,6 +422,8 @@
         for daemon_id in sorted(states.keys() | self._states_by_daemon_id.keys()):
             state = states.get(daemon_id, MemberState.GONE)
             if state is not self._states_by_daemon_id.get(daemon_id):
+                if state is MemberState.LIVE:
+                    self._unasked.add(daemon_id)
                 self._events.record(
                     EventKind.MEMBER_CHANGED, object=daemon_id, state=state.value
                 )
--- a/src/chivesaddle/routing/router.py
+++ b/src/chivesaddle/routing/router.py
@@ -546,6 +546,10 @@
             self._blocks.add(server_id, stored)
             self._blocks.discard(server_id, evicted)
 
+    def is_leaving(self, server_id: BackendServerId) -> bool:
+        """Tell whether a server was reported as leaving."""
+        return server_id in self._leaving
+
     def set_leaving(self, server_id: BackendServerId) -> None:
         """Give a server no new work from now on; its id is not used again."""
         if server_id in self._leaving:
@@ -569,6 +573,10 @@
             self._blocks.drop_servers({server_id})
             del self._servers_by_id[server_id]
         for server_id, configured in state.backend_servers_by_id.items():
+            before = self._config.backend_servers_by_id.get(server_id)
+            if before is not None and before != configured:
+                # An operator changed the server, for example to end its draining.
+                self._leaving.pop(server_id, None)
             fresh = ServerState.from_config(configured)
             server = self._servers_by_id.setdefault(server_id, fresh)
             server.zone, server.models = fresh.zone, fresh.models
--- a/src/chivesaddle/routing/servers.py
+++ b/src/chivesaddle/routing/servers.py
@@ -9,7 +9,7 @@
     WeightVersion,
     ZoneId,
 )
-from chivesaddle.core.model import BackendServer, BackendServerState
+from chivesaddle.core.model import BackendServer, BackendServerRole, BackendServerState
 
 # Rate assumed for a server that has not reported its load yet.
 DEFAULT_PREFILL_TOKENS_PER_S = 8_000.0
@@ -69,7 +69,8 @@
             server.zone,
             server.models,
             server.max_running,
-            server.state is BackendServerState.DRAINING,
+            server.state is BackendServerState.DRAINING
+            or server.role is BackendServerRole.STANDBY,
         )
 
     @property
--- a/tests/engines/test_poller.py
+++ b/tests/engines/test_poller.py
@@ -1,7 +1,12 @@
 import pytest
 
 from chivesaddle.core.ids import BackendServerId
-from chivesaddle.engines import EnginePoller, EngineRefused, LoadReport
+from chivesaddle.engines import (
+    EnginePoller,
+    EngineRefused,
+    EngineState,
+    LoadReport,
+)
 from chivesaddle.engines.reports import CachedBlocks, CacheEvents
 
 SERVER = BackendServerId("a")
@@ -9,7 +14,7 @@
 
 class Engine:
     def __init__(self):
-        self.state = "serving"
+        self.mode = "serving"
         self.log = []
         self.first_seq = 1
         self.blocks_read = 0
@@ -24,9 +29,12 @@
             max_running=1,
             prefill_tokens_per_s=1,
             decode_tokens_per_s=1,
-            state=self.state,
+            state=self.mode,
         )
 
+    async def state(self, url, deadline):
+        return EngineState(models={"m": ("v1",)})
+
     async def events(self, url, after, deadline):
         events = [
             {"seq": s, "type": t, "block_key": k}
@@ -49,6 +57,7 @@
         self.blocks = set()
         self.loads = 0
         self.leaving = []
+        self.versions = None
 
     def update_load(self, server_id, report, now):
         self.loads += 1
@@ -56,6 +65,9 @@
     def update_blocks(self, server_id, stored, evicted):
         self.blocks = (self.blocks | stored) - evicted
 
+    def update_versions(self, server_id, state):
+        self.versions = state.models
+
     def set_leaving(self, server_id):
         self.leaving.append(server_id)
 
@@ -98,8 +110,12 @@
         clock.advance(1)
         assert router.blocks == set()
 
+    def test_loaded_versions_are_reported(self, poller, router):
+        """Guards against sending requests to servers that lack their version."""
+        assert router.versions == {"m": ("v1",)}
+
     def test_draining_is_reported(self, poller, engine, router, clock):
-        engine.state = "draining"
+        engine.mode = "draining"
         clock.advance(1)
         assert router.leaving == [SERVER]
 
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -106,7 +106,7 @@
     def update_blocks(self, server_id, stored, evicted):
         self.blocks.append((server_id, len(stored)))
 
-    def set_leaving(self, server_id, now):
+    def set_leaving(self, server_id):
         self.notes.append(("leaving", server_id))
 
 
--- a/tests/orders/test_task.py
+++ b/tests/orders/test_task.py
@@ -7,6 +7,7 @@
 from chivesaddle.core.errors import ChivesaddleError
 from chivesaddle.core.events import EventRing
 from chivesaddle.core.model import BackendServer, ConfigState, Model
+from chivesaddle.engines import EngineState
 from chivesaddle.orders import OrdersTask
 
 CONFIG = ConfigState(
@@ -39,13 +40,14 @@
         self.delays = []
         self.reads_paused = None
 
-    async def state(self, url, *, deadline):
-        answer = {"models": {"m": sorted(self.versions)}, "role": "serving"}
+    async def state(self, url, deadline):
+        answer = EngineState(models={"m": sorted(self.versions)}, role="serving")
         if self.reads_paused is not None:
             await self.reads_paused
         return answer
 
-    async def order(self, url, fence, order, *, deadline):
+    async def order(self, url, fence, name, arguments, deadline):
+        order = {"order": name, **arguments}
         delay = self.delays.pop(0) if self.delays else 0
         if delay:
             self.clock.callLater(delay, self.apply, fence, order)
@@ -87,7 +89,7 @@
         engine = FakeEngine(clock)
         working = engine.state
 
-        async def broken(url, *, deadline):
+        async def broken(url, deadline):
             raise ChivesaddleError("refused")
 
         engine.state = broken
--- a/tests/peers/conftest.py
+++ b/tests/peers/conftest.py
@@ -93,6 +93,7 @@
         self._clock = clock
         self.revision = 0
         self.refreshes = 0
+        self.revisions_by_daemon_id = {}
 
     async def changes_after(self, revision):
         return [b"%d" % n for n in range(revision + 1, self.revision + 1)]
@@ -102,6 +103,9 @@
             if int(change) == self.revision + 1:
                 self.revision += 1
 
+    def record_revision(self, daemon_id, revision):
+        self.revisions_by_daemon_id[daemon_id] = revision
+
     async def refresh(self):
         self.refreshes += 1
         deadline = self._clock.seconds() + 1
--- a/tests/peers/test_service.py
+++ b/tests/peers/test_service.py
@@ -4,7 +4,14 @@
 
 from chivesaddle.core.aio import start
 from chivesaddle.core.events import EventFilter, EventKind
-from chivesaddle.peers import SuspectReport
+from chivesaddle.routing import (
+    SuspectCleared,
+    SuspectCrashed,
+    SuspectRunning,
+    SuspectStopped,
+)
+
+CRASHED = SuspectCrashed("fp", "crash-1", "server-1", "daemon-0", 1.5)
 
 
 class TestMembership:
@@ -41,6 +48,13 @@
         fleet.advance(5)
         assert [d.configuration.revision for d in fleet.daemons] == [3] * 6
 
+    def test_revisions_of_peers_are_reported(self, fleet):
+        """Guards against confirms that never learn that a majority has the change."""
+        fleet.confirm(3)
+        fleet.advance(8)
+        known = fleet.daemons[0].configuration.revisions_by_daemon_id
+        assert set(known.values()) == {3}
+
     def test_only_zone_readers_read_the_platform(self, fleet):
         """Guards the platform's rate of reads: one watch of each kind per zone."""
         fleet.api.calls.clear()
@@ -83,33 +97,49 @@
 
 class TestAnnouncements:
     def test_every_daemon_is_told_once(self, fleet):
-        report = SuspectReport("fp", 1, "server-1")
-        told = fleet.daemons[0].peers.announce_suspect(report)
+        news = [
+            CRASHED,
+            SuspectRunning("fp", "run-1", "server-1"),
+            SuspectStopped("run-1"),
+            SuspectCleared("fp", frozenset({"crash-1"})),
+        ]
+        told = fleet.daemons[0].peers.announce_suspects(news)
         assert told.result == []
         fleet.advance(5)
-        assert [d.suspects for d in fleet.daemons[1:]] == [[report]] * 5
+        assert [d.suspects for d in fleet.daemons[1:]] == [news] * 5
         assert fleet.daemons[0].suspects == []
 
     def test_a_silent_peer_is_named_after_the_deadline(self, fleet):
         fleet.cut_off(5)
-        told = fleet.daemons[0].peers.announce_suspect(SuspectReport("fp", 1))
+        told = fleet.daemons[0].peers.announce_suspects([CRASHED])
         assert not told.called
         fleet.advance(1)
         assert told.result == ["daemon-5"]
 
     def test_a_missed_report_arrives_by_exchange(self, fleet):
         fleet.cut_off(5)
-        fleet.daemons[0].peers.announce_suspect(SuspectReport("fp", 1))
+        fleet.daemons[0].peers.announce_suspects([CRASHED])
         fleet.advance(2)
         fleet.cut_off()
         fleet.advance(5)
-        assert fleet.daemons[5].suspects == [SuspectReport("fp", 1)]
+        assert fleet.daemons[5].suspects == [CRASHED]
+
+    def test_a_daemon_that_was_cut_off_asks_what_it_missed(self, fleet):
+        """Guards against a third crash after announcements expired unseen."""
+        fleet.daemons[1].peers.set_suspect_source(lambda: [CRASHED])
+        fleet.cut_off(5)
+        fleet.advance(30)
+        for daemon in (0, 2, 3, 4):
+            fleet.daemons[daemon].peers.set_suspect_source(lambda: [CRASHED])
+        fleet.cut_off()
+        fleet.advance(10)
+        assert CRASHED in fleet.daemons[5].suspects
 
     def test_a_large_fleet_is_told_through_one_daemon_per_zone(self, make_fleet):
         fleet = make_fleet(size=40, zones=4)
-        fleet.daemons[0].peers.announce_suspect(SuspectReport("fp", 1))
+        fleet.daemons[0].peers.announce_suspects([CRASHED])
         fleet.advance(1)
-        assert all(d.suspects == [SuspectReport("fp", 1)] for d in fleet.daemons[1:])
+        assert all(d.suspects == [CRASHED] for d in fleet.daemons[1:])
 
 
 class TestDemand:
--- a/tests/peers/two_daemons.py
+++ b/tests/peers/two_daemons.py
@@ -20,11 +20,11 @@
     MemberState,
     Peers,
     PeerUnreachable,
-    SuspectReport,
 )
 from chivesaddle.peers.proto import peer_pb2 as pb  # noqa: E402
 from chivesaddle.peers.traffic import Traffic  # noqa: E402
 from chivesaddle.platform import MemoryObjectApi  # noqa: E402
+from chivesaddle.routing import SuspectCrashed  # noqa: E402
 from conftest import FakeConfiguration, FakeFreshness, FakeLease  # noqa: E402
 
 GIVE_UP_S = 25
@@ -105,7 +105,7 @@
     await b.start()
     await until(lambda: is_live(a, "b") and is_live(b, "a"))
     await until(lambda: b._configuration.revision == 4)
-    missed = await a.announce_suspect(SuspectReport("fp", 1))
+    missed = await a.announce_suspects([SuspectCrashed("fp", "c", "s", "a")])
     b._events.record(EventKind.REQUEST_ROUTED, request="r")
     deadline = reactor.seconds() + 5
     status = await a.collect_status(deadline)
