--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint format settings-reference
+.PHONY: setup test lint format settings-reference demo fleet
 
 setup: $(VENV)/.installed
 
@@ -28,3 +28,9 @@
 
 settings-reference: setup
 	$(BIN)/python -m chivesaddle.core.settings_reference docs/settings.md
+
+demo: setup
+	$(BIN)/python -m chivesaddle.tools.demo
+
+fleet: setup
+	$(BIN)/python -m chivesaddle.tools.fleet
--- a/src/chivesaddle/daemon/main.py
+++ b/src/chivesaddle/daemon/main.py
@@ -69,7 +69,8 @@
     def handle(*_: Any) -> None:
         reactor.callFromThread(stop)
 
-    reactor.callWhenRunning(lambda: start(daemon.start()).addErrback(failed))
+    # callWhenRunning would run before the asyncio loop does, which grpclib needs.
+    reactor.callLater(0, lambda: start(daemon.start()).addErrback(failed))
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, handle)
     reactor.run(installSignalHandlers=False)
--- a/src/chivesaddle/peers/ports.py
+++ b/src/chivesaddle/peers/ports.py
@@ -16,9 +16,6 @@
     def start(self) -> Any:
         """Start to acquire and renew."""
 
-    def stop(self) -> Any:
-        """Stop, and give the lease up."""
-
     def held_at(self, now: float) -> bool:
         """Tell whether this process may act as the holder."""
 
--- a/src/chivesaddle/peers/zone_reader.py
+++ b/src/chivesaddle/peers/zone_reader.py
@@ -80,10 +80,9 @@
         ]
 
     def stop(self) -> None:
-        """Stop reading and give the lease up."""
+        """Stop reading; the owner of the lease releases it."""
         for loop in self._loops:
             loop.cancel()
-        self._lease.stop()
 
     def is_reader(self) -> bool:
         """Tell whether this daemon reads for its zone now."""
