Replace silent peer connections and bound calls over real sockets

A cancelled grpclib call failed with asyncio's own error, which the deadline did not recognise, so a silent peer ended a round instead of counting as unreachable.

--- a/src/chivesaddle/peers/channels.py
+++ b/src/chivesaddle/peers/channels.py
@@ -1,12 +1,13 @@
 """Calls to peers, each with a deadline, over one connection per peer."""
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
 from grpclib.client import Channel as GrpclibChannel
 from twisted.internet.defer import CancelledError, Deferred
 
-from chivesaddle.core.aio import Clock, from_asyncio, with_deadline
+from chivesaddle.core.aio import Clock, with_deadline
 from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded
 from chivesaddle.peers.proto.peer_grpc import PeerStub
 from chivesaddle.peers.traffic import Traffic
@@ -36,16 +37,56 @@
         host, _, port = address.rpartition(":")
         self._channel = GrpclibChannel(host, int(port))
         self._stub = PeerStub(self._channel)
+        self._calls: set[Deferred] = set()
 
     def call(self, method: str, message: Any) -> "Deferred[Any]":
         """Call a method of the service."""
-        return from_asyncio(getattr(self._stub, method)(message))
+        call = _cancellable(getattr(self._stub, method)(message))
+        self._calls.add(call)
+
+        def forget(result):
+            self._calls.discard(call)
+            return result
+
+        return call.addBoth(forget)
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection.
+
+        Calls are cancelled, because grpclib would connect again for one that has not
+        started yet.
+        """
+        for call in tuple(self._calls):
+            call.cancel()
         self._channel.close()
 
 
+def _cancellable(coroutine: Coroutine[Any, Any, Any]) -> "Deferred[Any]":
+    """Run an asyncio coroutine; a cancelled Deferred fails at once.
+
+    `Deferred.fromFuture` waits for the cancelled task instead and then fails with
+    asyncio's own error, so that a missed deadline would not be seen as one.
+    """
+    task = asyncio.ensure_future(coroutine)
+
+    def cancel(_: "Deferred[Any]") -> None:
+        task.cancel()
+
+    result: Deferred[Any] = Deferred(cancel)
+
+    def finish(done: "asyncio.Future[Any]") -> None:
+        error = CancelledError() if done.cancelled() else done.exception()
+        if result.called:
+            return
+        if error is None:
+            result.callback(done.result())
+        else:
+            result.errback(error)
+
+    task.add_done_callback(finish)
+    return result
+
+
 class Channels:
     """Channels by address; one that missed a deadline is replaced by a new one.
 
@@ -63,6 +104,7 @@
         self._traffic = traffic
         self._factory = factory
         self._channels_by_address: dict[str, Channel] = {}
+        self._closed = False
 
     async def call(
         self, address: str, method: str, message: Any, *, deadline: float
@@ -74,6 +116,8 @@
         PeerUnreachable
             If no answer came by ``deadline`` or the connection failed.
         """
+        if self._closed:
+            raise PeerUnreachable(f"{method} at {address} not called: stopped")
         channel = self._channels_by_address.get(address)
         if channel is None:
             channel = self._channels_by_address[address] = self._factory(address)
@@ -83,7 +127,11 @@
                 self._clock, deadline, channel.call(method, message), method
             )
         except CancelledError:
-            raise
+            if self._channels_by_address.get(address) is channel:
+                raise
+            raise PeerUnreachable(
+                f"{method} at {address} failed: the connection was replaced"
+            ) from None
         # grpclib and the sockets below it raise errors of many kinds; all of them
         # mean that this connection is of no more use.
         except Exception as error:
@@ -102,7 +150,8 @@
             self._channels_by_address.pop(address).close()
 
     def close(self) -> None:
-        """Close all channels."""
+        """Close all channels; later calls fail."""
+        self._closed = True
         self.keep_only(set())
 
     def _replace(self, address: str, channel: Channel) -> None:
--- a/src/chivesaddle/peers/exchange.py
+++ b/src/chivesaddle/peers/exchange.py
@@ -6,13 +6,12 @@
 from chivesaddle.core.events import HybridClock, Timestamp
 from chivesaddle.core.ids import AccountId, DaemonId, ZoneId
 from chivesaddle.peers.demand import DemandShare, largest
-from chivesaddle.peers.membership import Member, Membership, MemberState
+from chivesaddle.peers.membership import LARGE_FLEET, Member, Membership, MemberState
 from chivesaddle.peers.ports import ConfigurationPort, FreshnessPort
 from chivesaddle.peers.proto import peer_pb2 as pb
 from chivesaddle.peers.reports import ReportLog
 
-# In a fleet of more daemons, the full exchange would exceed the budget of 2 KB/s.
-LARGE_FLEET = 32
+# In a large fleet, the full exchange would exceed the budget of 2 KB/s.
 RANDOM_PEERS, RANDOM_PEERS_LARGE = 3, 1
 MAX_ZONE_PEERS, MAX_ZONE_PEERS_LARGE = 8, 1
 MAX_HEARINGS, MAX_HEARINGS_LARGE = 32, 16
@@ -81,12 +80,11 @@
         """Collect once what all messages of the next second contain."""
         self._round += 1
         self._hearings_at = now
-        self._hearings = self._membership.recent_hearings(now, MAX_HEARINGS)
-        if len(self._membership) > LARGE_FLEET:
-            # A random part, because all daemons would relay the same newest ones.
-            self._hearings = self._random.sample(
-                self._hearings, min(len(self._hearings), MAX_HEARINGS_LARGE)
-            )
+        large = len(self._membership) > LARGE_FLEET
+        hearings = self._membership.recent_hearings(now)
+        # A random part, because all daemons would relay the same newest ones.
+        limit = MAX_HEARINGS_LARGE if large else MAX_HEARINGS
+        self._hearings = self._random.sample(hearings, min(len(hearings), limit))
 
     def build(self, now: float, *, answer: bool = False) -> pb.PeerState:
         """Return this daemon's state.
@@ -140,6 +138,8 @@
         if tokens:
             self._demand.record(member.id, tokens, now)
         self._reports.receive(state.reports, now)
+        for digest, age_ds in zip(state.heard_digest, state.heard_age_ds, strict=False):
+            self._membership.record_relayed(digest, age_ds / 10, now)
         return member
 
     def receive_answer(self, state: pb.PeerState, sent_at: float, now: float) -> bool:
@@ -159,7 +159,7 @@
         for digest, age_ds in zip(state.heard_digest, state.heard_age_ds, strict=False):
             age = age_ds / 10 + elapsed
             relayed = self._membership.record_relayed(digest, age, now)
-            if relayed:
+            if relayed is not None:
                 self._freshness.record_heard(relayed.id, relayed.zone, age, now)
         if state.revision > self._configuration.revision:
             return True
--- a/src/chivesaddle/peers/membership.py
+++ b/src/chivesaddle/peers/membership.py
@@ -12,6 +12,10 @@
 # Equal to the bound on the age of a platform reading, so that a daemon that cannot be
 # heard is dropped from address answers when it stops accepting requests itself.
 HEARD_TTL_S = 6.0
+# In a large fleet, news of all daemons would not fit in the traffic budget within 6 s;
+# 16 of 100 were seen as unreachable although they answered.
+LARGE_FLEET = 32
+HEARD_TTL_LARGE_S = 30.0
 # An instance that the lagging list does not name yet, or names no more, is kept while
 # it is heard from; afterwards it is forgotten.
 FORGET_AFTER_S = 60.0
@@ -32,8 +36,8 @@
 
     Attributes
     ----------
-    heard_until : float
-        Deadline on the own clock after which the daemon counts as unreachable.
+    heard_at : float
+        When it was last heard from, in seconds on the own clock.
     listed : bool
         The platform's instance list names it.
     confirmed : bool
@@ -47,7 +51,7 @@
     caller_url: str = ""
     operator_url: str = ""
     incarnation: int = 0
-    heard_until: float = float("-inf")
+    heard_at: float = float("-inf")
     listed: bool = False
     listed_leaving: bool = False
     leaving: bool = False
@@ -113,7 +117,7 @@
         member.incarnation = incarnation
         member.zone = zone
         member.confirmed = confirmed
-        member.heard_until = max(member.heard_until, now + HEARD_TTL_S)
+        member.heard_at = max(member.heard_at, now)
         return member
 
     def record_relayed(self, digest: int, age_s: float, now: float) -> Member | None:
@@ -122,7 +126,7 @@
         if daemon_id is None or daemon_id == self.own.id:
             return None
         member = self._members_by_id[daemon_id]
-        member.heard_until = max(member.heard_until, now + HEARD_TTL_S - age_s)
+        member.heard_at = max(member.heard_at, now - age_s)
         return member
 
     def record_leaving(self, daemon_id: DaemonId, incarnation: int) -> None:
@@ -134,6 +138,15 @@
         if member and member is not self.own and incarnation >= member.incarnation:
             member.leaving = True
 
+    @property
+    def heard_ttl_s(self) -> float:
+        """Seconds after the last hearing at which a daemon counts as unreachable."""
+        return HEARD_TTL_LARGE_S if len(self) > LARGE_FLEET else HEARD_TTL_S
+
+    def heard_until(self, member: Member) -> float:
+        """Return the deadline of the last hearing of a daemon."""
+        return member.heard_at + self.heard_ttl_s
+
     def state_of(self, daemon_id: DaemonId, now: float) -> MemberState:
         """Return the state of a daemon at ``now``."""
         member = self._members_by_id.get(daemon_id)
@@ -141,7 +154,7 @@
             return MemberState.GONE
         if member.leaving or member.listed_leaving:
             return MemberState.LEAVING
-        if member is self.own or now < member.heard_until:
+        if member is self.own or now < self.heard_until(member):
             return MemberState.LIVE
         return MemberState.UNREACHABLE if member.listed else MemberState.GONE
 
@@ -174,18 +187,18 @@
         )
         return {member.id: member.zone for member in present}
 
-    def recent_hearings(self, now: float, limit: int) -> list[tuple[int, float]]:
-        """Return (digest, age in seconds) of the most recently heard live daemons.
+    def recent_hearings(self, now: float) -> list[tuple[int, float]]:
+        """Return (digest, age in seconds) of live daemons heard from lately.
 
         A leaving daemon is not relayed, so that those who missed its announcement
         stop hearing of it.
         """
-        heard = [
-            (HEARD_TTL_S - (member.heard_until - now), member.id)
+        newer_than = now - self.heard_ttl_s / 2
+        return [
+            (digest_of(member.id), now - member.heard_at)
             for member in self.members(now, MemberState.LIVE)
-            if member is not self.own
+            if member is not self.own and member.heard_at > newer_than
         ]
-        return [(digest_of(name), age) for age, name in sorted(heard)[:limit]]
 
     def forget_gone(self, now: float) -> list[DaemonId]:
         """Drop daemons that are gone for long and return their ids."""
@@ -194,7 +207,7 @@
             for member in self._members_by_id.values()
             if member is not self.own
             and not member.listed
-            and now >= member.heard_until + FORGET_AFTER_S
+            and now >= member.heard_at + FORGET_AFTER_S
         ]
         for daemon_id in gone:
             del self._members_by_id[daemon_id]
@@ -226,4 +239,11 @@
     return xxhash.xxh32_intdigest(daemon_id.encode())
 
 
-__all__ = ["HEARD_TTL_S", "Member", "MemberState", "Membership", "digest_of"]
+__all__ = [
+    "HEARD_TTL_S",
+    "LARGE_FLEET",
+    "Member",
+    "MemberState",
+    "Membership",
+    "digest_of",
+]
--- a/src/chivesaddle/peers/server.py
+++ b/src/chivesaddle/peers/server.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
 from grpclib.server import Server, Stream
 
 from chivesaddle.core.aio import from_asyncio, to_asyncio
@@ -19,7 +21,7 @@
         """Listen."""
 
     async def stop(self) -> None:
-        """Stop listening and close all connections."""
+        """Stop listening and answer no more calls."""
 
 
 class GrpcPeerServer:
@@ -35,16 +37,19 @@
         self._listen = listen
         self._handle = handle
         self._server: Server | None = None
+        self._service: _Service | None = None
 
     async def start(self) -> None:
         """Listen on the configured address."""
         # Created here because grpclib takes the running loop.
-        self._server = Server([_Service(self._handle)])
+        self._service = _Service(self._handle)
+        self._server = Server([self._service])
         await from_asyncio(self._server.start(self._listen.host, self._listen.port))
 
     async def stop(self) -> None:
-        """Stop listening."""
-        if self._server:
+        """Stop listening; calls on connections that are still open are refused."""
+        if self._server and self._service:
+            self._service.stopped = True
             self._server.close()
             await from_asyncio(self._server.wait_closed())
 
@@ -52,8 +57,12 @@
 class _Service(PeerBase):
     def __init__(self, handle: Handler) -> None:
         self._handle = handle
+        self.stopped = False
 
     async def _answer(self, method: str, stream: Stream[Any, Any]) -> None:
+        # grpclib keeps open connections when the server is closed.
+        if self.stopped:
+            raise GRPCError(Status.UNAVAILABLE, "The daemon has stopped")
         message = await stream.recv_message()
         if message is not None:
             await stream.send_message(await to_asyncio(self._handle(method, message)))
--- a/src/chivesaddle/peers/service.py
+++ b/src/chivesaddle/peers/service.py
@@ -34,7 +34,7 @@
 from chivesaddle.peers.demand import DemandShare
 from chivesaddle.peers.exchange import Exchange, choose_peers
 from chivesaddle.peers.instances import InstanceTable
-from chivesaddle.peers.membership import HEARD_TTL_S, Member, Membership, MemberState
+from chivesaddle.peers.membership import Member, Membership, MemberState
 from chivesaddle.peers.ports import ConfigurationPort, FreshnessPort, LeasePort
 from chivesaddle.peers.proto import peer_pb2 as pb
 from chivesaddle.peers.reports import (
@@ -259,7 +259,8 @@
         own = self.membership.own
         if self.serve_until is None:
             own.leaving = True
-            latest = self._clock.seconds() + HEARD_TTL_S + ADDRESS_TTL_S
+            heard_ttl_s = self.membership.heard_ttl_s
+            latest = self._clock.seconds() + heard_ttl_s + ADDRESS_TTL_S
             self.serve_until = latest
         return self.announce(LeavingDaemon(own.id, own.incarnation)).addCallback(
             self._shorten_leaving
--- /dev/null
+++ b/tests/peers/test_stale_messages.py
@@ -0,0 +1,102 @@
+from random import Random
+
+import pytest
+
+from chivesaddle.peers.exchange import choose_peers
+from chivesaddle.peers.instances import InstanceTable
+from chivesaddle.peers.proto import peer_pb2 as pb
+from chivesaddle.peers.zone_push import PushReceiver, PushSender
+
+
+@pytest.fixture
+def receiver():
+    return PushReceiver(InstanceTable(), first_token=100)
+
+
+@pytest.fixture
+def sender():
+    table = InstanceTable()
+    table.replace(5, {"a": {"role": "daemon"}})
+    return PushSender("reader", table)
+
+
+def build(sender, lease_version=1):
+    return sender.build("m", lease_version=lease_version, revision=1, reading_age_s=1.0)
+
+
+class TestPushes:
+    def test_first_push_tells_nothing_about_freshness(self, sender, receiver):
+        assert receiver.reading_age_s(build(sender), now=0.0) is None
+
+    def test_time_in_a_buffer_counts_as_age(self, sender, receiver):
+        """Guards against a paused daemon serving an old configuration as fresh."""
+        sender.record_reply("m", receiver.reply(now=0.0))
+        push = build(sender)
+        assert receiver.reading_age_s(push, now=1.0) == 2.0
+        assert receiver.reading_age_s(push, now=30.0) == 31.0
+
+    def test_push_of_an_earlier_holder_is_ignored(self, receiver, sender):
+        assert receiver.receive(build(sender, lease_version=2), now=0.0)
+        assert not receiver.receive(build(sender, lease_version=1), now=0.0)
+
+    def test_only_differences_are_sent_after_the_first_push(self, sender, receiver):
+        receiver.receive(build(sender), now=0.0)
+        sender.record_reply("m", receiver.reply(now=0.0))
+        assert len(build(sender).instances) == 0
+
+    def test_complete_list_is_sent_after_a_missed_answer(self, sender, receiver):
+        receiver.receive(build(sender), now=0.0)
+        sender.record_reply("m", receiver.reply(now=0.0))
+        sender.forget("m")
+        assert len(build(sender).instances) == 1
+
+    def test_older_list_is_not_applied(self, receiver):
+        value = pb.Instance(name="a", value=b"{}")
+        new = pb.ZonePush(lease_version=1, instances_revision=9, instances=[value])
+        old = pb.ZonePush(lease_version=1, instances_revision=8)
+        receiver.receive(new, now=0.0)
+        receiver.receive(old, now=0.0)
+        assert receiver.reply(now=0.0).instances_revision == 9
+
+
+class TestExchange:
+    def test_calls_do_not_count_for_freshness(self, fleet):
+        """Guards against a call that waited in the buffers of a paused process."""
+        receiver, caller = fleet.daemons[4], fleet.daemons[0]
+        state = caller.peers._exchange.build(fleet.clock.seconds())
+        receiver.freshness.read_at = None
+        receiver.freshness.heard_at.clear()
+        fleet.clock.rightNow += 60
+        receiver.peers._exchange.receive(state, fleet.clock.seconds())
+        assert receiver.freshness.read_at is None
+        assert receiver.freshness.heard_at == {}
+
+    def test_age_of_an_answer_includes_the_time_of_the_call(self, fleet):
+        asker, answerer = fleet.daemons[4], fleet.daemons[0]
+        fleet.advance(10)
+        now = fleet.clock.seconds()
+        answer = answerer.peers._exchange.build(now, answer=True)
+        asker.freshness.read_at = None
+        asker.peers._exchange.receive_answer(answer, sent_at=now - 5, now=now)
+        assert asker.freshness.reading_age(now) >= 5
+
+    def test_reading_at_an_unknown_revision_counts_only_after_the_changes(self, fleet):
+        """Guards against confirming a revision that is not in effect here."""
+        asker = fleet.daemons[4]
+        now = fleet.clock.seconds()
+        answer = pb.PeerState(
+            sender="daemon-0", incarnation=1, revision=99, reading_age_ms=0
+        )
+        asker.freshness.read_at = None
+        assert asker.peers._exchange.receive_answer(answer, sent_at=now, now=now)
+        assert asker.freshness.read_at is None
+
+
+class TestChoosePeers:
+    def test_chosen_peers_include_a_lost_one(self, fleet):
+        """Guards against a partition that is never noticed to have ended."""
+        fleet.kill(5)
+        fleet.advance(10)
+        membership = fleet.daemons[0].peers.membership
+        chosen = choose_peers(membership, fleet.clock.seconds(), Random(1))
+        assert "daemon-5" in [peer.id for peer in chosen]
