Split peers into handlers, announcer and catch-up

A new zone reader now asks what each member has and sends differences only: a complete list of 6,100 instances is more than a megabyte for each member.

--- a/src/chivesaddle/peers/instances.py
+++ b/src/chivesaddle/peers/instances.py
@@ -36,13 +36,19 @@
         }
 
     def replace(self, revision: int, values: Mapping[str, dict[str, Any]]) -> None:
-        """Take over a complete list as of ``revision``, unless it is older."""
+        """Take over a complete list as of ``revision``, unless it is older.
+
+        Values that did not change keep their revision, so that a new zone reader can
+        still send differences to its zone.
+        """
         if revision < self.revision:
             return
-        self.revision = self._complete_since = revision
-        self._revision_and_value_by_name = {
-            name: (revision, value) for name, value in values.items()
-        }
+        if self.revision == 0:
+            self._complete_since = revision
+        known = self.values_by_name
+        changed = {n: v for n, v in values.items() if known.get(n) != v}
+        gone = {name: None for name in known.keys() - values.keys()}
+        self.update(revision, [*changed.items(), *gone.items()])
 
     def update(self, revision: int, changes: Iterable[tuple[str, Value]]) -> None:
         """Take over differences up to ``revision``, unless they are older."""
--- a/src/chivesaddle/peers/service.py
+++ b/src/chivesaddle/peers/service.py
@@ -1,6 +1,5 @@
 """A daemon among its peers: exchange, relay, announcements and collection."""
 
-import json
 import time
 from collections.abc import Callable, Coroutine
 from random import Random
@@ -10,7 +9,6 @@
 from twisted.internet.task import LoopingCall
 
 from chivesaddle.core.aio import Clock, log_failure, start
-from chivesaddle.core.errors import ChivesaddleError
 from chivesaddle.core.events import Event, EventFilter, EventKind, EventRing
 from chivesaddle.core.ids import AccountId, DaemonId
 from chivesaddle.core.logs import PartLogger
@@ -18,21 +16,21 @@
 from chivesaddle.core.objects import ObjectApi
 from chivesaddle.core.settings import Settings
 from chivesaddle.peers.addresses import ADDRESS_TTL_S, AddressAnswer, address_answer
-from chivesaddle.peers.announcing import AnnouncementPlan, zone_peers
+from chivesaddle.peers.announcing import Announcer, zone_peers
+from chivesaddle.peers.catching_up import CatchUp
 from chivesaddle.peers.channels import Channels, PeerUnreachable
 from chivesaddle.peers.collecting import (
     CollectedEvents,
     FleetAnswer,
     collect,
     events_from_message,
-    events_to_message,
-    filter_from_message,
     filter_to_message,
     merge_events,
     status_from_message,
 )
 from chivesaddle.peers.demand import DemandShare
 from chivesaddle.peers.exchange import Exchange, choose_peers
+from chivesaddle.peers.handlers import Handlers
 from chivesaddle.peers.instances import InstanceTable
 from chivesaddle.peers.membership import Member, Membership, MemberState
 from chivesaddle.peers.ports import ConfigurationPort, FreshnessPort, LeasePort
@@ -52,12 +50,6 @@
 ROUND_S = 1.0
 # Less than a round, so that a silent peer does not delay the next one.
 EXCHANGE_WITHIN_S = 0.8
-CATCH_UP_WITHIN_S = 2.0
-# A crashed request waits for this before it is retried.
-ANNOUNCE_WITHIN_S = 0.5
-# Leaves the announcer time to hear of it.
-FORWARD_WITHIN_S = 0.3
-MAX_FORWARDERS_TRIED = 3
 
 _log = PartLogger("peers")
 
@@ -107,7 +99,8 @@
         self.membership = Membership(own)
         self._table = InstanceTable()
         self._push_sender = PushSender(own.id, self._table)
-        self._push_receiver = PushReceiver(self._table, self._random.getrandbits(48))
+        self._announcer = Announcer(self.membership, channels, clock)
+        self._catch_up = CatchUp(clock, channels, configuration)
         self._demand = DemandShare()
         self._reports = ReportLog(own.id, own.incarnation)
         self._reports.add_listener(self._take_report)
@@ -134,7 +127,24 @@
             self._take_instances,
             self._note_platform,
         )
-        self._server = make_server(self.handle)
+        handlers = Handlers(
+            clock,
+            traffic,
+            self.membership,
+            self._exchange,
+            self._reports,
+            self._announcer,
+            self._catch_up,
+            self._table,
+            PushReceiver(self._table, self._random.getrandbits(48)),
+            lease,
+            configuration,
+            freshness,
+            events,
+            status_source,
+            self._take_instances,
+        )
+        self._server = make_server(handlers.handle)
         self._rounds = [
             self._looping_call(self._exchange_round),
             self._looping_call(self._push_round),
@@ -242,7 +252,7 @@
             Daemons that did not confirm; they learn of it by exchange.
         """
         report = self._reports.create(content, self._clock.seconds())
-        return start(self._announce([report]))
+        return start(self._announcer.announce([report]))
 
     def address_answer(self, now: float) -> AddressAnswer:
         """Return the addresses that callers may use."""
@@ -298,61 +308,6 @@
         answer.answers_by_daemon_id[self.membership.own.id] = self._status_source()
         return answer
 
-    # Calls of peers
-
-    async def handle(self, method: str, message: Any) -> Any:
-        """Answer a call of a peer."""
-        now = self._clock.seconds()
-        self.traffic.record(message.ByteSize(), now)
-        answer = await self._answer(method, message, now)
-        self.traffic.record(answer.ByteSize(), self._clock.seconds())
-        return answer
-
-    async def _answer(self, method: str, message: Any, now: float) -> Any:
-        match method:
-            case "Exchange":
-                self._exchange.receive(message, now)
-                return self._exchange.build(now, answer=True)
-            case "Push":
-                return self._receive_push(message, now)
-            case "Announce":
-                new = self._reports.receive(message.reports, now)
-                if message.forward and new:
-                    zone = zone_peers(self.membership, now)
-                    await self._tell(zone, new, FORWARD_WITHIN_S)
-                return pb.Empty()
-            case "GetChanges":
-                changes = await self._configuration.changes_after(message.after)
-                return pb.Changes(revision=self._configuration.revision, change=changes)
-            case "GetEvents":
-                events = self._events.select(filter_from_message(message))
-                return events_to_message(events)
-            case "GetStatus":
-                return pb.Status(status=json.dumps(self._status_source()).encode())
-        raise PeerUnreachable(f"Method {method} is not known")
-
-    def _receive_push(self, push: pb.ZonePush, now: float) -> pb.ZonePushReply:
-        before = self._table.revision
-        if self._push_receiver.receive(push, now):
-            self._lease.observe(push.lease_version)
-            if self._table.revision != before:
-                self._take_instances()
-            age = self._push_receiver.reading_age_s(push, now)
-            if push.revision > self._configuration.revision:
-                self._run(self._catch_up_with_push(push, age, now))
-            elif age is not None:
-                self._freshness.record_platform_reading(age, now)
-        return self._push_receiver.reply(now)
-
-    async def _catch_up_with_push(
-        self, push: pb.ZonePush, age: float | None, received_at: float
-    ) -> None:
-        reader = self.membership.get(DaemonId(push.sender))
-        address = reader.peer_address if reader else ""
-        if await self._catch_up(address, push.revision) and age is not None:
-            now = self._clock.seconds()
-            self._freshness.record_platform_reading(age + now - received_at, now)
-
     # Rounds
 
     async def _exchange_with(self, peer: Member) -> None:
@@ -368,7 +323,7 @@
             _log.debug("%s", error.message)
             return
         behind = self._exchange.receive_answer(answer, sent_at, self._clock.seconds())
-        if behind and await self._catch_up(peer.peer_address, answer.revision):
+        if behind and await self._catch_up.catch_up(peer.peer_address, answer.revision):
             self._exchange.record_reading(answer, sent_at, self._clock.seconds())
 
     def _exchange_round(self) -> Deferred:
@@ -404,91 +359,6 @@
         else:
             self._push_sender.record_reply(peer.id, reply)
 
-    async def _catch_up(self, address: str, wanted: int) -> bool:
-        """Get the changes up to a revision from a peer, else from the platform."""
-        if self._catching_up:
-            return False
-        self._catching_up = True
-        try:
-            await self._get_changes(address)
-            if self._configuration.revision < wanted:
-                await self._configuration.refresh()
-        except ChivesaddleError as error:
-            _log.warning("revision %d not fetched: %s", wanted, error)
-        finally:
-            self._catching_up = False
-        return self._configuration.revision >= wanted
-
-    async def _get_changes(self, address: str) -> None:
-        request = pb.ChangesRequest(after=self._configuration.revision)
-        deadline = self._clock.seconds() + CATCH_UP_WITHIN_S
-        try:
-            found = await self._channels.call(
-                address, "GetChanges", request, deadline=deadline
-            )
-        except PeerUnreachable as error:
-            _log.warning("%s", error.message)
-        else:
-            self._configuration.apply(list(found.change))
-
-    # Announcements
-
-    async def _announce(self, reports: list[pb.Report]) -> list[DaemonId]:
-        plan = AnnouncementPlan.for_fleet(self.membership, self._clock.seconds())
-        missed: list[DaemonId] = []
-        tell_zone = self._tell(plan.direct, reports, ANNOUNCE_WITHIN_S)
-        tell_others = [
-            self._tell_one_of(candidates, reports)
-            for candidates in plan.candidates_by_zone.values()
-        ]
-        for _, part in await DeferredList(
-            [start(t) for t in (tell_zone, *tell_others)]
-        ):
-            missed += part
-        return missed
-
-    async def _tell(
-        self, peers: list[Member], reports: list[pb.Report], within_s: float
-    ) -> list[DaemonId]:
-        """Tell peers; return those that did not confirm.
-
-        A peer that is unreachable already is told as well, but not waited for.
-        """
-        now = self._clock.seconds()
-        message = pb.Announcement(reports=reports)
-        missed: list[DaemonId] = []
-
-        async def tell(peer: Member) -> None:
-            try:
-                await self._call(peer, "Announce", message, now + within_s)
-            except PeerUnreachable:
-                missed.append(peer.id)
-
-        awaited = []
-        for peer in peers:
-            told = self._run(tell(peer))
-            if self.membership.state_of(peer.id, now) is not MemberState.UNREACHABLE:
-                awaited.append(told)
-            elif not told.called:
-                missed.append(peer.id)
-        await DeferredList(awaited)
-        return sorted(set(missed))
-
-    async def _tell_one_of(
-        self, candidates: list[Member], reports: list[pb.Report]
-    ) -> list[DaemonId]:
-        """Tell a zone through the first of its daemons that answers."""
-        message = pb.Announcement(reports=reports, forward=True)
-        for peer in candidates[:MAX_FORWARDERS_TRIED]:
-            deadline = self._clock.seconds() + ANNOUNCE_WITHIN_S
-            try:
-                await self._call(peer, "Announce", message, deadline)
-            except PeerUnreachable:
-                continue
-            # Whether every daemon of the zone was reached is not known.
-            return [c.id for c in candidates if c is not peer]
-        return [candidate.id for candidate in candidates]
-
     def _shorten_leaving(self, missed: list[DaemonId]) -> None:
         if not missed:
             self.serve_until = self._clock.seconds() + ADDRESS_TTL_S
--- a/src/chivesaddle/peers/zone_push.py
+++ b/src/chivesaddle/peers/zone_push.py
@@ -27,9 +27,13 @@
         revision: int,
         reading_age_s: float,
     ) -> pb.ZonePush:
-        """Return the push for one member, with only what it does not have."""
-        reply = self._replies_by_daemon_id.get(member, pb.ZonePushReply())
-        base = reply.instances_revision
+        """Return the push for one member, with only what it does not have.
+
+        A member whose revision is not known is sent nothing but the revision; its reply
+        tells what it has. A complete list is megabytes for a large fleet.
+        """
+        reply = self._replies_by_daemon_id.get(member)
+        base = reply.instances_revision if reply else self._table.revision
         changes = self._table.changes_since(base) if base else None
         if changes is None:
             base = 0
@@ -48,7 +52,7 @@
                 )
                 for name, value in changes
             ],
-            echo=reply.token,
+            echo=reply.token if reply else 0,
         )
 
     def record_reply(self, member: DaemonId, reply: pb.ZonePushReply) -> None:
@@ -56,7 +60,7 @@
         self._replies_by_daemon_id[member] = reply
 
     def forget(self, member: DaemonId) -> None:
-        """Send the complete list next; the member did not answer."""
+        """Ask again what a member has; it did not answer."""
         self._replies_by_daemon_id.pop(member, None)
 
 
