--- a/src/chivesaddle/peers/membership.py
+++ b/src/chivesaddle/peers/membership.py
@@ -30,7 +30,8 @@
     GONE = "gone"
 
 
-@dataclass
+# Members are compared by identity: lists of hundreds are searched each second.
+@dataclass(eq=False)
 class Member:
     """A daemon as this one knows it.
 
@@ -143,27 +144,27 @@
         """Seconds after the last hearing at which a daemon counts as unreachable."""
         return HEARD_TTL_LARGE_S if len(self) > LARGE_FLEET else HEARD_TTL_S
 
-    def heard_until(self, member: Member) -> float:
-        """Return the deadline of the last hearing of a daemon."""
-        return member.heard_at + self.heard_ttl_s
-
     def state_of(self, daemon_id: DaemonId, now: float) -> MemberState:
         """Return the state of a daemon at ``now``."""
         member = self._members_by_id.get(daemon_id)
         if member is None:
             return MemberState.GONE
+        return self._state(member, now - self.heard_ttl_s)
+
+    def _state(self, member: Member, heard_after: float) -> MemberState:
         if member.leaving or member.listed_leaving:
             return MemberState.LEAVING
-        if member is self.own or now < self.heard_until(member):
+        if member is self.own or member.heard_at > heard_after:
             return MemberState.LIVE
         return MemberState.UNREACHABLE if member.listed else MemberState.GONE
 
     def members(self, now: float, *states: MemberState) -> list[Member]:
         """Return the members in these states, ordered by id."""
+        heard_after = now - self.heard_ttl_s
         return [
             member
             for _, member in sorted(self._members_by_id.items())
-            if self.state_of(member.id, now) in states
+            if self._state(member, heard_after) in states
         ]
 
     def peers(self, now: float) -> list[Member]:
