--- a/src/chivesaddle/peers/membership.py
+++ b/src/chivesaddle/peers/membership.py
@@ -13,7 +13,7 @@
 # heard is dropped from address answers when it stops accepting requests itself.
 HEARD_TTL_S = 6.0
 # In a large fleet, news of all daemons would not fit in the traffic budget within 6 s;
-# 16 of 100 were seen as unreachable although they answered.
+# 14 of 100 were seen as unreachable although they answered.
 LARGE_FLEET = 32
 HEARD_TTL_LARGE_S = 30.0
 # An instance that the lagging list does not name yet, or names no more, is kept while
