--- a/src/chivesaddle/daemon/app.py
+++ b/src/chivesaddle/daemon/app.py
@@ -1,7 +1,7 @@
 """One daemon: its slices, how they are connected, and their start and stop."""
 
 from collections.abc import Callable
-from typing import Any, cast
+from typing import Any
 
 from treq.client import HTTPClient
 from twisted.internet.defer import Deferred, DeferredList
@@ -19,6 +19,7 @@
 from chivesaddle.core.aio import log_failure, sleep_until, start, with_deadline
 from chivesaddle.core.errors import DeadlineExceeded
 from chivesaddle.core.events import EventKind, EventRing
+from chivesaddle.core.http import IpEndpoints
 from chivesaddle.core.ids import BackendServerId, ServiceId
 from chivesaddle.core.logs import PartLogger
 from chivesaddle.core.metrics import metrics_from_config
@@ -121,10 +122,10 @@
     def _build_duties(self) -> None:
         settings, reactor = self._settings, self._reactor
         self.engines = EngineClient.from_reactor(reactor)
-        pool = HTTPConnectionPool(reactor, persistent=True)
-        self.store_client = HttpStoreClient(
-            HTTPClient(cast(Any, Agent(reactor, pool=pool))), reactor
+        agent = Agent.usingEndpointFactory(
+            reactor, IpEndpoints(reactor), HTTPConnectionPool(reactor)
         )
+        self.store_client = HttpStoreClient(HTTPClient(agent), reactor)
         self.kv = KvService(
             self.store_client,
             self.engines,
--- a/src/chivesaddle/engines/connections.py
+++ b/src/chivesaddle/engines/connections.py
@@ -11,7 +11,6 @@
     TimeoutError,
 )
 from twisted.internet.interfaces import IStreamClientEndpoint
-from twisted.python.failure import Failure
 from twisted.web.client import (
     Agent,
     HTTPConnectionPool,
@@ -24,6 +23,7 @@
 
 from chivesaddle.core.aio import Clock, with_deadline
 from chivesaddle.core.errors import DeadlineExceeded
+from chivesaddle.core.http import IpEndpoints, cancelled_at_once
 from chivesaddle.engines.errors import (
     EngineCrashed,
     EngineRefused,
@@ -34,7 +34,6 @@
 
 # Half of the first-token target of 0.36 s leaves time to repeat the request.
 SILENCE_MS = 180
-CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS_PER_SERVER = 16
 IDLE_CONNECTION_S = 30
 _BROKEN = (ResponseFailed, RequestTransmissionFailed, ConnectionClosed)
@@ -121,8 +120,7 @@
     @classmethod
     def from_reactor(cls, reactor: Any) -> "Connections":
         """Return connections over TCP."""
-        agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S)
-        return cls(reactor, agent._endpointFactory)
+        return cls(reactor, IpEndpoints(reactor))
 
     def _client(self, reactor: Any, pool: HTTPConnectionPool) -> HTTPClient:
         return HTTPClient(Agent.usingEndpointFactory(reactor, self._endpoints, pool))
@@ -193,7 +191,7 @@
             limit = min(deadline, self._clock.seconds() + SILENCE_MS / 1_000)
         try:
             return await with_deadline(
-                self._clock, limit, _cancelled_at_once(sent), f"{method} {url}"
+                self._clock, limit, cancelled_at_once(sent), f"{method} {url}"
             )
         except ConnectError as error:
             raise EngineRefused(f"{url} refused the connection: {error}") from None
@@ -208,27 +206,6 @@
         raise EngineSilent(f"{url} sent no answer before the deadline")
 
 
-def _cancelled_at_once(sent: "Deferred[Response]") -> "Deferred[Response]":
-    """Fail with `CancelledError` when cancelled, and only then.
-
-    A cancelled request of the agent fails like one whose connection broke.
-    """
-    cancelled = False
-
-    def cancel(_: "Deferred[Response]") -> None:
-        nonlocal cancelled
-        cancelled = True
-        sent.cancel()
-
-    def forward(result: "Response | Failure") -> None:
-        if not cancelled:
-            waiting.callback(result)
-
-    waiting: Deferred[Response] = Deferred(cancel)
-    sent.addBoth(forward)
-    return waiting
-
-
 class _ReusedSilent(EngineSilent):
     """A reused connection delivered no headers; a fresh one may work."""
 
--- a/src/chivesaddle/kv/manifests.py
+++ b/src/chivesaddle/kv/manifests.py
@@ -80,7 +80,9 @@
         If a record is malformed, missing, additional or out of order.
     """
     try:
-        blocks = tuple(BlockRecord.model_validate(block) for block in answer)
+        blocks = tuple(
+            BlockRecord.model_validate(block, from_attributes=True) for block in answer
+        )
     except (ValidationError, TypeError) as error:
         raise BlocksMismatch(
             f"The engine's block records are invalid: {error}"
--- a/src/chivesaddle/platform/client.py
+++ b/src/chivesaddle/platform/client.py
@@ -9,13 +9,11 @@
 from treq.client import HTTPClient
 from twisted.internet import error as net_error
 from twisted.internet.defer import CancelledError
-from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
 from twisted.web.client import Agent, HTTPConnectionPool, RequestNotSent
-from twisted.web.iweb import IAgentEndpointFactory
-from zope.interface import implementer
 
 from chivesaddle.core.aio import Clock, start, with_deadline
 from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded, InvalidValue
+from chivesaddle.core.http import IpEndpoints, cancelled_at_once
 from chivesaddle.core.objects import (
     ChangeType,
     ObjectChange,
@@ -47,24 +45,6 @@
 )
 
 
-@implementer(IAgentEndpointFactory)
-class _IpEndpoints:
-    """Connects to IP addresses directly.
-
-    The default factory reports a refused connection only after a 0.3 s timer, in which
-    it would try further addresses of a host name.
-    """
-
-    def __init__(self, reactor: Any) -> None:
-        self._reactor = reactor
-
-    def endpointForURI(self, uri: Any) -> Any:  # noqa: N802
-        """Return the endpoint for a URI whose host is an IP address."""
-        host = uri.host.decode("ascii").strip("[]")
-        kind = TCP6ClientEndpoint if ":" in host else TCP4ClientEndpoint
-        return kind(self._reactor, host, uri.port, timeout=CONNECT_TIMEOUT_S)
-
-
 class HttpObjectApi:
     """Implementation of `chivesaddle.core.objects.ObjectApi` over HTTP.
 
@@ -102,7 +82,7 @@
         def client(persistent: bool) -> HTTPClient:
             pool = HTTPConnectionPool(clock, persistent=persistent)
             pool.retryAutomatically = False
-            endpoints = _IpEndpoints(clock)
+            endpoints = IpEndpoints(clock)
             return HTTPClient(Agent.usingEndpointFactory(clock, endpoints, pool=pool))
 
         return cls(url, clock, client(False), client(True))
@@ -188,8 +168,10 @@
         self, client: HTTPClient, path: str, params: dict[str, str], deadline: float
     ) -> Any:
         async def exchange() -> Any:
-            response = await client.request(
-                "GET", self._url + path, params=params, allow_redirects=False
+            response = await cancelled_at_once(
+                client.request(
+                    "GET", self._url + path, params=params, allow_redirects=False
+                )
             )
             if response.code != 200:
                 raise _rejection(response, path, PlatformUnavailable)
--- a/tests/peers/conftest.py
+++ b/tests/peers/conftest.py
@@ -14,6 +14,9 @@
 from chivesaddle.peers.traffic import Traffic
 from chivesaddle.platform import MemoryObjectApi
 
+# A script that test_grpc.py starts as a process; it installs its own reactor.
+collect_ignore = ["two_daemons.py"]
+
 
 class Network:
     """Carries calls at once, unless a daemon is cut off or a connection is silent."""
