--- a/src/chivesaddle/cli/entities.py
+++ b/src/chivesaddle/cli/entities.py
@@ -124,7 +124,7 @@
     "models",
     "model",
     "models_by_id",
-    ("id", "weight_version", "adapters", "max_context_tokens"),
+    ("id", "weight_version", "preload", "adapters", "max_context_tokens"),
 )
 backend_server = _entity_app(
     "backend servers",
@@ -179,6 +179,9 @@
     ctx: typer.Context,
     id: IdArgument,
     weight_version: Annotated[str | None, typer.Option()] = None,
+    preload: Annotated[
+        Many, typer.Option(help="Version to load for a later swap; repeatable")
+    ] = None,
     adapter: Annotated[Many, typer.Option(help="Repeatable")] = None,
     max_context_tokens: Annotated[int | None, typer.Option()] = None,
     note: NoteOption = "",
@@ -188,6 +191,7 @@
     """Plan a new or changed model; another weight version is a swap."""
     fields = {
         "weight_version": weight_version,
+        "preload": preload or None,
         "adapters": adapter or None,
         "max_context_tokens": max_context_tokens,
     }
--- a/src/chivesaddle/configuration/plan.py
+++ b/src/chivesaddle/configuration/plan.py
@@ -186,6 +186,12 @@
                 f"{model.weight_version}; cached blocks of the old version are not "
                 "used for new requests"
             )
+            if model.weight_version not in old.preload:
+                yield (
+                    f"weight version {model.weight_version} of model {key} is not "
+                    "preloaded; requests wait until backend servers have loaded it. "
+                    "Confirm a change of preload first to avoid that"
+                )
         for adapter in sorted(set(old.adapters if old else ()) - set(model.adapters)):
             yield f"model {key} loses adapter {adapter}"
 
--- a/tests/configuration/test_plan.py
+++ b/tests/configuration/test_plan.py
@@ -125,6 +125,7 @@
                 "model assistant loses its last serving backend server",
             ),
             ([MODEL | {"weight_version": "2"}], "swaps weight version 1 for 2"),
+            ([MODEL | {"weight_version": "2"}], "is not preloaded"),
             ([{"kind": "delete_account", "id": "tartu"}], "account tartu is removed"),
             ([ACCOUNT | {"key_sha256": ["cd" * 32]}], "account tartu loses a key"),
         ],
