--- a/src/chivesaddle/daemon/adapters.py
+++ b/src/chivesaddle/daemon/adapters.py
@@ -1,7 +1,7 @@
 """Adapters between slices whose interfaces differ in form."""
 
 import json
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -86,10 +86,21 @@
 
 
 class RouterSink:
-    """Passes what was polled from engines to the router."""
+    """Passes what was polled from engines to the router.
+
+    Parameters
+    ----------
+    router : Router
+        Takes loads, blocks and versions.
+    note_draining : callable
+        Told of each server that reports itself as draining.
+    """
 
-    def __init__(self, router: Router) -> None:
+    def __init__(
+        self, router: Router, note_draining: Callable[[BackendServerId], None]
+    ) -> None:
         self._router = router
+        self._note_draining = note_draining
 
     def update_load(
         self, server_id: BackendServerId, report: engines.LoadReport, now: float
@@ -133,7 +144,7 @@
 
     def set_leaving(self, server_id: BackendServerId) -> None:
         """Note that a server takes no new work."""
-        self._router.set_leaving(server_id)
+        self._note_draining(server_id)
 
 
 class CallerActions:
--- a/src/chivesaddle/daemon/app.py
+++ b/src/chivesaddle/daemon/app.py
@@ -1,6 +1,6 @@
 """One daemon: its slices, how they are connected, and their start and stop."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from treq.client import HTTPClient
@@ -50,7 +50,7 @@
 from chivesaddle.orders import OrdersTask
 from chivesaddle.peers import Peers, ServerReport
 from chivesaddle.platform import HttpObjectApi, Lease
-from chivesaddle.routing import Announcement, Router
+from chivesaddle.routing import Announcement, Router, SuspectCleared, SuspectCrashed
 
 UPKEEP_INTERVAL_S = 1.0
 STORE_STATUS_INTERVAL_S = 10.0
@@ -117,7 +117,7 @@
             status_source=self.status,
             metrics=self.metrics,
         )
-        self.announcer = SuspectAnnouncer(self.peers.announce_suspects)
+        self.announcer = SuspectAnnouncer(self._send_announcements)
 
     def _build_duties(self) -> None:
         settings, reactor = self._settings, self._reactor
@@ -180,7 +180,9 @@
                 metrics=self.metrics,
             )
         )
-        self.poller = EnginePoller(self.engines, reactor, RouterSink(self.router))
+        self.poller = EnginePoller(
+            self.engines, reactor, RouterSink(self.router, self._note_draining)
+        )
 
     def _build_listeners(self) -> None:
         fleet = PeerFleet(
@@ -356,6 +358,28 @@
             if everywhere or server.zone == self._settings.zone
         }
 
+    def _send_announcements(
+        self, announcements: Sequence[Announcement]
+    ) -> "Deferred[Any]":
+        for announcement in announcements:
+            match announcement:
+                case SuspectCrashed(fingerprint, crash_id, server_id):
+                    self.metrics.incr("suspects.crashed")
+                    self._record_suspect(
+                        fingerprint, "crashed", server=server_id, crash=crash_id
+                    )
+                case SuspectCleared(fingerprint):
+                    self._record_suspect(fingerprint, "cleared")
+        return self.peers.announce_suspects(announcements)
+
+    def _record_suspect(self, fingerprint: str, state: str, **detail: str) -> None:
+        self.events.record(
+            EventKind.SUSPECT_CHANGED,
+            object=f"suspect/{fingerprint}",
+            state=state,
+            **detail,
+        )
+
     def _receive_suspect(self, announcement: Announcement) -> None:
         answers = self.router.receive(announcement, self._reactor.seconds())
         if answers:
@@ -363,6 +387,12 @@
                 log_failure(log, "announcement failed")
             )
 
+    def _note_draining(self, server_id: BackendServerId) -> None:
+        if self._set_leaving(server_id, "engine"):
+            self.peers.announce_server(ServerReport(server_id)).addErrback(
+                log_failure(log, "announcement failed")
+            )
+
     def _receive_server_report(self, report: ServerReport) -> None:
         if report.leaving:
             self._set_leaving(report.server, "peer")
@@ -377,15 +407,18 @@
                 server_id = ids_by_url.get(value.get("url", ""), BackendServerId(name))
                 self._set_leaving(server_id, "platform")
 
-    def _set_leaving(self, server_id: BackendServerId, source: str) -> None:
-        if not self.router.is_leaving(server_id):
-            self.router.set_leaving(server_id)
-            self.events.record(
-                EventKind.BACKEND_SERVER_CHANGED,
-                object=server_id,
-                state="leaving",
-                source=source,
-            )
+    def _set_leaving(self, server_id: BackendServerId, source: str) -> bool:
+        """Give a server no new work; return False if it was leaving already."""
+        if self.router.is_leaving(server_id):
+            return False
+        self.router.set_leaving(server_id)
+        self.events.record(
+            EventKind.BACKEND_SERVER_CHANGED,
+            object=server_id,
+            state="leaving",
+            source=source,
+        )
+        return True
 
 
 async def run_until_stopped(daemon: Daemon, reactor: Any) -> None:
