Keep crash ids unique over restarts and share the asyncio bridge

The router got incarnation 0 in every process, so that a restarted daemon repeated its crash ids and peers ignored crashes whose ids they remembered as cleared. The bridge that fails a cancelled asyncio call at once stood in peers; it is core.from_asyncio now, and install_reactor sets the event loop, so that nothing started early lands on a second one.

--- a/src/chivesaddle/core/aio.py
+++ b/src/chivesaddle/core/aio.py
@@ -53,7 +53,10 @@
     """
     from twisted.internet import asyncioreactor
 
-    asyncioreactor.install(asyncio.new_event_loop())
+    loop = asyncio.new_event_loop()
+    # Work started before this loop runs would otherwise land on a second one.
+    asyncio.set_event_loop(loop)
+    asyncioreactor.install(loop)
 
     from twisted.internet import reactor
 
@@ -122,8 +125,29 @@
 
 
 def from_asyncio(coroutine: Coroutine[Any, Any, T]) -> "Deferred[T]":
-    """Run an asyncio coroutine on the shared loop; return a cancellable Deferred."""
-    return Deferred.fromFuture(asyncio.ensure_future(coroutine))
+    """Run an asyncio coroutine on the shared loop; a cancelled Deferred fails at once.
+
+    `Deferred.fromFuture` waits for the cancelled task instead and then fails with
+    asyncio's own error, so that a missed deadline would not be seen as one.
+    """
+    task = asyncio.ensure_future(coroutine)
+
+    def cancel(_: "Deferred[T]") -> None:
+        task.cancel()
+
+    result: Deferred[T] = Deferred(cancel)
+
+    def finish(done: "asyncio.Future[T]") -> None:
+        error = CancelledError() if done.cancelled() else done.exception()
+        if result.called:
+            return
+        if error is None:
+            result.callback(done.result())
+        else:
+            result.errback(Failure(error))
+
+    task.add_done_callback(finish)
+    return result
 
 
 def to_asyncio(coroutine: Coroutine[Any, Any, T]) -> "asyncio.Future[T]":
--- a/src/chivesaddle/daemon/app.py
+++ b/src/chivesaddle/daemon/app.py
@@ -1,8 +1,10 @@
 """One daemon: its slices, how they are connected, and their start and stop."""
 
+import time
 from collections.abc import Callable, Sequence
 from typing import Any
 
+import xxhash
 from treq.client import HTTPClient
 from twisted.internet.defer import Deferred, DeferredList
 from twisted.internet.task import LoopingCall
@@ -83,7 +85,12 @@
         self._confirmed = False
         self.metrics = metrics_from_config(settings.statsd)
         self.events = EventRing(settings.daemon_id)
-        self.router = Router(settings.daemon_id, seed=hash(settings.daemon_id))
+        # Crash ids must not repeat after a restart: peers remember cleared ones.
+        self.router = Router(
+            settings.daemon_id,
+            incarnation=time.time_ns(),
+            seed=xxhash.xxh32_intdigest(settings.daemon_id.encode()),
+        )
         self._build_configuration()
         self._build_duties()
         self._build_serving()
@@ -372,7 +379,7 @@
                     self._record_suspect(fingerprint, "cleared")
         return self.peers.announce_suspects(announcements)
 
-    def _record_suspect(self, fingerprint: str, state: str, **detail: str) -> None:
+    def _record_suspect(self, fingerprint: str, state: str, **detail: Any) -> None:
         self.events.record(
             EventKind.SUSPECT_CHANGED,
             object=f"suspect/{fingerprint}",
--- a/src/chivesaddle/peers/channels.py
+++ b/src/chivesaddle/peers/channels.py
@@ -1,13 +1,12 @@
 """Calls to peers, each with a deadline, over one connection per peer."""
 
-import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from typing import Any, Protocol
 
 from grpclib.client import Channel as GrpclibChannel
 from twisted.internet.defer import CancelledError, Deferred
 
-from chivesaddle.core.aio import Clock, with_deadline
+from chivesaddle.core.aio import Clock, from_asyncio, with_deadline
 from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded
 from chivesaddle.peers.proto.peer_grpc import PeerStub
 from chivesaddle.peers.traffic import Traffic
@@ -41,7 +40,7 @@
 
     def call(self, method: str, message: Any) -> "Deferred[Any]":
         """Call a method of the service."""
-        call = _cancellable(getattr(self._stub, method)(message))
+        call = from_asyncio(getattr(self._stub, method)(message))
         self._calls.add(call)
 
         def forget(result):
@@ -61,32 +60,6 @@
         self._channel.close()
 
 
-def _cancellable(coroutine: Coroutine[Any, Any, Any]) -> "Deferred[Any]":
-    """Run an asyncio coroutine; a cancelled Deferred fails at once.
-
-    `Deferred.fromFuture` waits for the cancelled task instead and then fails with
-    asyncio's own error, so that a missed deadline would not be seen as one.
-    """
-    task = asyncio.ensure_future(coroutine)
-
-    def cancel(_: "Deferred[Any]") -> None:
-        task.cancel()
-
-    result: Deferred[Any] = Deferred(cancel)
-
-    def finish(done: "asyncio.Future[Any]") -> None:
-        error = CancelledError() if done.cancelled() else done.exception()
-        if result.called:
-            return
-        if error is None:
-            result.callback(done.result())
-        else:
-            result.errback(error)
-
-    task.add_done_callback(finish)
-    return result
-
-
 class Channels:
     """Channels by address; one that missed a deadline is replaced by a new one.
 
--- /dev/null
+++ b/tests/daemon/test_app.py
@@ -0,0 +1,89 @@
+import pytest
+from twisted.internet.testing import MemoryReactorClock
+
+from chivesaddle.core.events import EventFilter
+from chivesaddle.core.model import BackendServer, ConfigState, Model
+from chivesaddle.core.settings import Settings
+from chivesaddle.daemon.app import Daemon
+from chivesaddle.routing import RouteRequest, Send, SuspectCrashed
+
+SETTINGS = Settings.model_validate(
+    {
+        "daemon_id": "d1",
+        "zone": "z1",
+        "callers": {"port": 8000},
+        "operators": {"port": 8001},
+        "peers": {"port": 8002},
+        "caller_url": "http://127.0.0.1:8000",
+        "platform_url": "http://127.0.0.1:9000",
+    }
+)
+STATE = ConfigState(
+    revision=1,
+    models_by_id={"m": Model(id="m", weight_version="v1")},
+    backend_servers_by_id={
+        f"s{n}": BackendServer(
+            id=f"s{n}", url=f"http://10.0.0.{n}", zone="z1", models=("m",)
+        )
+        for n in range(3)
+    },
+)
+REQUEST = RouteRequest(
+    account_id="a",
+    model_id="m",
+    weight_version="v1",
+    adapter=None,
+    fingerprint="f",
+    prefix_keys=(),
+    prompt_tokens=10,
+    max_tokens=10,
+    interactive=True,
+    deadline=10.0,
+)
+
+
+@pytest.fixture
+def make_daemon():
+    def make():
+        daemon = Daemon.from_settings(SETTINGS, MemoryReactorClock())
+        daemon.holder.replace(STATE)
+        return daemon
+
+    return make
+
+
+def crash(daemon):
+    """Send the request to a server, let it die, and return the announcement."""
+    sent = daemon.router.choose(REQUEST, 0.0)
+    assert isinstance(sent, Send)
+    daemon.router.record_start(REQUEST, sent, 0.0)
+    announcements = daemon.router.record_crash(sent.server_id, 0.0)
+    return next(a for a in announcements if isinstance(a, SuspectCrashed))
+
+
+class TestSuspects:
+    def test_crash_ids_differ_after_a_restart(self, make_daemon):
+        """Guards against a crash being ignored because an old one was cleared."""
+        assert crash(make_daemon()).crash_id != crash(make_daemon()).crash_id
+
+    def test_a_crash_is_recorded_in_the_time_line(self, make_daemon):
+        daemon = make_daemon()
+        daemon._send_announcements([crash(daemon)])
+        events = daemon.events.select(EventFilter(object="suspect/f"))
+        assert [event.detail["state"] for event in events] == ["crashed"]
+
+
+class TestLeavingServers:
+    def test_leaving_instance_gets_no_new_work(self, make_daemon):
+        """Guards against work for a server that only the platform knows to leave."""
+        daemon = make_daemon()
+        value = {"role": "backend_server", "state": "leaving", "url": "http://10.0.0.1"}
+        daemon._receive_instances({"i-7": value})
+        assert daemon.router.is_leaving("s1")
+        assert not daemon.router.is_leaving("s0")
+
+    def test_a_draining_report_is_recorded_once(self, make_daemon):
+        daemon = make_daemon()
+        daemon._note_draining("s2")
+        daemon._note_draining("s2")
+        assert len(daemon.events.select(EventFilter(object="s2"))) == 1
