--- a/src/chivesaddle/core/settings.py
+++ b/src/chivesaddle/core/settings.py
@@ -87,6 +87,12 @@
         description="Lowest level of logged messages",
     )
 
+    @property
+    def operator_url(self) -> str:
+        """Base URL of the operators' API."""
+        scheme = "http" if self.tls is None else "https"
+        return f"{scheme}://{self.operators.address}"
+
     @classmethod
     def from_config(cls, path: Path) -> "Settings":
         """Read and check a settings file.
--- a/src/chivesaddle/peers/service.py
+++ b/src/chivesaddle/peers/service.py
@@ -179,7 +179,7 @@
             settings.region,
             peer_address=settings.peers.address,
             caller_url=settings.caller_url,
-            operator_url=f"http://{settings.operators.address}",
+            operator_url=settings.operator_url,
             incarnation=int(time.time() * 1_000),
         )
         traffic = Traffic()
