--- /dev/null
+++ b/src/chivesaddle/tools/slopes/memory.py
@@ -0,0 +1,13 @@
+"""Resident memory of this process."""
+
+import resource
+
+
+def resident_kb() -> float:
+    """Return the resident memory of this process in KB."""
+    with open("/proc/self/statm") as statm:
+        pages = int(statm.read().split()[1])
+    return pages * resource.getpagesize() / 1e3
+
+
+__all__ = ["resident_kb"]
