--- a/tests/tools/test_slopes.py
+++ b/tests/tools/test_slopes.py
@@ -40,3 +40,11 @@
         }
         # A watch lasts 1 s or, by rounding, one step of the clock longer.
         assert 4 * 2 * 3 <= fleet.api.calls["watch"] <= 5 * 2 * 3
+
+    def test_daemons_of_a_healthy_large_fleet_do_not_read_the_platform(self):
+        """Guards against needless reads between relayed readings, 0.2/s a daemon."""
+        fleet = ControlFleet(40, 3)
+        fleet.advance(15)
+        fleet.api.calls.clear()
+        fleet.advance(6)
+        assert fleet.api.calls["get"] == 0
