Count the platform calls of actions and stored prompts

The cache of stored prompts holds an entry for 9 s, so at 64 requests/s a daemon saves no read when more than 576 prompts are used in turn.

Conclusion: docs/CAPACITY.md can state both limits from series of the tool.

--- a/src/chivesaddle/tools/slopes/point.py
+++ b/src/chivesaddle/tools/slopes/point.py
@@ -15,7 +15,7 @@
     # Everything that a daemon imports, without this tool's own modules.
     importlib.import_module("chivesaddle.daemon.app")
     imports_kb = resident_kb()
-    from chivesaddle.tools.slopes import control, serving
+    from chivesaddle.tools.slopes import control, platform_use, serving
 
     measures = {
         "configured": control.configured,
@@ -29,6 +29,8 @@
         "polled_many": serving.polled,
         "grpc": serving.grpc,
         "tokens": serving.tokens,
+        "actions": platform_use.actions,
+        "stored_prompts": platform_use.stored_prompts,
         "relay": serving.relay,
         "relay_batched": serving.relay_batched,
     }
--- a/src/chivesaddle/tools/slopes/schema.py
+++ b/src/chivesaddle/tools/slopes/schema.py
@@ -90,6 +90,16 @@
         (1, 16, 32, 64),
         {"cpu": "ms/request", "requests": "requests/s"},
     ),
+    "actions": Experiment(
+        "actions without faults",
+        (10, 100, 400),
+        {"cpu": "ms", "writes": "calls", "reads": "calls", "bytes": "B"},
+    ),
+    "stored_prompts": Experiment(
+        "stored prompts used in turn at 64 requests/s",
+        (64, 256, 576, 1_152),
+        {"reads": "calls/s a daemon"},
+    ),
     "relay": Experiment(
         "tokens relayed in memory, one a read",
         (1_000, 4_000, 8_000),
