Keep the calls of the measuring clock in order

Cause: the virtual clock sorts all calls at each insertion and after each call, 69 % of the processor time of 100 daemons in a profile. Ruled out: membership and messages, 5 % and less each there.

--- a/src/chivesaddle/tools/slopes/fleet.py
+++ b/src/chivesaddle/tools/slopes/fleet.py
@@ -5,10 +5,13 @@
 """
 
 import json
+from bisect import insort
 from collections import Counter
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
+from twisted.internet.base import DelayedCall
 from twisted.internet.defer import Deferred, fail
 from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.task import Clock
@@ -29,6 +32,33 @@
 DEMAND = {AccountId(f"account-{n}"): 100.0 + n for n in range(200)}
 
 
+class FleetClock(Clock):
+    """Virtual clock that keeps its calls in order.
+
+    Twisted's own sorts all calls at each insertion and after each call, which was 69 %
+    of the processor time of 100 daemons.
+    """
+
+    def callLater(  # type: ignore[override] # noqa: N802
+        self, delay: float, callable: Callable[..., Any], *args: Any, **kw: Any
+    ) -> Any:
+        """Schedule a call; it cannot be moved to another time."""
+        call = DelayedCall(
+            self.seconds() + delay,
+            callable,
+            args,
+            kw,
+            self.calls.remove,
+            lambda _: None,
+            self.seconds,
+        )
+        insort(self.calls, call, key=DelayedCall.getTime)
+        return call
+
+    def _sortCalls(self) -> None:  # noqa: N802
+        pass
+
+
 class CountingObjectApi(MemoryObjectApi):
     """Counts the JSON bytes of the bodies as well as the calls."""
 
@@ -174,7 +204,7 @@
     """Control parts of ``size`` daemons in ``zones`` zones on a virtual clock."""
 
     def __init__(self, size: int, zones: int) -> None:
-        self.clock = Clock()
+        self.clock = FleetClock()
         self.api = CountingObjectApi(self.clock)
         self.network = Network()
         self.parts = [ControlPart(self, n, f"zone-{n % zones}") for n in range(size)]
