--- a/src/chivesaddle/tools/slopes/serving.py
+++ b/src/chivesaddle/tools/slopes/serving.py
@@ -1,6 +1,7 @@
 """Points of the experiments with connections and streams."""
 
 import json
+import socket
 import subprocess
 import sys
 import time
@@ -50,7 +51,6 @@
 SERVE_S = 5.0
 ENGINES = 8
 CALLERS = 32
-PEER_PORT = 39_517
 
 
 def on_reactor(work: Callable[[Any], Coroutine[Any, Any, Figures]]) -> Figures:
@@ -211,14 +211,15 @@
         async def handle(method: str, message: Any) -> Any:
             return state
 
-        server = GrpcPeerServer(Listen(port=PEER_PORT), handle)
+        port = _free_port()
+        server = GrpcPeerServer(Listen(port=port), handle)
         await server.start()
         channels = Channels(reactor, Traffic())
 
         async def call(number: int) -> None:
             for _ in range(number):
                 deadline = reactor.seconds() + 5
-                address = f"127.0.0.1:{PEER_PORT}"
+                address = f"127.0.0.1:{port}"
                 await channels.call(address, "Exchange", state, deadline=deadline)
 
         await call(20)
@@ -232,6 +233,12 @@
     return on_reactor(work)
 
 
+def _free_port() -> int:
+    with socket.socket() as found:
+        found.bind(("127.0.0.1", 0))
+        return found.getsockname()[1]
+
+
 class _Sink:
     """Takes an answer and counts the writes."""
 
