--- a/src/chivesaddle/daemon/adapters.py
+++ b/src/chivesaddle/daemon/adapters.py
@@ -91,16 +91,19 @@
     Parameters
     ----------
     router : Router
-        Takes loads, blocks and versions.
-    note_draining : callable
-        Told of each server that reports itself as draining.
+        Takes the reports.
+    on_draining : callable
+        Called with each server that is found to be draining and was not known as
+        leaving.
     """
 
     def __init__(
-        self, router: Router, note_draining: Callable[[BackendServerId], None]
+        self,
+        router: Router,
+        on_draining: Callable[[BackendServerId], None] = lambda _: None,
     ) -> None:
         self._router = router
-        self._note_draining = note_draining
+        self._on_draining = on_draining
 
     def update_load(
         self, server_id: BackendServerId, report: engines.LoadReport, now: float
@@ -144,7 +147,9 @@
 
     def set_leaving(self, server_id: BackendServerId) -> None:
         """Note that a server takes no new work."""
-        self._note_draining(server_id)
+        if not self._router.is_leaving(server_id):
+            self._on_draining(server_id)
+            self._router.set_leaving(server_id)
 
 
 class CallerActions:
