Collect the fault tests into a matrix

Cause: the tests of faults were spread over the slices, and nothing showed which faults are tried at which steps for which property.

Ruled out: a second table of scenarios in the tool, which would drift from the tests; a marker on each test names its property, step and fault instead. The action matrix is parametrised by step and fault rather than by step, service fault and competitor, with the same 1,800 or so scenarios in it, so that a failure names its cell.

--- /dev/null
+++ b/src/chivesaddle/tools/faults.py
@@ -0,0 +1,157 @@
+"""The fault matrix: every fault at every step, for eight properties.
+
+``python -m chivesaddle.tools.faults`` runs the tests marked ``fault`` and prints one
+row for each of their cases. A marker names the property, the step and the fault;
+``{name}`` in the two latter stands for the value of a test's parameter and ``{id}``
+for the id of all its parameters.
+"""
+
+import json
+import sys
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import asdict, dataclass
+from enum import Enum
+from pathlib import Path
+from typing import Annotated, Any
+
+import pytest
+import typer
+
+MARKER = "fault"
+
+
+class Property(Enum):
+    """Properties of the system, in the order of the matrix."""
+
+    AT_MOST_ONCE = "at_most_once"
+    WHOLE_ANSWER = "whole_answer"
+    NOT_RUN = "not_run"
+    LEAVING = "leaving"
+    CONFIGURATION = "configuration"
+    ORDERS = "orders"
+    CRASHES = "crashes"
+    SILENCE = "silence"
+
+
+class Verdict(Enum):
+    """Outcome of a row; a test that was skipped proves nothing and counts as failed."""
+
+    PASSED = "passed"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True)
+class Row:
+    """One cell of the matrix and the test that fills it."""
+
+    property: str
+    step: str
+    fault: str
+    verdict: str
+    test: str
+
+
+class MatrixPlugin:
+    """Selects the marked tests and collects their outcomes as rows."""
+
+    def __init__(self) -> None:
+        self._cells_by_test: dict[str, list[tuple[str, str, str]]] = {}
+        self._passed_phases: Counter[str] = Counter()
+        self._failed: set[str] = set()
+
+    def pytest_collection_modifyitems(self, items: list[pytest.Item]) -> None:
+        """Note the cells of each marked test."""
+        for item in items:
+            cells = [_cell(item, mark) for mark in item.iter_markers(MARKER)]
+            if cells:
+                self._cells_by_test[item.nodeid] = cells
+
+    def pytest_runtest_logreport(self, report: pytest.TestReport) -> None:
+        """Take the outcome of one phase of a test."""
+        if report.passed:
+            self._passed_phases[report.nodeid] += 1
+        else:
+            self._failed.add(report.nodeid)
+
+    def rows(self) -> list[Row]:
+        """Return the matrix, ordered by property; tests that did not run failed."""
+        order = [known.value for known in Property]
+        rows = [
+            Row(*cell, self._verdict(test).value, test)
+            for test, cells in self._cells_by_test.items()
+            for cell in cells
+        ]
+        return sorted(rows, key=lambda row: order.index(row.property))
+
+    def _verdict(self, test: str) -> Verdict:
+        # Set-up, call and tear-down have each to pass.
+        passed = self._passed_phases[test] == 3 and test not in self._failed
+        return Verdict.PASSED if passed else Verdict.FAILED
+
+
+def _cell(item: pytest.Item, mark: pytest.Mark) -> tuple[str, str, str]:
+    (name,) = mark.args
+    callspec = getattr(item, "callspec", None)
+    values: dict[str, Any] = dict(callspec.params) if callspec else {}
+    values["id"] = callspec.id if callspec else ""
+    function = getattr(item, "originalname", item.name)
+    title = function.removeprefix("test_").replace("_", " ")
+    step = mark.kwargs["step"].format(**values)
+    fault = mark.kwargs.get("fault", title).format(**values)
+    return Property(name).value, step, fault
+
+
+def collect_rows(arguments: Iterable[str]) -> tuple[list[Row], int]:
+    """Run the marked tests; return the rows and pytest's exit status."""
+    plugin = MatrixPlugin()
+    status = pytest.main(["-m", MARKER, *arguments], plugins=[plugin])
+    return plugin.rows(), int(status)
+
+
+def format_rows(rows: Iterable[Row]) -> list[str]:
+    """Return the matrix as lines of text.
+
+    Examples
+    --------
+    >>> format_rows([Row("silence", "reused", "silent", "passed", "test_x")])
+    ['silence        reused                           passed  silent']
+    """
+    return [f"{r.property:14} {r.step:32} {r.verdict:7} {r.fault}" for r in rows]
+
+
+def count_line(rows: Iterable[Row]) -> str:
+    """Return the last line of the output.
+
+    Examples
+    --------
+    >>> count_line([Row("silence", "reused", "silent", "passed", "test_x")])
+    '1 passed, 0 failed'
+    """
+    counts = Counter(row.verdict for row in rows)
+    passed, failed = counts[Verdict.PASSED.value], counts[Verdict.FAILED.value]
+    return f"{passed} passed, {failed} failed"
+
+
+def main(
+    output: Annotated[Path, typer.Option(help="JSON file of the matrix.")] = Path(
+        "build/faults.json"
+    ),
+    tests: Annotated[Path, typer.Option(help="Directory of the tests.")] = Path(
+        "tests"
+    ),
+) -> None:
+    """Run the fault matrix; exit with 1 if a row failed or a property has none."""
+    rows, status = collect_rows([str(tests)])
+    output.parent.mkdir(parents=True, exist_ok=True)
+    output.write_text(json.dumps([asdict(row) for row in rows], indent=1) + "\n")
+    typer.echo("\n".join(format_rows(rows)))
+    missing = {known.value for known in Property} - {row.property for row in rows}
+    for name in sorted(missing):
+        typer.echo(f"no row for property {name}", err=True)
+    typer.echo(count_line(rows))
+    sys.exit(1 if status or missing else 0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/tests/actions/test_client.py
+++ b/tests/actions/test_client.py
@@ -47,17 +47,20 @@
         call.protocol.dataReceived(OK)
         assert call.results[0].body == b"booked!"
 
+    @pytest.mark.fault("not_run", step="connect")
     def test_refused_connection_was_not_sent(self, call):
         call.factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
         with pytest.raises(NotSent):
             call.raise_failure()
 
+    @pytest.mark.fault("not_run", step="connect")
     def test_connection_that_is_never_established_was_not_sent(self, call):
         """Guards against an operator being needed for each unreachable service."""
         call.reactor.advance(10)
         with pytest.raises(NotSent):
             call.raise_failure()
 
+    @pytest.mark.fault("at_most_once", step="connect")
     def test_connection_established_too_late_is_not_used(self, call):
         """Guards against a process paused while connecting that sends afterwards."""
         call.reactor.rightNow += CONNECT_WITHIN_S
@@ -66,12 +69,14 @@
         with pytest.raises(NotSent):
             call.raise_failure()
 
+    @pytest.mark.fault("at_most_once", step="response")
     def test_connection_broken_after_writing_leaves_the_outcome_unknown(self, call):
         call.connect()
         call.lose()
         with pytest.raises(OutcomeUnknown):
             call.raise_failure()
 
+    @pytest.mark.fault("at_most_once", step="response")
     def test_silence_until_the_deadline_leaves_the_outcome_unknown(self, call):
         call.connect()
         call.protocol.dataReceived(OK[:30])
@@ -79,6 +84,7 @@
         with pytest.raises(OutcomeUnknown):
             call.raise_failure()
 
+    @pytest.mark.fault("at_most_once", step="response")
     def test_truncated_response_leaves_the_outcome_unknown(self, call):
         """Guards against recording a part of a response as the outcome."""
         call.connect()
@@ -96,6 +102,7 @@
         with pytest.raises(OutcomeUnknown):
             call.raise_failure()
 
+    @pytest.mark.fault("silence", step="action")
     def test_each_call_has_its_own_connection(self, call):
         """Guards against sending an action on a connection that went silent."""
         call.connect()
--- a/tests/actions/test_fault_matrix.py
+++ b/tests/actions/test_fault_matrix.py
@@ -100,27 +100,26 @@
     return first, final
 
 
-@pytest.mark.parametrize("competitor", COMPETITORS)
-@pytest.mark.parametrize("service", SERVICE_FAULTS)
-@pytest.mark.parametrize("step", ALL_STEPS)
+@pytest.mark.fault("at_most_once", step="{step}", fault="{fault}")
+@pytest.mark.parametrize(
+    ("step", "fault"), list(dict.fromkeys((s, f) for s, f, _, _ in SCENARIOS))
+)
 class TestFaultMatrix:
     def test_runs_at_most_once_and_callers_are_told_the_truth(
-        self, make_world, step, service, competitor
+        self, make_world, step, fault
     ):
         """Guards against a second run, a run after not_run, and unanswered callers."""
-        for fault in [
-            f for s, f, v, c in SCENARIOS if (s, v, c) == (step, service, competitor)
-        ]:
+        for service, competitor in itertools.product(SERVICE_FAULTS, COMPETITORS):
             world = make_world()
             first, final = play(world, step, fault, service, competitor)
             if not world.daemons[0].gate.killed:
-                assert first.answers, fault
+                assert first.answers, (service, competitor)
             if final.state.value == "done":
-                assert world.log, fault
+                assert world.log, (service, competitor)
             # A recorded outcome repeats, through both daemons.
             again = world.run(1)
             world.advance(1)
-            assert again.answer == final, fault
+            assert again.answer == final, (service, competitor)
 
 
 def print_matrix():
--- a/tests/actions/test_interleavings.py
+++ b/tests/actions/test_interleavings.py
@@ -1,3 +1,4 @@
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -71,6 +72,9 @@
 class TestInterleavings:
     @settings(max_examples=400, derandomize=True, deadline=None, database=None)
     @given(moves=moves)
+    @pytest.mark.fault(
+        "at_most_once", step="any", fault="three daemons, any combination"
+    )
     def test_no_interleaving_runs_a_key_twice_or_tells_a_lie(self, make_world, moves):
         """Guards against combinations of faults that the matrix does not list."""
         world = make_world(DAEMONS)
--- a/tests/actions/test_service.py
+++ b/tests/actions/test_service.py
@@ -55,12 +55,14 @@
     def test_unknown_operation_is_rejected(self, world):
         assert isinstance(world.run(operation="fly").answer, UnknownOperation)
 
+    @pytest.mark.fault("not_run", step="before the record")
     def test_outage_rejects_at_once_as_not_run(self, world):
         world.outage(60)
         call = world.run()
         assert (call.answer.code, call.answer.status) == ("not_run", 503)
         assert call.answer.retry_after_s
 
+    @pytest.mark.fault("not_run", step="read of the record")
     def test_unreadable_record_of_another_attempt_is_not_reported_as_not_run(
         self, world
     ):
@@ -91,6 +93,7 @@
         world.advance(0.25)
         assert world.run(1).answer.state is ActionState.IN_DOUBT
 
+    @pytest.mark.fault("at_most_once", step="after the outcome")
     def test_late_holder_writes_done_over_in_doubt(self, world, run):
         world.service_faults.append("slow")
         late = world.run(0, within=30)
@@ -102,6 +105,7 @@
         assert lookup(world, run) == late.answer
         assert late.answer.state is ActionState.DONE
 
+    @pytest.mark.fault("at_most_once", step="send")
     def test_holder_paused_after_its_update_does_not_send_later(self, world, run):
         """Guards against a second run after an operator's correct resolution."""
         gate = world.daemons[0].gate
@@ -133,6 +137,7 @@
         world.advance(70)
         assert lookup(world, run).state.value == state
 
+    @pytest.mark.fault("not_run", step="sending")
     def test_unknown_update_during_an_outage_is_in_doubt_then_not_run(self, world, run):
         gate = world.daemons[0].gate
         gate.points["sending", "before"] = lambda: world.lose("lost_after_effect")
@@ -170,6 +175,7 @@
         first = resolve(world, run, ActionState.DONE, attempt, b"x")
         assert resolve(world, run, ActionState.DONE, attempt, b"x") == first
 
+    @pytest.mark.fault("not_run", step="resolve")
     def test_resolution_of_an_older_attempt_is_rejected(self, world, run):
         """Guards against a delayed finding that settles a newer attempt."""
         attempt = put_in_doubt(world).attempt
@@ -184,6 +190,7 @@
         with pytest.raises(ActionNotInDoubt):
             resolve(world, run, ActionState.NOT_RUN, attempt)
 
+    @pytest.mark.fault("not_run", step="resolve")
     def test_outcome_of_the_holder_replaces_a_wrong_not_run(self, world, run):
         """Guards against a second run after an operator's mistake."""
         world.service_faults.append("slow")
--- a/tests/configuration/test_service.py
+++ b/tests/configuration/test_service.py
@@ -127,6 +127,7 @@
 
 class TestLostAnswers:
     @pytest.mark.parametrize("fault", [f for f in WriteFault if f.value != "refused"])
+    @pytest.mark.fault("configuration", step="confirm", fault="answer lost")
     def test_confirm_finds_out_whether_it_took_effect(
         self, run, api, clock, daemon, fault
     ):
@@ -136,6 +137,7 @@
         clock.advance(2)
         assert run(daemon.service.refresh()) == 1
 
+    @pytest.mark.fault("not_run", step="confirm")
     def test_refused_confirm_certainly_changed_nothing(self, run, api, daemon):
         plan = run(daemon.service.plan(store("s"), "ann"))
         api.faults.writes.append(WriteFault.REFUSED)
@@ -143,6 +145,7 @@
             run(daemon.service.confirm(plan.change.id, "ann"))
         assert run(daemon.service.refresh()) == 0
 
+    @pytest.mark.fault("configuration", step="confirm")
     def test_outage_after_the_write_is_told_as_unknown(self, run, api, daemon, clock):
         """Guards against telling an operator "nothing changed" when it did."""
         plan = run(daemon.service.plan(store("s"), "ann"))
@@ -161,6 +164,7 @@
         api.faults.outage = False
         assert run(daemon.service.confirm(plan.change.id, "ann")).revision == 1
 
+    @pytest.mark.fault("not_run", step="confirm")
     def test_lost_majority_after_an_unknown_write_is_not_told_as_nothing(
         self, run, api, daemon
     ):
@@ -182,6 +186,7 @@
         daemon.freshness.set_members({"d0": "z", "d1": "z", "d2": "z"})
         return daemon
 
+    @pytest.mark.fault("configuration", step="confirm")
     def test_confirm_without_majority_contact_writes_nothing(self, run, three):
         plan = run(three.service.plan(store("s"), "ann"))
         with pytest.raises(NoMajorityContact):
@@ -265,6 +270,7 @@
         other = make_daemon("d1")
         assert run(other.service.confirm(plan.change.id, "ann")).revision == 65
 
+    @pytest.mark.fault("not_run", step="snapshot")
     def test_unstored_snapshot_certainly_changed_nothing(
         self, run, api, daemon, confirm_new
     ):
@@ -310,6 +316,7 @@
         with pytest.raises(ChangesCompacted):
             run(other.service.changes_after(3))
 
+    @pytest.mark.fault("configuration", step="apply")
     def test_holder_refuses_a_gap_and_ignores_what_it_has(
         self, run, daemon, make_daemon, confirm_new
     ):
@@ -377,6 +384,9 @@
             max_size=40,
         )
     )
+    @pytest.mark.fault(
+        "configuration", step="any", fault="operators racing under faults"
+    )
     def test_each_confirmed_change_is_applied_once_on_all_holders(self, script):
         """Guards against lost, doubled and reverted changes under lost writes."""
         clock, ids = Clock(), count()
--- a/tests/engines/test_client.py
+++ b/tests/engines/test_client.py
@@ -60,6 +60,7 @@
 
 
 class TestSilentConnections:
+    @pytest.mark.fault("silence", step="reused engine connection")
     def test_a_silent_pooled_connection_is_closed_and_the_request_repeated(
         self, client, network, reused, clock
     ):
@@ -73,6 +74,7 @@
         fresh.answer(b"data: 1\n\n")
         assert start(stream.result.next_event()).result == b"data: 1\n\n"
 
+    @pytest.mark.fault("silence", step="fresh engine connection")
     def test_a_fresh_connection_may_be_slow_until_the_deadline(self, client, clock):
         """Guards against repeating requests whose prefill takes long."""
         stream = opened(client)
@@ -81,6 +83,7 @@
         clock.advance(0.2)
         assert isinstance(failure_of(stream), EngineSilent)
 
+    @pytest.mark.fault("silence", step="between tokens")
     def test_silence_between_tokens_fails_the_stream(self, client, network, clock):
         stream = opened(client)
         network.connections[0].answer(b"data: 1\n\n", complete=False)
@@ -97,6 +100,7 @@
 
 
 class TestBrokenConnections:
+    @pytest.mark.fault("not_run", step="engine connect")
     def test_refused_means_nothing_was_sent(self, client, network):
         network.refusing = True
         assert isinstance(failure_of(opened(client)), EngineRefused)
--- a/tests/engines/test_relay.py
+++ b/tests/engines/test_relay.py
@@ -54,6 +54,11 @@
         ]
 
     @pytest.mark.parametrize("kept", range(5))
+    @pytest.mark.fault(
+        "whole_answer",
+        step="after token {kept}",
+        fault="stream broken, resumed at the engine",
+    )
     def test_a_stream_broken_after_any_token_is_resumed(
         self, run, engines, scripts, sink, guide, kept
     ):
@@ -67,6 +72,11 @@
         assert ("resumed", kept) in guide.notes or kept == 4
 
     @pytest.mark.parametrize("numbered_from", [0, 2])
+    @pytest.mark.fault(
+        "whole_answer",
+        step="token 2",
+        fault="server lost, numbered from {numbered_from}",
+    )
     def test_an_answer_continues_on_another_server(
         self, run, engines, scripts, sink, guide, numbered_from
     ):
@@ -99,6 +109,7 @@
         assert b'"finish_reason": "length"' in sink.events[-2]
         assert sink.finished
 
+    @pytest.mark.fault("whole_answer", step="last chunk")
     def test_an_end_marker_before_the_last_chunk_does_not_end_the_answer(
         self, run, engines, scripts, sink
     ):
@@ -111,6 +122,7 @@
 
 
 class TestForeignAndRepeatedEvents:
+    @pytest.mark.fault("whole_answer", step="first event")
     def test_a_crossed_answer_is_never_relayed(self, run, engines, scripts, sink):
         """Guards against giving one caller another caller's answer."""
         engines.opens = [scripts.whole(request_id="req-2")]
@@ -119,6 +131,7 @@
         assert_whole(sink)
         assert b"req-2" not in sink.data
 
+    @pytest.mark.fault("whole_answer", step="middle")
     def test_an_event_of_another_request_in_the_middle_is_not_relayed(
         self, run, engines, scripts, sink
     ):
@@ -129,6 +142,7 @@
         run()
         assert_whole(sink)
 
+    @pytest.mark.fault("whole_answer", step="middle")
     def test_late_duplicates_are_dropped(self, run, engines, scripts, sink):
         events = scripts.answer()
         events = [*events[:2], events[0], events[1], *events[2:]]
@@ -136,6 +150,7 @@
         run()
         assert_whole(sink)
 
+    @pytest.mark.fault("whole_answer", step="middle")
     def test_a_skipped_token_is_fetched_again(self, run, engines, scripts, sink):
         events = scripts.answer()
         engines.opens = [scripts.stream([events[0], *events[2:]], end=ResponseDone())]
@@ -144,6 +159,7 @@
         assert_whole(sink)
 
     @pytest.mark.parametrize("broken", [b"data: {\n\n", b"data: 7\n\n", b"x: y\n\n"])
+    @pytest.mark.fault("whole_answer", step="middle", fault="broken event {broken}")
     def test_broken_events_are_fetched_again(self, run, engines, scripts, sink, broken):
         events = [*scripts.answer()[:1], broken]
         engines.opens = [scripts.stream(events, end=ResponseDone())]
@@ -168,6 +184,7 @@
 
 
 class TestFailures:
+    @pytest.mark.fault("crashes", step="retry")
     def test_a_crashed_server_is_reported_before_the_retry(
         self, run, engines, scripts, sink, guide
     ):
@@ -179,6 +196,7 @@
         crash = guide.notes.index(("EngineCrashed", "a"))
         assert crash < guide.notes.index(("started", "b"))
 
+    @pytest.mark.fault("whole_answer", step="middle")
     def test_no_server_left_gives_a_typed_error_and_not_an_end(
         self, run, engines, scripts, sink
     ):
@@ -221,6 +239,7 @@
         assert isinstance(sink.error, StreamInterrupted)
         assert len(guide.targets) == 3
 
+    @pytest.mark.fault("silence", step="between tokens")
     def test_a_silent_stream_is_resumed(self, run, engines, scripts, sink, clock):
         engines.opens = [scripts.stream(scripts.answer()[:2])]
         engines.resumes = [scripts.rest]
@@ -272,6 +291,7 @@
         sink.waiting.callback(None)
         assert_whole(sink)
 
+    @pytest.mark.fault("whole_answer", step="slow caller")
     def test_a_stream_that_breaks_while_the_caller_is_slow_loses_nothing(
         self, run, engines, scripts, sink
     ):
@@ -288,6 +308,7 @@
 
 
 class TestEngineReset:
+    @pytest.mark.fault("whole_answer", step="resume")
     def test_a_resume_that_is_reset_falls_back_to_another_server(
         self, run, engines, scripts, sink
     ):
--- a/tests/gateway/test_flow.py
+++ b/tests/gateway/test_flow.py
@@ -109,6 +109,11 @@
 class TestFailures:
     @pytest.mark.parametrize("kept", range(4))
     @pytest.mark.parametrize("stream", [False, True])
+    @pytest.mark.fault(
+        "whole_answer",
+        step="after event {kept}",
+        fault="stream broken, streaming={stream}",
+    )
     def test_a_break_after_any_event_is_invisible_to_the_caller(
         self, complete, fakes, kept, stream
     ):
@@ -120,6 +125,7 @@
         else:
             assert answer.json["choices"][0]["text"] == "one two"
 
+    @pytest.mark.fault("crashes", step="retry")
     def test_a_crash_is_announced_before_the_retry(self, complete, fakes, faults):
         """Guards against a poison request killing a second server unannounced."""
         fakes.engines.opens = [EngineCrashed("dead")]
@@ -141,6 +147,7 @@
         clock.advance(0.5)
         assert answer.response.status == 200
 
+    @pytest.mark.fault("leaving", step="submit")
     def test_a_draining_server_is_reported_and_not_counted_as_faulty(
         self, complete, fakes
     ):
@@ -154,6 +161,7 @@
         assert answer.response.status == 429
         assert answer.response.headers["retry-after"] == "7"
 
+    @pytest.mark.fault("whole_answer", step="middle")
     def test_a_broken_stream_without_rescue_ends_with_a_typed_event(
         self, complete, fakes
     ):
@@ -242,6 +250,7 @@
         assert caller.transport.connected
         caller.transport.loseConnection()
 
+    @pytest.mark.fault("whole_answer", step="resume")
     def test_another_accounts_stream_is_not_found(self, call, fakes, complete):
         """Guards against reading another account's answer by its request id."""
         complete()
--- a/tests/gateway/test_routes.py
+++ b/tests/gateway/test_routes.py
@@ -148,6 +148,7 @@
         stored = {"role": "system", "content": "Handbook. "}
         assert fakes.engines.bodies[0]["messages"] == [stored, *messages]
 
+    @pytest.mark.fault("whole_answer", step="stored prompt")
     def test_another_accounts_prompt_is_not_found(self, complete, call, fakes):
         """Guards against one account using, reading or deleting another's prompt."""
         other = {"key": "key-tallinn"}
@@ -225,6 +226,7 @@
 
 
 class TestFreshness:
+    @pytest.mark.fault("configuration", step="request")
     def test_new_requests_are_rejected_without_confirmed_configuration(
         self, complete, call, fakes
     ):
--- a/tests/kv/test_service.py
+++ b/tests/kv/test_service.py
@@ -43,6 +43,7 @@
         other = [*world.keys[:9], "new", "newer"]
         assert world.run(world.service.find(SCOPE, other, 1.0)).blocks == 9
 
+    @pytest.mark.fault("whole_answer", step="find")
     def test_other_scope_finds_nothing(self, world):
         world.save()
         assert world.run(world.service.find("0" * 32, world.keys, 1.0)) is None
@@ -142,6 +143,7 @@
         assert world.engine.blocks == world.truth
 
     @pytest.mark.parametrize("fault", IMPORT_FAULTS.values(), ids=IMPORT_FAULTS)
+    @pytest.mark.fault("whole_answer", step="import", fault="{id}")
     def test_nothing_is_committed_after_a_fault(self, world, server, fault):
         """Guards against a wrong or partial block being used (invariant 1)."""
         prefix = world.saved_prefix()
@@ -154,6 +156,7 @@
         assert len(world.engine.discarded) == 1
 
     @pytest.mark.parametrize("fault", IMPORT_FAULTS.values(), ids=IMPORT_FAULTS)
+    @pytest.mark.fault("whole_answer", step="import, second part", fault="{id}")
     def test_fault_in_a_later_part_keeps_the_verified_parts(self, world, server, fault):
         """Guards against a part being counted or committed before its own check."""
         prefix = world.saved_prefix()
@@ -167,6 +170,7 @@
         assert world.engine.staged == {}
 
     @pytest.mark.parametrize("step", ["stage", "staged", "get_manifest", "commit"])
+    @pytest.mark.fault("whole_answer", step="import: {step}", fault="silent step")
     def test_silent_step_ends_at_the_deadline_and_is_discarded(
         self, world, server, clock, never, step
     ):
@@ -181,6 +185,7 @@
         assert world.engine.blocks == {}
         assert len(world.engine.discarded) == 1
 
+    @pytest.mark.fault("whole_answer", step="import: committed")
     def test_lost_answer_to_a_commit_counts_as_not_loaded(
         self, world, server, clock, never
     ):
@@ -192,6 +197,7 @@
         assert loading.result.blocks == 0
         world.assert_only_true_blocks()
 
+    @pytest.mark.fault("whole_answer", step="import: staged")
     def test_late_answer_to_staging_is_not_committed(self, world, server, clock, never):
         """Guards against a late answer reviving an import that was given up."""
         prefix = world.saved_prefix()
@@ -242,6 +248,7 @@
     @pytest.mark.parametrize(
         ("step", "action"), EXPORT_FAULTS.values(), ids=EXPORT_FAULTS
     )
+    @pytest.mark.fault("whole_answer", step="export", fault="{id}")
     def test_fault_leaves_no_manifest_of_blocks_that_differ(
         self, world, server, step, action
     ):
--- a/tests/orders/test_task.py
+++ b/tests/orders/test_task.py
@@ -101,6 +101,7 @@
 
 
 class TestFencing:
+    @pytest.mark.fault("orders", step="read")
     def test_holder_whose_lease_lapsed_during_a_read_sends_nothing(self, clock):
         """Guards against a paused holder acting on a decision made before."""
         engine, lease = FakeEngine(clock), FakeLease(1)
@@ -111,6 +112,7 @@
         pump(clock, 5)
         assert engine.versions == {"v1"}
 
+    @pytest.mark.fault("orders", step="settling")
     def test_engine_without_fencing_is_corrected_after_a_late_order(self, clock):
         """Guards against a former holder's order that arrives after settling began."""
         engine = FakeEngine(clock)
@@ -133,6 +135,9 @@
         ),
         delays=st.lists(st.floats(0, 9), max_size=4),
     )
+    @pytest.mark.fault(
+        "orders", step="any", fault="late orders, checks_fencing={checks_fencing}"
+    )
     def test_late_orders_of_a_former_holder_never_win(
         self, checks_fencing, late, delays
     ):
--- a/tests/peers/test_channels.py
+++ b/tests/peers/test_channels.py
@@ -57,6 +57,7 @@
 
 
 class TestChannels:
+    @pytest.mark.fault("silence", step="peer connection")
     def test_a_silent_connection_is_replaced_after_a_missed_deadline(
         self, channels, clock, opened
     ):
@@ -81,6 +82,7 @@
         call(channels)
         assert len(opened) == 1
 
+    @pytest.mark.fault("silence", step="peer connection")
     def test_two_missed_deadlines_replace_the_connection_once(
         self, channels, clock, opened, answers
     ):
--- a/tests/platform/test_lease.py
+++ b/tests/platform/test_lease.py
@@ -244,6 +244,7 @@
     @given(
         st.lists(st.tuples(ACTIONS, st.sampled_from([0, 0.25, 1, 3, 5])), max_size=40)
     )
+    @pytest.mark.fault("orders", step="lease", fault="any interleaving of holders")
     def test_never_two_holders_in_time_and_terms_follow_holders(self, script):
         """Guards against two holders at one instant, paused ones included."""
         clock = Clock()
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -241,6 +241,7 @@
 class TestInvariants:
     @settings(SETTINGS, max_examples=200)
     @given(events=EVENTS)
+    @pytest.mark.fault("leaving", step="any", fault="any order of reports and failures")
     def test_never_a_leaving_ejected_draining_or_wrong_version_server(
         self, build, events
     ):
--- a/tests/routing/test_suspects.py
+++ b/tests/routing/test_suspects.py
@@ -1,3 +1,4 @@
+import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
@@ -22,6 +23,7 @@
 
 
 class TestCrashCount:
+    @pytest.mark.fault("crashes", step="second crash")
     def test_second_crash_rejects_for_a_day(self, build):
         router = build.router()
         crash(router, build.request(), 0)
@@ -31,6 +33,7 @@
         assert refused.error.retry_after_s == 24 * 3600 - 20
         assert isinstance(router.choose(build.request(deadline=1e6), 86_401), Send)
 
+    @pytest.mark.fault("crashes", step="completed run")
     def test_completed_run_clears_everywhere_even_if_the_crash_arrives_later(
         self, build
     ):
@@ -45,6 +48,7 @@
         for suspects in (router.suspects, peer.suspects):
             assert suspects.verdict(request.fingerprint, 3) is Verdict.NORMAL
 
+    @pytest.mark.fault("crashes", step="announcement")
     def test_exchange_brings_a_peer_that_missed_everything_up_to_date(self, build):
         """Guards against lost announcements, of crashes as well as of clears."""
         router, peer = build.router(), Router("d2")
@@ -61,6 +65,7 @@
         server, _ = crash(router, build.request(), 0)
         assert router.record_crash(server, 0.1) == ()
 
+    @pytest.mark.fault("crashes", step="announcement")
     def test_one_death_seen_by_two_daemons_counts_once(self):
         """Guards against rejecting a request that ran twice on one dead server."""
         suspects = Suspects("d1")
@@ -101,6 +106,7 @@
 
 
 class TestIsolation:
+    @pytest.mark.fault("crashes", step="isolated run")
     def test_one_suspect_per_server_counting_peers(self, build):
         """Guards against one crash making two suspects indistinguishable."""
         router = build.router(servers=2)
@@ -142,6 +148,9 @@
             max_size=50,
         )
     )
+    @pytest.mark.fault(
+        "crashes", step="any", fault="any order of crashes and announcements"
+    )
     def test_one_request_takes_down_at_most_two_servers(self, build, steps):
         """Guards the limit under any order of announcements that beat the retry.
 
