Tell the peers of a backend server that is seen leaving

Cause: peers passed on reports of leaving servers, but no daemon ever sent one. A load report or an answer 503 was known to the daemon that got it only, and above 64 backend servers a daemon polls those of its own zone only, so the others waited for the platform's lagging list.

Ruled out: announcing each report again on receipt, which multiplies the messages by the number of daemons; only what the router learned by itself is announced.

Before: a daemon that did not poll the server had no signal but the list.

--- a/src/chivesaddle/daemon/app.py
+++ b/src/chivesaddle/daemon/app.py
@@ -35,6 +35,7 @@
 from chivesaddle.daemon.announcing import SuspectAnnouncer
 from chivesaddle.daemon.duties import Duties
 from chivesaddle.daemon.fleet import PeerFleet
+from chivesaddle.daemon.leaving import LeavingServers
 from chivesaddle.daemon.tls import ReloadingContextFactory
 from chivesaddle.engines import EngineClient, EnginePoller
 from chivesaddle.gateway import Dependencies, GatewayApi
@@ -118,6 +119,9 @@
             metrics=self.metrics,
         )
         self.announcer = SuspectAnnouncer(self.peers.announce_suspects)
+        self.leaving = LeavingServers(
+            self.router, self.peers.announce_server, self.events
+        )
 
     def _build_duties(self) -> None:
         settings, reactor = self._settings, self._reactor
@@ -302,6 +306,7 @@
         now = self._reactor.seconds()
         others = self.peers.demand_by_account_id()
         self.router.update_demand(others, len(self.peers.membership), now)
+        self.leaving.announce_new(self.holder.state.backend_servers_by_id)
         confirmed = self.freshness.is_confirmed(now)
         if confirmed != self._confirmed:
             self._confirmed = confirmed
@@ -365,7 +370,7 @@
 
     def _receive_server_report(self, report: ServerReport) -> None:
         if report.leaving:
-            self._set_leaving(report.server, "peer")
+            self.leaving.learn(report.server, "peer")
 
     def _receive_instances(self, values_by_name: dict[str, dict[str, Any]]) -> None:
         servers = self.holder.state.backend_servers_by_id
@@ -375,17 +380,7 @@
                 continue
             if value.get("state") == "leaving":
                 server_id = ids_by_url.get(value.get("url", ""), BackendServerId(name))
-                self._set_leaving(server_id, "platform")
-
-    def _set_leaving(self, server_id: BackendServerId, source: str) -> None:
-        if not self.router.is_leaving(server_id):
-            self.router.set_leaving(server_id)
-            self.events.record(
-                EventKind.BACKEND_SERVER_CHANGED,
-                object=server_id,
-                state="leaving",
-                source=source,
-            )
+                self.leaving.learn(server_id, "platform")
 
 
 async def run_until_stopped(daemon: Daemon, reactor: Any) -> None:
--- a/tests/peers/conftest.py
+++ b/tests/peers/conftest.py
@@ -26,6 +26,9 @@
         self.cut_off = set()
         self.opened = Counter()
 
+    def separates(self, ends):
+        return bool(ends & self.cut_off)
+
     def open(self, source, address):
         self.opened[source, address] += 1
         return FakeChannel(self, source, address)
@@ -43,7 +46,7 @@
         handler = self._network.handlers_by_address.get(self._address)
         if handler is None:
             return fail(ConnectionRefusedError())
-        if self.silent or self._ends & self._network.cut_off:
+        if self.silent or self._network.separates(self._ends):
             self._waiting.append(Deferred())
             return self._waiting[-1]
         copy = type(message).FromString(message.SerializeToString())
@@ -145,12 +148,11 @@
 class Daemon:
     """One daemon of the fleet with its neighbours."""
 
-    def __init__(self, fleet, number, zone):
+    def __init__(self, fleet, number, zone, incarnation=1):
         self.id = f"daemon-{number}"
         self.address = f"10.0.0.{number}:7000"
-        self.lease = FakeLease()
-        self.configuration = FakeConfiguration(fleet.api, fleet.clock)
-        self.freshness = FakeFreshness()
+        self.api = fleet.api
+        self.make_parts(fleet, zone)
         self.events = EventRing(self.id, HybridClock(fleet.clock.seconds))
         self.traffic = Traffic()
         self.suspects = []
@@ -160,12 +162,12 @@
             zone,
             peer_address=self.address,
             caller_url=f"http://10.0.0.{number}",
-            incarnation=1,
+            incarnation=incarnation,
         )
         self.peers = Peers(
             own,
             fleet.clock,
-            fleet.api,
+            self.api,
             self.lease,
             self.configuration,
             self.freshness,
@@ -178,6 +180,11 @@
         )
         self.peers.on_suspect(self.suspects.append)
 
+    def make_parts(self, fleet, zone):
+        self.lease = FakeLease()
+        self.configuration = FakeConfiguration(fleet.api, fleet.clock)
+        self.freshness = FakeFreshness()
+
     def _open(self, network):
         def open_channel(address):
             self.channels.append(network.open(self.address, address))
