Look for the request id outside an event's text

Cause: the relay's fast path accepted an event that contained the own request id anywhere in its bytes. An event of another request whose text quotes the id, at the right token index, was relayed as the caller's own.

Ruled out: decoding every event, which the fast path exists to avoid. The id now has to stand before "choices", after which all text comes; anything else is decoded and checked by its field.

Before: the new test failed. After: it passes with the 150 tests of engines and gateway. tests/engines/relay_cost.py, three runs each on a busy machine: 12.9 to 13.9 us per token at best before, 12.8 to 14.5 us after; the difference is within the noise.

--- a/src/chivesaddle/engines/answer.py
+++ b/src/chivesaddle/engines/answer.py
@@ -60,7 +60,8 @@
         if (
             self._shift == 0
             and token_index(event) == self.tokens
-            and self._id in event
+            # Text comes after "choices" and may quote any request id.
+            and 0 <= event.find(self._id) < event.find(b'"choices"')
             and event.startswith(b"data: {")
             and event.endswith(b"}\n\n")
             and not has_usage(event)
--- a/tests/engines/test_relay.py
+++ b/tests/engines/test_relay.py
@@ -142,6 +142,20 @@
         run()
         assert_whole(sink)
 
+    @pytest.mark.fault("whole_answer", step="middle")
+    def test_an_event_of_another_request_that_quotes_this_one_is_not_relayed(
+        self, run, engines, scripts, sink
+    ):
+        """Guards against finding the own request id in another answer's text."""
+        events = scripts.answer()
+        foreign = scripts.answer(request_id="other")[1]
+        events[1] = foreign.replace(b"ken ", b"req-1 ")
+        assert events[1] != foreign
+        engines.opens = [scripts.stream(events, end=ResponseDone())]
+        engines.resumes = [scripts.rest]
+        run()
+        assert_whole(sink)
+
     @pytest.mark.fault("whole_answer", step="middle")
     def test_late_duplicates_are_dropped(self, run, engines, scripts, sink):
         events = scripts.answer()
