--- a/tests/faults/test_crashes.py
+++ b/tests/faults/test_crashes.py
@@ -5,6 +5,7 @@
 import pytest
 
 from chivesaddle.routing import Refuse, RequestCrashesBackend, Router, Send, Wait
+from chivesaddle.routing.naive import HashRouter, LeastLoadedRouter, RandomRouter
 from chivesaddle.routing.suspects import Verdict
 
 DAEMONS = 3
@@ -155,3 +156,37 @@
         assert isinstance(first, str)
         assert isinstance(second, str)
         assert first != second
+
+
+class TestAgainstNaiveRouters:
+    def resend_everywhere(self, build, routers):
+        """Resend a crashing request at one daemon after another; return the dead."""
+        killed, now = [], 0.0
+        for turn in range(12):
+            now += 5.0
+            router = routers[turn % len(routers)]
+            request = build.request(BAD, blocks=1, deadline=now + 9)
+            match router.choose(request, now, frozenset(killed)):
+                case Send(server_id) as sent:
+                    announcements = [*router.record_start(request, sent, now)]
+                    killed.append(server_id)
+                    if isinstance(router, Router):
+                        announcements += router.record_crash(server_id, now)
+                    for other in routers:
+                        if other is not router:
+                            for announcement in announcements:
+                                other.receive(announcement, now)
+        return killed
+
+    @pytest.mark.fault(
+        "crashes", step="resent anywhere", fault="against {naive.__name__}"
+    )
+    @pytest.mark.parametrize("naive", [RandomRouter, LeastLoadedRouter, HashRouter])
+    def test_naive_router_loses_the_pool_and_this_one_two_servers(self, build, naive):
+        """Shows that the limit of two fails without crash counts."""
+        simple = [naive() for _ in range(DAEMONS)]
+        routers = [Router(f"d{n}") for n in range(DAEMONS)]
+        for router in [*simple, *routers]:
+            router.update_config(build.config(servers=9))
+        assert len(set(self.resend_everywhere(build, simple))) == 9
+        assert len(set(self.resend_everywhere(build, routers))) == 2
