--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint format settings-reference demo fleet slopes
+.PHONY: setup test lint format settings-reference demo fleet slopes faults
 
 setup: $(VENV)/.installed
 
@@ -37,3 +37,6 @@
 
 slopes: setup
 	$(BIN)/python -m chivesaddle.tools.slopes
+
+faults: setup
+	$(BIN)/python -m chivesaddle.tools.faults
--- a/src/chivesaddle/daemon/app.py
+++ b/src/chivesaddle/daemon/app.py
@@ -37,6 +37,7 @@
 from chivesaddle.daemon.announcing import SuspectAnnouncer
 from chivesaddle.daemon.duties import Duties
 from chivesaddle.daemon.fleet import PeerFleet
+from chivesaddle.daemon.leaving import LeavingServers
 from chivesaddle.daemon.tls import ReloadingContextFactory
 from chivesaddle.engines import EngineClient, EnginePoller
 from chivesaddle.gateway import Dependencies, GatewayApi
@@ -125,6 +126,9 @@
             metrics=self.metrics,
         )
         self.announcer = SuspectAnnouncer(self._send_announcements)
+        self.leaving = LeavingServers(
+            self.router, self.peers.announce_server, self.events
+        )
 
     def _build_duties(self) -> None:
         settings, reactor = self._settings, self._reactor
@@ -187,9 +191,7 @@
                 metrics=self.metrics,
             )
         )
-        self.poller = EnginePoller(
-            self.engines, reactor, RouterSink(self.router, self._note_draining)
-        )
+        self.poller = EnginePoller(self.engines, reactor, RouterSink(self.router))
 
     def _build_listeners(self) -> None:
         fleet = PeerFleet(
@@ -311,6 +313,7 @@
         now = self._reactor.seconds()
         others = self.peers.demand_by_account_id()
         self.router.update_demand(others, len(self.peers.membership), now)
+        self.leaving.announce_new(self.holder.state.backend_servers_by_id)
         confirmed = self.freshness.is_confirmed(now)
         if confirmed != self._confirmed:
             self._confirmed = confirmed
@@ -394,15 +397,9 @@
                 log_failure(log, "announcement failed")
             )
 
-    def _note_draining(self, server_id: BackendServerId) -> None:
-        if self._set_leaving(server_id, "engine"):
-            self.peers.announce_server(ServerReport(server_id)).addErrback(
-                log_failure(log, "announcement failed")
-            )
-
     def _receive_server_report(self, report: ServerReport) -> None:
         if report.leaving:
-            self._set_leaving(report.server, "peer")
+            self.leaving.learn(report.server, "peer")
 
     def _receive_instances(self, values_by_name: dict[str, dict[str, Any]]) -> None:
         servers = self.holder.state.backend_servers_by_id
@@ -412,20 +409,7 @@
                 continue
             if value.get("state") == "leaving":
                 server_id = ids_by_url.get(value.get("url", ""), BackendServerId(name))
-                self._set_leaving(server_id, "platform")
-
-    def _set_leaving(self, server_id: BackendServerId, source: str) -> bool:
-        """Give a server no new work; return False if it was leaving already."""
-        if self.router.is_leaving(server_id):
-            return False
-        self.router.set_leaving(server_id)
-        self.events.record(
-            EventKind.BACKEND_SERVER_CHANGED,
-            object=server_id,
-            state="leaving",
-            source=source,
-        )
-        return True
+                self.leaving.learn(server_id, "platform")
 
 
 async def run_until_stopped(daemon: Daemon, reactor: Any) -> None:
--- a/tests/daemon/test_app.py
+++ b/tests/daemon/test_app.py
@@ -84,6 +84,7 @@
 
     def test_a_draining_report_is_recorded_once(self, make_daemon):
         daemon = make_daemon()
-        daemon._note_draining("s2")
-        daemon._note_draining("s2")
+        for _ in range(2):
+            daemon.router.set_leaving("s2")
+            daemon.leaving.announce_new(["s1", "s2"])
         assert len(daemon.events.select(EventFilter(object="s2"))) == 1
--- /dev/null
+++ b/tests/daemon/test_leaving.py
@@ -0,0 +1,31 @@
+from types import SimpleNamespace
+
+import pytest
+
+from chivesaddle.core.events import EventRing
+from chivesaddle.daemon.leaving import LeavingServers
+
+
+@pytest.fixture
+def router():
+    leaving = set()
+    return SimpleNamespace(is_leaving=leaving.__contains__, set_leaving=leaving.add)
+
+
+class TestLeavingServers:
+    def test_a_draining_server_is_shared_once(self, router):
+        """Guards against an announcement at every poll of a draining server."""
+        shared = []
+        leaving = LeavingServers(router, shared.append, EventRing("d1"))
+        for _ in range(2):
+            router.set_leaving("a")
+            leaving.announce_new(["a", "b"])
+        assert [report.server for report in shared] == ["a"]
+
+    def test_a_server_learned_from_a_peer_is_not_announced_again(self, router):
+        """Guards against announcements that every daemon repeats to every other."""
+        shared = []
+        leaving = LeavingServers(router, shared.append, EventRing("d1"))
+        leaving.learn("a", "peer")
+        leaving.announce_new(["a"])
+        assert shared == [] and router.is_leaving("a")
