--- a/src/chivesaddle/core/errors.py
+++ b/src/chivesaddle/core/errors.py
@@ -47,4 +47,10 @@
     status = 504
 
 
-__all__ = ["ChivesaddleError", "DeadlineExceeded", "InvalidValue"]
+class ListenFailed(ChivesaddleError):
+    """An address to listen on is taken or not one of this instance."""
+
+    code = "listen_failed"
+
+
+__all__ = ["ChivesaddleError", "DeadlineExceeded", "InvalidValue", "ListenFailed"]
--- a/src/chivesaddle/core/settings.py
+++ b/src/chivesaddle/core/settings.py
@@ -6,7 +6,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from chivesaddle.core.errors import ChivesaddleError
+from chivesaddle.core.errors import ChivesaddleError, ListenFailed
 from chivesaddle.core.ids import DaemonId, RegionId, ZoneId
 
 
@@ -33,6 +33,13 @@
         """The address as ``ip:port``."""
         return f"{self.host}:{self.port}"
 
+    def failed(self, name: str, reason: object) -> ListenFailed:
+        """Return the error to raise if the listener called ``name`` cannot listen."""
+        return ListenFailed(
+            f"Cannot listen on {self.address}: {reason}",
+            remedy=f"Free that address or change {name} in the settings",
+        )
+
 
 class OperatorKey(Section):
     """A key for the operators' API, stored as a digest."""
--- a/src/chivesaddle/daemon/app.py
+++ b/src/chivesaddle/daemon/app.py
@@ -5,6 +5,7 @@
 
 from treq.client import HTTPClient
 from twisted.internet.defer import Deferred, DeferredList
+from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall
 from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.server import Site
@@ -217,11 +218,18 @@
     # Life cycle
 
     async def start(self) -> None:
-        """Listen and join the fleet."""
+        """Listen and join the fleet.
+
+        Raises
+        ------
+        ListenFailed
+            If an address of the settings is taken.
+        """
         settings = self._settings
         await self.peers.start()
-        self._listen(settings.callers, self.gateway.site())
-        self._listen(settings.operators, Site(self.operator_api.resource()))
+        self._listen("callers", settings.callers, self.gateway.site())
+        operators = Site(self.operator_api.resource())
+        self._listen("operators", settings.operators, operators)
         self.orders.start()
         self.repair.start()
         self._loop(UPKEEP_INTERVAL_S, self._keep_up)
@@ -272,16 +280,20 @@
         except DeadlineExceeded as error:
             log.info("%s", error)
 
-    def _listen(self, listen: Listen, site: Site) -> None:
-        if self._settings.tls is None:
-            port = self._reactor.listenTCP(listen.port, site, interface=listen.host)
-        else:
-            port = self._reactor.listenSSL(
-                listen.port,
-                site,
-                ReloadingContextFactory(self._settings.tls),
-                interface=listen.host,
-            )
+    def _listen(self, name: str, listen: Listen, site: Site) -> None:
+        tls = self._settings.tls
+        try:
+            if tls is None:
+                port = self._reactor.listenTCP(listen.port, site, interface=listen.host)
+            else:
+                port = self._reactor.listenSSL(
+                    listen.port,
+                    site,
+                    ReloadingContextFactory(tls),
+                    interface=listen.host,
+                )
+        except CannotListenError as error:
+            raise listen.failed(name, error.socketError) from error
         self._ports.append(port)
 
     def _loop(self, interval_s: float, work: Callable[[], Any]) -> None:
--- a/src/chivesaddle/daemon/main.py
+++ b/src/chivesaddle/daemon/main.py
@@ -55,7 +55,8 @@
     def failed(failure: Any) -> None:
         nonlocal started
         started = False
-        log.error("not started: %s", failure.getErrorMessage())
+        code = getattr(failure.value, "code", failure.type.__name__)
+        log.error("not started: %s: %s", code, failure.getErrorMessage())
         reactor.stop()
 
     def stop() -> None:
--- a/src/chivesaddle/gateway/transport.py
+++ b/src/chivesaddle/gateway/transport.py
@@ -3,13 +3,15 @@
 import json
 from io import BytesIO
 from typing import Any, cast
+from urllib.parse import unquote_to_bytes
 
 from twisted.web.http import HTTPChannel
 from twisted.web.server import Request, Site
 
 from chivesaddle.core.aio import Clock, DelayedCall
-from chivesaddle.core.errors import ChivesaddleError
+from chivesaddle.core.errors import ChivesaddleError, InvalidValue
 from chivesaddle.gateway.errors import error_body
+from chivesaddle.gateway.responses import write_error
 
 BODY_LIMIT_BYTES = 4 << 20
 READ_DEADLINE_S = 10.0
@@ -54,8 +56,19 @@
 
     def process(self) -> None:
         """Serve the request unless it was refused."""
-        if not self._too_large:
-            super().process()
+        if self._too_large:
+            return
+        # Klein decodes these itself and would answer without a typed error.
+        try:
+            unquote_to_bytes(self.path).decode()
+            self.getRequestHostname().decode()
+            self.method.decode()
+        except UnicodeDecodeError:
+            write_error(
+                self, InvalidValue("Path, host or method is not UTF-8", field="path")
+            )
+            return
+        super().process()
 
     def _refuse(self) -> None:
         self._too_large = True
--- a/src/chivesaddle/peers/server.py
+++ b/src/chivesaddle/peers/server.py
@@ -40,11 +40,14 @@
         self._service: _Service | None = None
 
     async def start(self) -> None:
-        """Listen on the configured address."""
+        """Listen on the configured address; raises `ListenFailed`."""
         # Created here because grpclib takes the running loop.
         self._service = _Service(self._handle)
         self._server = Server([self._service])
-        await from_asyncio(self._server.start(self._listen.host, self._listen.port))
+        try:
+            await from_asyncio(self._server.start(self._listen.host, self._listen.port))
+        except OSError as error:
+            raise self._listen.failed("peers", error) from error
 
     async def stop(self) -> None:
         """Stop listening; calls on connections that are still open are refused."""
--- a/src/chivesaddle/tools/fleet.py
+++ b/src/chivesaddle/tools/fleet.py
@@ -138,6 +138,10 @@
         """Ask a process to end gracefully, without waiting."""
         self._processes.terminate(name)
 
+    def wait_for_end(self, name: str, wait_s: float) -> int | None:
+        """Wait until a process ends; return its status, or None if it still runs."""
+        return self._processes.wait_for_end(name, wait_s)
+
     def pause(self, name: str) -> None:
         """Stop a process from running until `resume`."""
         self._processes.pause(name)
--- a/src/chivesaddle/tools/processes.py
+++ b/src/chivesaddle/tools/processes.py
@@ -101,6 +101,12 @@
         """Ask a process to end gracefully, without waiting."""
         self._running[name].send_signal(signal.SIGTERM)
 
+    def wait_for_end(self, name: str, wait_s: float) -> int | None:
+        """Wait until a process ends; return its status, or None if it still runs."""
+        process = self._running[name]
+        wait_until(lambda: process.poll() is not None, wait_s)
+        return process.returncode
+
     def pause(self, name: str) -> None:
         """Stop a process from running until `resume`."""
         self._running[name].send_signal(signal.SIGSTOP)
