Continue begun answers always and recognise crashes of ending servers

(2) An ending process can accept and break one more connection before its listener closes; that was taken for a reset, so the crash did not count and the request took down a third server. (3) A server's own draining report was not passed on to the peers. Ruled out: the announcement of suspects; the crash counts were right once counted. Done: the budget is asked only before an answer that has not begun is retried away from a server that still takes requests. After two resets a connection is tried 50 ms later. Draining reports are announced.

--- a/src/chivesaddle/daemon/adapters.py
+++ b/src/chivesaddle/daemon/adapters.py
@@ -1,7 +1,7 @@
 """Adapters between slices whose interfaces differ in form."""
 
 import json
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -86,10 +86,21 @@
 
 
 class RouterSink:
-    """Passes what was polled from engines to the router."""
+    """Passes what was polled from engines to the router.
+
+    Parameters
+    ----------
+    router : Router
+        Takes load, blocks and versions.
+    set_leaving : callable
+        Takes a server that reports that it is leaving.
+    """
 
-    def __init__(self, router: Router) -> None:
+    def __init__(
+        self, router: Router, set_leaving: Callable[[BackendServerId], None]
+    ) -> None:
         self._router = router
+        self._set_leaving = set_leaving
 
     def update_load(
         self, server_id: BackendServerId, report: engines.LoadReport, now: float
@@ -133,7 +144,7 @@
 
     def set_leaving(self, server_id: BackendServerId) -> None:
         """Note that a server takes no new work."""
-        self._router.set_leaving(server_id)
+        self._set_leaving(server_id)
 
 
 class CallerActions:
--- a/src/chivesaddle/daemon/app.py
+++ b/src/chivesaddle/daemon/app.py
@@ -181,7 +181,8 @@
                 metrics=self.metrics,
             )
         )
-        self.poller = EnginePoller(self.engines, reactor, RouterSink(self.router))
+        sink = RouterSink(self.router, self._report_leaving)
+        self.poller = EnginePoller(self.engines, reactor, sink)
 
     def _build_listeners(self) -> None:
         fleet = PeerFleet(
@@ -389,6 +390,14 @@
                 server_id = ids_by_url.get(value.get("url", ""), BackendServerId(name))
                 self._set_leaving(server_id, "platform")
 
+    def _report_leaving(self, server_id: BackendServerId) -> None:
+        """Tell the peers too: daemons poll only their own zone in a large fleet."""
+        if not self.router.is_leaving(server_id):
+            self._set_leaving(server_id, "report")
+            self.peers.announce_server(ServerReport(server_id)).addErrback(
+                log_failure(log, "announcement failed")
+            )
+
     def _set_leaving(self, server_id: BackendServerId, source: str) -> None:
         if not self.router.is_leaving(server_id):
             self.router.set_leaving(server_id)
--- a/src/chivesaddle/engines/connections.py
+++ b/src/chivesaddle/engines/connections.py
@@ -1,6 +1,7 @@
 """Pooled connections to engines that tell reused from fresh ones."""
 
-from typing import Any, Protocol
+from typing import Any
+from typing import Protocol as Interface
 
 from treq.client import HTTPClient
 from treq.response import _Response as Response
@@ -11,7 +12,9 @@
     TimeoutError,
 )
 from twisted.internet.interfaces import IStreamClientEndpoint
+from twisted.internet.protocol import Factory, Protocol
 from twisted.web.client import (
+    URI,
     Agent,
     HTTPConnectionPool,
     RequestTransmissionFailed,
@@ -21,7 +24,7 @@
 from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
-from chivesaddle.core.aio import Clock, with_deadline
+from chivesaddle.core.aio import Clock, sleep_until, with_deadline
 from chivesaddle.core.errors import DeadlineExceeded
 from chivesaddle.core.http import IpEndpoints, cancelled_at_once
 from chivesaddle.engines.errors import (
@@ -36,10 +39,14 @@
 SILENCE_MS = 180
 MAX_IDLE_CONNECTIONS_PER_SERVER = 16
 IDLE_CONNECTION_S = 30
+# An ending process can accept one more connection before its listener is closed.
+# Taken for a reset, the crash would not count against the request that caused it.
+PROCESS_END_S = 0.05
+PROBE_S = 0.5
 _BROKEN = (ResponseFailed, RequestTransmissionFailed, ConnectionClosed)
 
 
-class EndpointFactory(Protocol):
+class EndpointFactory(Interface):
     """Makes the endpoint for a URI, as `twisted.web.iweb.IAgentEndpointFactory`."""
 
     def endpointForURI(self, uri: Any) -> Any:  # noqa: N802
@@ -156,15 +163,32 @@
                 return await self._once(*call, deadline=deadline, fresh=True)
             except EngineRefused:
                 if isinstance(first, EngineReset):
-                    raise EngineCrashed(
-                        f"{url} broke the connection and refused a new one"
-                    ) from first
+                    raise _crashed(url) from first
+                raise
+            except EngineReset as second:
+                if await self._refuses(url):
+                    raise _crashed(url) from second
                 raise
 
     async def close(self) -> None:
         """Close the idle connections."""
         await self._pool.closeCachedConnections()
 
+    async def _refuses(self, url: str) -> bool:
+        """Tell whether a server that broke connections refuses a new one."""
+        await sleep_until(self._clock, self._clock.seconds() + PROCESS_END_S)
+        endpoint = self._endpoints.endpointForURI(URI.fromBytes(url.encode()))
+        connecting = endpoint.connect(Factory.forProtocol(Protocol))
+        deadline = self._clock.seconds() + PROBE_S
+        try:
+            opened = await with_deadline(self._clock, deadline, connecting, url)
+        except ConnectError:
+            return True
+        except (TimeoutError, DeadlineExceeded):
+            return False
+        opened.transport.abortConnection()
+        return False
+
     async def _once(
         self,
         method: str,
@@ -206,6 +230,10 @@
         raise EngineSilent(f"{url} sent no answer before the deadline")
 
 
+def _crashed(url: str) -> EngineCrashed:
+    return EngineCrashed(f"{url} broke the connection and refused a new one")
+
+
 class _ReusedSilent(EngineSilent):
     """A reused connection delivered no headers; a fresh one may work."""
 
--- a/src/chivesaddle/engines/relay.py
+++ b/src/chivesaddle/engines/relay.py
@@ -14,6 +14,7 @@
 from chivesaddle.engines.client import TOKEN_GAP_S, EngineClient
 from chivesaddle.engines.errors import (
     EngineCrashed,
+    EngineDraining,
     EngineError,
     EngineNotFound,
     EngineProtocolError,
@@ -32,6 +33,9 @@
 CANCEL_DEADLINE_S = 2.0
 RETRY_AFTER_S = 1.0
 _LIMITS = ("max_tokens", "max_completion_tokens")
+# These servers get no further request, so the retries that they cause are bounded by
+# what was in flight on them and must not use up the budget of others.
+_GONE = (EngineCrashed, EngineDraining, EngineRefused)
 _RESUMABLE = (EngineReset, EngineSilent, EngineProtocolError, StreamMismatch)
 _log = PartLogger("engines")
 
@@ -125,7 +129,10 @@
     clock : Clock
         Clock of all deadlines, in seconds.
     budget : RetryBudget
-        Asked before each resume and each retry on another server.
+        Asked before an answer that has not begun is retried on another server, unless
+        the first server is gone. A begun answer is always continued, within
+        ``MAX_SERVERS``: the caller could not repeat it without its whole prompt being
+        computed again.
     """
 
     def __init__(self, client: EngineClient, clock: Clock, budget: RetryBudget) -> None:
@@ -159,7 +166,7 @@
                     if self._ends_at_limit(answer, request):
                         sink.write(length_chunk(answer.events[-1], answer.style) + DONE)
                         break
-                    self._check_retry(error, servers)
+                    self._check_retry(error, servers, started=answer.tokens > 0)
                     if request.body is not None:
                         answer.continue_elsewhere()
                     target = await guide.next_target(error)
@@ -194,7 +201,8 @@
                 await self._pump(answer, stream, target, sink, guide)
                 return
             except _RESUMABLE as error:
-                if resumes == MAX_RESUMES_PER_SERVER or not self._spend():
+                # Reading on from a run that goes on there adds no work to the server.
+                if resumes == MAX_RESUMES_PER_SERVER:
                     raise
                 resumes += 1
                 stream = await self._resume(answer, request, target, error)
@@ -291,12 +299,13 @@
             and answer.tokens >= request.max_tokens
         )
 
-    def _check_retry(self, error: EngineError, servers: int) -> None:
-        if not error.elsewhere or servers >= MAX_SERVERS or not self._spend():
+    def _check_retry(self, error: EngineError, servers: int, *, started: bool) -> None:
+        if not error.elsewhere or servers >= MAX_SERVERS:
+            raise error
+        if started or isinstance(error, _GONE):
+            return
+        if not self._budget.try_spend(self._clock.seconds()):
             raise error
-
-    def _spend(self) -> bool:
-        return self._budget.try_spend(self._clock.seconds())
 
     def _abandon(
         self, request: RelayRequest, target: Target, error: EngineError
