--- a/src/chivesaddle/daemon/app.py
+++ b/src/chivesaddle/daemon/app.py
@@ -181,8 +181,8 @@
                 metrics=self.metrics,
             )
         )
-        sink = RouterSink(self.router, self._report_leaving)
-        self.poller = EnginePoller(self.engines, reactor, sink)
+        self.sink = RouterSink(self.router, self._report_leaving)
+        self.poller = EnginePoller(self.engines, reactor, self.sink)
 
     def _build_listeners(self) -> None:
         fleet = PeerFleet(
