--- a/src/chivesaddle/gateway/transport.py
+++ b/src/chivesaddle/gateway/transport.py
@@ -62,11 +62,8 @@
         try:
             unquote_to_bytes(self.path).decode()
             self.getRequestHostname().decode()
-            self.method.decode()
         except UnicodeDecodeError:
-            write_error(
-                self, InvalidValue("Path, host or method is not UTF-8", field="path")
-            )
+            write_error(self, InvalidValue("Path or host is not UTF-8", field="path"))
             return
         super().process()
 
--- a/tests/gateway/test_routes.py
+++ b/tests/gateway/test_routes.py
@@ -84,6 +84,19 @@
         assert (caller.response.status, caller.code) == (413, "body_too_large")
         assert not caller.transport.connected
 
+    @pytest.mark.parametrize(
+        "raw",
+        [
+            b"GET /v1/requests/%ff/stream HTTP/1.1\r\nHost: d",
+            b"GET /healthz HTTP/1.1\r\nHost: \xff",
+        ],
+    )
+    def test_what_is_not_utf8_has_a_typed_error(self, connect, raw):
+        """Guards against klein's own untyped answer or a traceback."""
+        caller = connect()
+        caller.channel.dataReceived(raw + b"\r\n\r\n")
+        assert (caller.response.status, caller.code) == (400, "invalid_value")
+
     def test_an_undeclared_huge_body_is_refused_at_the_limit(self, connect, fakes):
         """Guards against filling the memory with a chunked body."""
         caller = connect()
