--- a/tests/daemon/test_app.py
+++ b/tests/daemon/test_app.py
@@ -88,3 +88,15 @@
             daemon.router.set_leaving("s2")
             daemon.leaving.announce_new(["s1", "s2"])
         assert len(daemon.events.select(EventFilter(object="s2"))) == 1
+
+    def test_a_servers_own_report_is_passed_on_to_the_peers_once(self, make_daemon):
+        """Guards against daemons of other zones that do not poll the server."""
+        daemon, announced = make_daemon(), []
+        daemon.leaving._announce = announced.append
+        for _ in range(2):
+            daemon.sink.set_leaving("s1")
+            daemon._keep_up()
+        assert [(report.server, report.leaving) for report in announced] == [
+            ("s1", True)
+        ]
+        assert daemon.router.is_leaving("s1")
