Import a stored copy whole, not only after the blocks believed cached

Cache events are late, and the import evicts older blocks, the head of its own prompt first. Ruled out: waits for the links (longest 6 ms) and queueing (most of these requests found an idle engine).

--- a/src/chivesaddle/routing/cost.py
+++ b/src/chivesaddle/routing/cost.py
@@ -33,19 +33,22 @@
     recompute = missing tokens / prefill rate; reload = link wait + blocks x block time
     + remaining tokens / prefill rate. The queue is added to both, since a request is
     sent to the engine only after its import is committed.
+
+    A reload covers the whole copy, also blocks that the server is believed to hold:
+    cache events are late, and an import may itself evict the older head of its prompt.
+    Without the head the engine recomputes everything.
     """
     rate = server.prefill_tokens_per_s
     best_s = _prefill_tokens(request, cached_blocks) / rate
     best_copy, best_blocks = None, 0
     for copy in request.copies:
         if copy.blocks > cached_blocks:
-            load_s = copy.wait_s + copy.block_s * (copy.blocks - cached_blocks)
+            load_s = copy.wait_s + copy.block_s * copy.blocks
             total_s = load_s + _prefill_tokens(request, copy.blocks) / rate
             if total_s < best_s:
                 best_s, best_copy, best_blocks = total_s, copy.store_id, copy.blocks
-    return Prediction(
-        server.queue_s(now), best_s, best_copy, best_blocks, cached_blocks
-    )
+    kept = cached_blocks if best_copy is None else 0
+    return Prediction(server.queue_s(now), best_s, best_copy, best_blocks, kept)
 
 
 def _prefill_tokens(request: RouteRequest, blocks: int) -> int:
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -107,6 +107,15 @@
         assert sent.import_blocks == blocks
         assert (sent.import_from == "store") is bool(blocks)
 
+    def test_import_does_not_rely_on_blocks_that_may_be_evicted(self, build):
+        """Guards against an import whose prompt lost its head on the server."""
+        router = build.router(servers=1)
+        copies = (StoredCopy("store", 8, 0.0, 0.001),)
+        request = build.request(copies=copies)
+        router.update_blocks("s0", request.prefix_keys[:3], ())
+        sent = router.choose(request, 0)
+        assert (sent.import_blocks, sent.cached_blocks) == (8, 0)
+
 
 class TestAdmission:
     def test_unreachable_deadline_is_refused_with_the_missing_time(self, build):
