Write manifests at depths that grow by an eighth

Cause: a prompt that returns with another ending has another last block, so it is found by a checkpoint; with depths that grew by half, a handbook of 40 blocks was loaded to 28 and the other 12 blocks recomputed (0.15 s).

A prompt of 48 blocks has 24 manifests instead of 8; a search among them takes at most five probes instead of three.

--- a/src/chivesaddle/kv/identity.py
+++ b/src/chivesaddle/kv/identity.py
@@ -72,19 +72,20 @@
     """Return the depths at which a prefix of ``blocks`` blocks gets a manifest.
 
     A prompt that returns with another ending has another last key, so manifests also
-    exist at depths that grow by half: at most a third of a shared prefix is not found.
+    exist at depths that grow by an eighth: at most a ninth of a shared prefix, or one
+    block, is not found.
 
     Examples
     --------
     >>> checkpoint_depths(20)
-    [4, 6, 9, 13, 19, 20]
+    [4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 18, 20]
     >>> checkpoint_depths(3)
     [3]
     """
     depths, depth = [], HOME_DEPTH_BLOCKS
     while depth < blocks:
         depths.append(depth)
-        depth += depth // 2
+        depth += max(1, depth // 8)
     return [*depths, blocks] if blocks else []
 
 
