Adjust an account's rate when it asks, not only at the peers' next report

A daemon that an account had not used for some seconds kept the floor of a 24th of the limit until the next exchange, up to 1 s later, and refused a second prompt meanwhile. Ruled out: full queues and unreachable deadlines (no refusal had their codes).

The remaining refusals come from the burst of one second of a daemon's part, which one prompt of 10,000 tokens exceeds.

--- a/src/chivesaddle/routing/limits.py
+++ b/src/chivesaddle/routing/limits.py
@@ -95,8 +95,9 @@
         decayed = state.demand_tokens_per_s * _decay(now - state.demand_at)
         state.demand_tokens_per_s = decayed + tokens / DEMAND_WINDOW_S
         state.demand_at = now
-        state.requests.advance(now)
-        state.tokens.advance(now)
+        # At once: until the next report of the peers an account that moves to this
+        # daemon would have the floor only, and its second prompt would be refused.
+        self._set_rates(account_id, now)
         wait_s = max(state.requests.wait_s(), state.tokens.wait_s())
         if wait_s == 0:
             state.requests.balance -= 1
