--- /dev/null
+++ b/src/chivesaddle/routing/eligibility.py
@@ -0,0 +1,43 @@
+"""Which servers may run a request."""
+
+from chivesaddle.core.ids import BackendServerId
+from chivesaddle.core.model import Model
+from chivesaddle.routing.decisions import RouteRequest
+from chivesaddle.routing.pools import Pools
+from chivesaddle.routing.servers import ServerState
+
+
+class Eligible:
+    """Whether a server may run the request, and how much of its prompt it holds."""
+
+    __slots__ = ("_excluded", "_model", "_now", "_pools", "_request", "depths")
+
+    def __init__(
+        self,
+        pools: Pools,
+        request: RouteRequest,
+        model: Model,
+        excluded: frozenset[BackendServerId],
+        now: float,
+    ) -> None:
+        self._pools, self._request, self._model = pools, request, model
+        self._excluded, self._now = excluded, now
+        self.depths = pools.blocks.depths(request.prefix_keys)
+
+    def __call__(self, server: ServerState) -> bool:
+        """Tell whether the server may run the request now."""
+        return (
+            server.id not in self._excluded
+            and self._pools.is_usable(server)
+            and server.has_version(
+                self._model.id, self._request.weight_version, self._model.weight_version
+            )
+            and not self._pools.outliers.is_ejected(server.id, self._now)
+        )
+
+    def depth(self, server: ServerState) -> int:
+        """Return how many leading blocks of the prompt the server holds."""
+        return self.depths.get(server.id, 0)
+
+
+__all__ = ["Eligible"]
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -50,7 +50,7 @@
         router, request = build.router(), build.request()
         router.update_blocks("s0", request.prefix_keys, ())
         router.update_config(build.config(version="v2"))
-        assert router._blocks.depths(request.prefix_keys) == {}
+        assert router.pools.blocks.depths(request.prefix_keys) == {}
 
     def test_report_of_a_busy_server_moves_work_away(self, build):
         router, request = build.router(), build.request()
@@ -64,9 +64,9 @@
         router = build.router(servers=1)
         send(router, build.request(), 1.0)
         router.update_load("s0", build.report(age_s=0.5), 1.2)
-        assert router._servers_by_id["s0"].load == 1
+        assert router.pools.servers_by_id["s0"].load == 1
         router.update_load("s0", build.report(running=1, age_s=0.1), 1.3)
-        assert router._servers_by_id["s0"].load == 1
+        assert router.pools.servers_by_id["s0"].load == 1
 
     def test_runs_of_a_removed_server_do_not_change_the_pool(self, build):
         """Guards against a load that drifts below zero and lifts all bounds."""
@@ -77,7 +77,7 @@
         del left[sent.server_id]
         router.update_config(config.model_copy(update={"backend_servers_by_id": left}))
         router.record_finish(request.request_id, 1.0)
-        assert router._pools_by_model_id["m"].load == 0
+        assert router.pools.by_model_id["m"].load == 0
 
     def test_block_index_forgets_the_oldest_beyond_its_bounds(self):
         """Guards the daemon's memory against cache events of many servers."""
@@ -286,7 +286,7 @@
                     done = running.pop()
                     router.record_finish(done.request_id, now, done.prefix_keys)
             usable = {f"s{i}" for i in range(7)} - leaving - draining - removed
-            pool = router._pools_by_model_id["m"]
+            pool = router.pools.by_model_id["m"]
             assert {s.id for s in pool.servers} == usable
             assert pool.load == sum(s.load for s in pool.servers)
             ejected = {s for s in usable if router.outliers.is_ejected(s, now)}
