--- a/src/chivesaddle/routing/in_turn.py
+++ b/src/chivesaddle/routing/in_turn.py
@@ -46,7 +46,7 @@
             refusal = self._enqueue(request, pool, queue, eligible, now)
             if refusal is not None:
                 return Refuse(refusal)
-        free, free_batch = free_places(pool, now)
+        free, free_batch = free_places(pool)
         if not queue.poll(
             request.request_id, free=free, free_batch=free_batch, now=now
         ):
--- a/src/chivesaddle/routing/pools.py
+++ b/src/chivesaddle/routing/pools.py
@@ -182,7 +182,7 @@
         for model_id in server.models:
             queue = self.queues_by_model_id.get(model_id)
             if queue:
-                free, free_batch = free_places(self.by_model_id[model_id], now)
+                free, free_batch = free_places(self.by_model_id[model_id])
                 queue.grant(free=free, free_batch=free_batch, now=now)
 
     def load_changed(self, server: ServerState, before: int) -> None:
@@ -195,10 +195,8 @@
                     pool.load += server.load - before
 
 
-def free_places(pool: Pool, now: float) -> tuple[int, int]:
+def free_places(pool: Pool) -> tuple[int, int]:
     """Return the free slots of a pool, and those that batch may use."""
-    if not pool.has_room(now):
-        return 0, 0
     free = pool.slots - pool.load
     return free, min(free, int(pool.slots * BATCH_SHARE) - pool.batch_in_flight)
 
--- a/src/chivesaddle/routing/servers.py
+++ b/src/chivesaddle/routing/servers.py
@@ -14,12 +14,6 @@
 # Rate assumed for a server that has not reported its load yet.
 DEFAULT_PREFILL_TOKENS_PER_S = 8_000.0
 DEFAULT_SERVICE_S = 1.0
-# A request that waits longer at an engine may lose its cached or imported blocks to
-# those of the requests before it, and is no longer served in the fair order.
-MAX_QUEUE_S = 0.5
-# A pool without room is not searched again for this long; with thousands of servers
-# a search takes about a millisecond.
-NO_ROOM_S = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -163,16 +157,6 @@
     load: int = 0
     slots: int = 0
     batch_in_flight: int = 0
-    no_room_until: float = float("-inf")
-
-    def has_room(self, now: float) -> bool:
-        """Tell whether any server would start a new request soon."""
-        if now < self.no_room_until:
-            return False
-        if any(server.queue_s(now) <= MAX_QUEUE_S for server in self.servers):
-            return True
-        self.no_room_until = now + NO_ROOM_S
-        return False
 
     def add(self, server: ServerState) -> None:
         """Add a server with its load."""
