--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint format settings-reference demo fleet slopes faults
+.PHONY: setup test lint format settings-reference demo fleet slopes faults bench
 
 setup: $(VENV)/.installed
 
@@ -40,3 +40,6 @@
 
 faults: setup
 	$(BIN)/python -m chivesaddle.tools.faults
+
+bench: setup
+	$(BIN)/python -m chivesaddle.tools.bench
