Let a restarted backend server come back after it was leaving

Cause: one answer 503, one draining report or one entry in the platform's list marked a server as leaving for the life of the daemon, so that a server replaced or restarted under the same id got no work until an operator changed it. Now the platform's list counts as it stands; other marks end with the end of the server's draining, with a restart that the poller sees (refused connections, or event numbers that start again), or after 600 s for servers that are not polled.

The invariant test took leaving as final; its model now ends it at the end of draining and still demands the exact set of usable servers.

--- a/src/chivesaddle/daemon/adapters.py
+++ b/src/chivesaddle/daemon/adapters.py
@@ -131,6 +131,10 @@
             },
         )
 
+    def note_restart(self, server_id: BackendServerId) -> None:
+        """Note that a server was started anew."""
+        self._router.note_restart(server_id)
+
     def set_leaving(self, server_id: BackendServerId) -> None:
         """Note that a server takes no new work."""
         self._router.set_leaving(server_id)
--- a/src/chivesaddle/daemon/app.py
+++ b/src/chivesaddle/daemon/app.py
@@ -87,6 +87,7 @@
         self._ports: list[Any] = []
         self._loops: list[LoopingCall] = []
         self._confirmed = False
+        self._instances_by_name: dict[str, dict[str, Any]] = {}
         self.metrics = metrics_from_config(settings.statsd)
         self.events = EventRing(settings.daemon_id)
         # Crash ids must not repeat after a restart: peers remember cleared ones.
@@ -367,6 +368,8 @@
         self.kv.update_config(state)
         self.orders.update_config(state)
         self.poller.set_servers(self._polled_servers(state))
+        # The list may name servers by addresses that only this configuration knows.
+        self._receive_instances(self._instances_by_name)
         self.events.record(
             EventKind.CONFIG_APPLIED,
             object=self._settings.daemon_id,
@@ -417,14 +420,17 @@
             self.leaving.learn(report.server, "peer")
 
     def _receive_instances(self, values_by_name: dict[str, dict[str, Any]]) -> None:
+        self._instances_by_name = values_by_name
         servers = self.holder.state.backend_servers_by_id
         ids_by_url = {server.url: server.id for server in servers.values()}
-        for name, value in values_by_name.items():
-            if value.get("role") != "backend_server":
-                continue
-            if value.get("state") == "leaving":
-                server_id = ids_by_url.get(value.get("url", ""), BackendServerId(name))
-                self.leaving.learn(server_id, "platform")
+        self.leaving.list(
+            frozenset(
+                ids_by_url.get(value.get("url", ""), BackendServerId(name))
+                for name, value in values_by_name.items()
+                if value.get("role") == "backend_server"
+                and value.get("state") == "leaving"
+            )
+        )
 
 
 async def run_until_stopped(daemon: Daemon, reactor: Any) -> None:
--- a/src/chivesaddle/daemon/leaving.py
+++ b/src/chivesaddle/daemon/leaving.py
@@ -36,8 +36,16 @@
         self._events = events
         self._known: set[BackendServerId] = set()
 
+    def list(self, server_ids: frozenset[BackendServerId]) -> None:
+        """Take the servers that the platform lists as leaving, all of them."""
+        for server_id in sorted(server_ids):
+            if not self._router.is_leaving(server_id):
+                self._record(server_id, "platform")
+        self._known |= server_ids
+        self._router.set_listed_leaving(server_ids)
+
     def learn(self, server_id: BackendServerId, source: str) -> None:
-        """Take a report of a peer or of the platform; it is not announced again."""
+        """Take a report of a peer; it is not announced again."""
         self._known.add(server_id)
         if not self._router.is_leaving(server_id):
             self._router.set_leaving(server_id)
--- a/src/chivesaddle/engines/poller.py
+++ b/src/chivesaddle/engines/poller.py
@@ -11,7 +11,7 @@
 from chivesaddle.core.ids import BackendServerId, BlockKey
 from chivesaddle.core.logs import PartLogger
 from chivesaddle.engines.client import EngineClient
-from chivesaddle.engines.errors import EngineError
+from chivesaddle.engines.errors import EngineError, EngineRefused
 from chivesaddle.engines.reports import CacheEvents, EngineState, LoadReport
 
 POLL_INTERVAL_S = 1.0
@@ -46,6 +46,9 @@
     def update_versions(self, server_id: BackendServerId, state: EngineState) -> None:
         """Take what a server has loaded."""
 
+    def note_restart(self, server_id: BackendServerId) -> None:
+        """Note that a server was started anew."""
+
     def set_leaving(self, server_id: BackendServerId) -> None:
         """Note that a server takes no new work."""
 
@@ -55,6 +58,7 @@
     url: str
     after: int | None = None
     state_due: float = 0.0
+    refused: bool = False
     known: set[BlockKey] = field(default_factory=set)
     loop: "Deferred[None] | None" = None
 
@@ -121,6 +125,7 @@
             except CancelledError:
                 raise
             except EngineError as error:
+                server.refused |= isinstance(error, EngineRefused)
                 _log.debug("polling %s failed: %s", server_id, error)
             except Exception:
                 _log.exception("polling %s failed unexpectedly", server_id)
@@ -129,6 +134,9 @@
     async def _poll(self, server_id: BackendServerId, server: _Server) -> None:
         deadline = self._clock.seconds() + POLL_DEADLINE_S
         report = await self._client.load(server.url, deadline)
+        if server.refused:
+            server.refused = False
+            self._sink.note_restart(server_id)
         self._sink.update_load(server_id, report, self._clock.seconds())
         if report.draining:
             self._sink.set_leaving(server_id)
@@ -141,6 +149,8 @@
             await self._read_all(server_id, server)
             return
         changes = await self._client.events(server.url, server.after, deadline)
+        if changes.next < server.after:
+            self._sink.note_restart(server_id)
         if _has_gap(changes, server.after):
             await self._read_all(server_id, server)
             return
--- a/src/chivesaddle/routing/pools.py
+++ b/src/chivesaddle/routing/pools.py
@@ -24,6 +24,9 @@
 HOME_DEPTH_BLOCKS = 4
 MAX_CACHED_HOMES = 4_096
 MAX_LEAVING = 8_192
+# A server that this daemon does not poll shows no sign of a restart; by this time it
+# has left or was replaced under the same id.
+LEAVING_EXPIRY_S = 600.0
 # Batch requests of this daemon occupy at most this share of a pool's slots.
 BATCH_SHARE = 0.5
 
@@ -44,7 +47,8 @@
         self.queues_by_model_id: dict[ModelId, FairQueue] = {}
         self.grant_listener: Callable[[RequestId], None] = lambda _: None
         self.homes: OrderedDict[tuple[ModelId, str], tuple[str, ...]] = OrderedDict()
-        self._leaving: OrderedDict[BackendServerId, None] = OrderedDict()
+        self._listed_leaving: frozenset[BackendServerId] = frozenset()
+        self._reported_leaving_at: OrderedDict[BackendServerId, float] = OrderedDict()
         # Time of the last choice, report or failure; pool changes carry no time.
         self._latest = 0.0
 
@@ -71,6 +75,8 @@
         server = self.servers_by_id.get(server_id)
         if server is None:
             return
+        ended_draining = server.draining_by_report and not report.draining
+        self._forget_reported(server_id if ended_draining else None, now)
         before, usable, slots = server.load, self.is_usable(server), server.slots
         server.apply_report(report, now)
         self.load_changed(server, before)
@@ -104,16 +110,29 @@
 
     def is_leaving(self, server_id: BackendServerId) -> bool:
         """Tell whether a server was reported as leaving."""
-        return server_id in self._leaving
+        return (
+            server_id in self._listed_leaving or server_id in self._reported_leaving_at
+        )
+
+    def set_listed_leaving(self, server_ids: frozenset[BackendServerId]) -> None:
+        """Replace the servers that the platform lists as leaving."""
+        if server_ids != self._listed_leaving:
+            self._listed_leaving = server_ids
+            self._rebuild_pools()
 
     def set_leaving(self, server_id: BackendServerId) -> None:
-        """Give a server no new work from now on; its id is not used again."""
-        if server_id in self._leaving:
-            return
-        self._leaving[server_id] = None
-        if len(self._leaving) > MAX_LEAVING:
-            self._leaving.popitem(last=False)
-        self._rebuild_pools()
+        """Give a server that refused work or was reported no new work.
+
+        A report that it serves does not end this, because reports lag and may say so
+        all the time; a report after one of draining does, and `note_restart`.
+        """
+        known = self.is_leaving(server_id)
+        self._reported_leaving_at[server_id] = self._latest
+        self._reported_leaving_at.move_to_end(server_id)
+        if len(self._reported_leaving_at) > MAX_LEAVING:
+            self._reported_leaving_at.popitem(last=False)
+        if not known:
+            self._rebuild_pools()
 
     def update_config(self, state: ConfigState) -> None:
         """Apply a configuration; forget the blocks of models that changed version."""
@@ -130,7 +149,7 @@
             before = self.config.backend_servers_by_id.get(server_id)
             if before is not None and before != configured:
                 # An operator changed the server, for example to end its draining.
-                self._leaving.pop(server_id, None)
+                self._reported_leaving_at.pop(server_id, None)
             fresh = ServerState.from_config(configured)
             server = self.servers_by_id.setdefault(server_id, fresh)
             server.zone, server.models = fresh.zone, fresh.models
@@ -149,9 +168,21 @@
         return not (
             server.draining_by_config
             or server.draining_by_report
-            or server.id in self._leaving
+            or self.is_leaving(server.id)
         )
 
+    def note_restart(self, server_id: BackendServerId) -> None:
+        """Note that a server was started anew; it is not the one that was leaving."""
+        if self._reported_leaving_at.pop(server_id, None) is not None:
+            self._rebuild_pools()
+
+    def _forget_reported(self, serving: BackendServerId | None, now: float) -> None:
+        """Forget a server that ended its draining, and those found leaving long ago."""
+        reported = self._reported_leaving_at
+        old = {s for s, at in reported.items() if now - at >= LEAVING_EXPIRY_S}
+        for server_id in reported.keys() & (old | {serving}):
+            del reported[server_id]
+
     def _rebuild_pools(self) -> None:
         old, self.by_model_id = self.by_model_id, {}
         for model_id in self.config.models_by_id:
--- a/src/chivesaddle/routing/router.py
+++ b/src/chivesaddle/routing/router.py
@@ -260,9 +260,17 @@
         return self.pools.is_leaving(server_id)
 
     def set_leaving(self, server_id: BackendServerId) -> None:
-        """Give a server no new work from now on; its id is not used again."""
+        """Give a server no new work until it ends its draining or is restarted."""
         self.pools.set_leaving(server_id)
 
+    def note_restart(self, server_id: BackendServerId) -> None:
+        """Note that a server was started anew, which ends `set_leaving`."""
+        self.pools.note_restart(server_id)
+
+    def set_listed_leaving(self, server_ids: frozenset[BackendServerId]) -> None:
+        """Give the servers that the platform lists as leaving no new work."""
+        self.pools.set_listed_leaving(server_ids)
+
     def update_config(self, state: ConfigState) -> None:
         """Apply a configuration; forget the blocks of models that changed version."""
         self.limits.set_accounts(state.accounts_by_id)
--- a/tests/daemon/test_app.py
+++ b/tests/daemon/test_app.py
@@ -82,6 +82,21 @@
         assert daemon.router.is_leaving("s1")
         assert not daemon.router.is_leaving("s0")
 
+    def test_instance_that_is_listed_as_live_again_gets_work(self, make_daemon):
+        """Guards against losing a server that was replaced under the same id."""
+        daemon = make_daemon()
+        value = {"role": "backend_server", "state": "leaving", "url": "http://10.0.0.1"}
+        daemon._receive_instances({"i-7": value})
+        daemon._receive_instances({"i-7": {**value, "state": "live"}})
+        assert not daemon.router.is_leaving("s1")
+
+    def test_list_that_arrives_before_the_configuration_counts(self):
+        daemon = Daemon.from_settings(SETTINGS, MemoryReactorClock())
+        value = {"role": "backend_server", "state": "leaving", "url": "http://10.0.0.1"}
+        daemon._receive_instances({"i-7": value})
+        daemon.holder.replace(STATE)
+        assert daemon.router.is_leaving("s1")
+
     def test_a_draining_report_is_recorded_once(self, make_daemon):
         daemon = make_daemon()
         for _ in range(2):
--- a/tests/engines/test_poller.py
+++ b/tests/engines/test_poller.py
@@ -60,6 +60,7 @@
         self.loads = 0
         self.leaving = []
         self.versions = None
+        self.restarts = 0
 
     def update_load(self, server_id, report, now):
         self.loads += 1
@@ -70,6 +71,9 @@
     def update_versions(self, server_id, state):
         self.versions = state.models
 
+    def note_restart(self, server_id):
+        self.restarts += 1
+
     def set_leaving(self, server_id):
         self.leaving.append(server_id)
 
@@ -121,6 +125,17 @@
         clock.advance(1)
         assert router.leaving == [SERVER]
 
+    def test_a_server_that_refused_connections_was_restarted(
+        self, poller, engine, router, clock
+    ):
+        """Guards against a restarted server being taken for the one that left."""
+        engine.refusing = True
+        clock.advance(1)
+        engine.refusing = False
+        clock.advance(1)
+        clock.advance(1)
+        assert router.restarts == 1
+
     def test_polling_survives_a_refused_connection(self, poller, engine, router, clock):
         engine.refusing = True
         clock.advance(1)
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -143,6 +143,30 @@
         router.set_leaving("s0")
         assert isinstance(router.choose(build.request(), 0).error, NoBackendServer)
 
+    def test_server_that_refused_comes_back_only_after_a_restart(self, build):
+        """Guards against losing a restarted server for good after one refusal."""
+        router = build.router(servers=1)
+        router.set_leaving("s0")
+        router.update_load("s0", build.report(), 5.0)
+        assert isinstance(router.choose(build.request(), 5.0).error, NoBackendServer)
+        router.note_restart("s0")
+        assert isinstance(router.choose(build.request(), 6.0), Send)
+
+    def test_server_that_ended_its_draining_comes_back(self, build):
+        router = build.router(servers=1)
+        router.update_load("s0", build.report(draining=True), 1.0)
+        router.set_leaving("s0")
+        router.update_load("s0", build.report(), 5.0)
+        assert isinstance(router.choose(build.request(), 5.0), Send)
+
+    def test_server_that_is_listed_as_leaving_stays_out_despite_its_reports(
+        self, build
+    ):
+        router = build.router(servers=1)
+        router.set_listed_leaving(frozenset({"s0"}))
+        router.update_load("s0", build.report(), 100.0)
+        assert isinstance(router.choose(build.request(), 100).error, NoBackendServer)
+
     def test_refused_request_is_not_charged(self, build):
         """Guards against an overloaded pool using up the accounts' limits."""
         router = build.router(requests_per_s=1.0)
@@ -265,6 +289,9 @@
                     router.set_leaving(server)
                     leaving.add(server)
                 case "drain" | "load":
+                    if kind == "load" and server in draining:
+                        # The end of its draining is the end of its leaving.
+                        leaving.discard(server)
                     (draining.add if kind == "drain" else draining.discard)(server)
                     report = build.report(draining=kind == "drain")
                     router.update_load(server, report, now)
