Keep two suspects that start at one moment off the same server

Ruled out: the lower run id wins, because the higher one may have passed its check already. Now a suspect asks after its announcement was confirmed, and whoever knows of another one withdraws and starts again after a random wait; 200 generated timings never let both run. Asking before the confirmation instead makes that test fail.

--- a/src/chivesaddle/gateway/dependencies.py
+++ b/src/chivesaddle/gateway/dependencies.py
@@ -1,7 +1,8 @@
 """What the gateway needs from the other slices."""
 
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from random import Random
 from typing import Any, Protocol
 
 from chivesaddle.core.aio import Clock
@@ -50,6 +51,9 @@
     ) -> Sequence[Announcement]:
         """Note that a request is sent."""
 
+    def has_rival(self, request_id: RequestId, now: float) -> bool:
+        """Tell whether an announced suspect request must start again."""
+
     def record_first_token(self, request_id: RequestId, now: float) -> None:
         """Note its first token."""
 
@@ -243,6 +247,7 @@
     announce: Callable[[Sequence[Announcement]], Awaitable[None]]
     events: EventRing
     metrics: Metrics
+    random: Random = field(default_factory=Random)
 
 
 __all__ = [
--- a/src/chivesaddle/gateway/guide.py
+++ b/src/chivesaddle/gateway/guide.py
@@ -37,6 +37,7 @@
 CONTINUE_S = 10.0
 KV_LOAD_S = 1.0
 ANNOUNCE_S = 0.5
+RIVAL_WAIT_S = 0.2
 MIN_WAIT_S = 0.001
 RETRY_AFTER_S = 1.0
 # These say that the server works but cannot take this request.
@@ -93,9 +94,10 @@
             match self._deps.router.choose(self._request, now, self._excluded):
                 case Send() as decision:
                     server = self._server(decision.server_id)
-                    if server is not None:
+                    if server is None:
+                        self._excluded |= {decision.server_id}
+                    elif await self._start(decision, now):
                         return await self._prepare(decision, server, now)
-                    self._excluded |= {decision.server_id}
                 case Refuse(error):
                     raise error
                 case Wait(until):
@@ -192,15 +194,26 @@
         copy = StoredCopy(found.store_id, found.blocks, found.wait_s, found.block_s)
         self._request = dataclasses.replace(self._request, copies=(copy,))
 
+    async def _start(self, decision: Send, now: float) -> bool:
+        """Take the place; return False if a suspect met another one and waited."""
+        self._sent_to = decision.server_id
+        # Recorded before the import, so that others see the place as taken.
+        announcements = self._deps.router.record_start(self._request, decision, now)
+        if not announcements:
+            return True
+        await self._announce(announcements)
+        now = self._deps.clock.seconds()
+        if not self._deps.router.has_rival(self._request.request_id, now):
+            return True
+        await self._announce(self._end(server_fault=False))
+        # Random, so that two daemons do not meet again and again.
+        await self._wait(now + self._deps.random.uniform(0, RIVAL_WAIT_S), now)
+        return False
+
     async def _prepare(
         self, decision: Send, server: BackendServer, now: float
     ) -> Target:
         self._excluded |= {server.id}
-        self._sent_to = server.id
-        # Recorded before the import, so that others see the place as taken.
-        announcements = self._deps.router.record_start(self._request, decision, now)
-        if announcements:
-            await self._announce(announcements)
         if decision.import_from is not None and decision.import_blocks:
             await self._import(decision, server, now)
         return Target(server.id, server.url)
--- a/src/chivesaddle/routing/router.py
+++ b/src/chivesaddle/routing/router.py
@@ -263,6 +263,10 @@
         """Give a server no new work until it ends its draining or is restarted."""
         self.pools.set_leaving(server_id)
 
+    def has_rival(self, request_id: RequestId, now: float) -> bool:
+        """Tell whether a suspect request that is announced must start again."""
+        return self.suspects.has_rival(request_id, now)
+
     def note_restart(self, server_id: BackendServerId) -> None:
         """Note that a server was started anew, which ends `set_leaving`."""
         self.pools.note_restart(server_id)
--- a/src/chivesaddle/routing/suspects.py
+++ b/src/chivesaddle/routing/suspects.py
@@ -152,6 +152,27 @@
             and self.crash_count(run.fingerprint, now)
         }
 
+    def has_rival(self, run_id: RequestId, now: float) -> bool:
+        """Tell whether a peer runs a suspect on the same server, or the same request.
+
+        Asked after the own run was announced and confirmed by all peers. Of two daemons
+        that start at the same moment at least one then knows the other's run: if the
+        first had not received the second's announcement when it asked, it had
+        confirmed its own to the second before. Both may know; then both start again.
+        """
+        own = self._own_runs.get(run_id)
+        if own is None or not self.crash_count(own.fingerprint, now):
+            return False
+        self._runs(now)
+        return any(
+            run.fingerprint == own.fingerprint
+            or (
+                run.server_id == own.server_id
+                and self.crash_count(run.fingerprint, now) > 0
+            )
+            for run in self._peer_runs.values()
+        )
+
     def start(
         self,
         run_id: RequestId,
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -27,7 +27,14 @@
 from chivesaddle.engines import EngineNotFound, EngineStream
 from chivesaddle.engines.chunks import DONE, encode
 from chivesaddle.gateway import Dependencies, GatewayApi
-from chivesaddle.routing import AccountLimited, Refuse, Send, SuspectCrashed, Wait
+from chivesaddle.routing import (
+    AccountLimited,
+    Refuse,
+    Send,
+    SuspectCrashed,
+    SuspectRunning,
+    Wait,
+)
 
 
 def digest(key):
@@ -66,6 +73,8 @@
         self.notes = []
         self.blocks = []
         self.limited_for_s = None
+        self.starting = ()
+        self.rivals = []
         self._servers_by_id = {}
 
     def admit(self, request, now):
@@ -85,7 +94,10 @@
     def record_start(self, request, sent, now):
         self._servers_by_id[request.request_id] = sent.server_id
         self.notes.append(("start", sent.server_id))
-        return ()
+        return self.starting
+
+    def has_rival(self, request_id, now):
+        return self.rivals.pop(0) if self.rivals else False
 
     def record_first_token(self, request_id, now):
         self.notes.append(("first_token", self._servers_by_id[request_id]))
@@ -392,4 +404,10 @@
 @pytest.fixture
 def faults():
     """Names of scripted decisions and waits."""
-    return SimpleNamespace(Send=Send, Wait=Wait, Refuse=Refuse, pending=Deferred)
+    return SimpleNamespace(
+        Send=Send,
+        Wait=Wait,
+        Refuse=Refuse,
+        pending=Deferred,
+        running=SuspectRunning("f", "r", "a"),
+    )
--- a/tests/gateway/test_flow.py
+++ b/tests/gateway/test_flow.py
@@ -138,6 +138,18 @@
         kinds = [kind for kind, _ in fakes.router.notes]
         assert kinds[:3] == ["start", "crash", "start"]
 
+    def test_a_suspect_that_met_another_one_starts_again(
+        self, complete, fakes, clock, faults
+    ):
+        """Guards against two suspects on one server, whose crash blames both."""
+        fakes.router.starting = (faults.running,)
+        fakes.router.rivals = [True, False]
+        answer = complete()
+        assert not fakes.engines.bodies
+        clock.advance(0.2)
+        assert answer.response.status == 200
+        assert [k for k, _ in fakes.router.notes[:3]] == ["start", "cancel", "start"]
+
     def test_a_lost_announcement_delays_the_retry_only_briefly(
         self, complete, fakes, faults, clock
     ):
--- a/tests/routing/test_suspects.py
+++ b/tests/routing/test_suspects.py
@@ -1,6 +1,7 @@
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
+from twisted.internet.task import Clock
 
 from chivesaddle.routing import (
     Refuse,
@@ -197,3 +198,39 @@
                 for daemon in observers:
                     announce(daemon, routers[daemon].record_crash(victim, now))
         assert len(killed) <= 2
+
+
+class TestRivals:
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(times=st.lists(st.floats(0, 1), min_size=6, max_size=6))
+    @pytest.mark.fault("crashes", step="start", fault="two suspects at one moment")
+    def test_two_daemons_never_run_suspects_on_one_server(self, times):
+        """Guards against a crash that blames an innocent request for the second time.
+
+        Each daemon asks only after its announcement was confirmed by the other.
+        """
+        clock = Clock()
+        daemons = [Suspects(name) for name in ("a", "b")]
+        for daemon in daemons:
+            for n in range(2):
+                daemon.receive(SuspectCrashed(f"f{n}", f"c{n}", "old", "z", 0.0), 0.0)
+        ran = []
+
+        def ask(n):
+            if not daemons[n].has_rival(f"r{n}", clock.seconds()):
+                ran.append(n)
+
+        def deliver(n, announcements, back):
+            for announcement in announcements:
+                daemons[1 - n].receive(announcement, clock.seconds())
+            clock.callLater(back, ask, n)
+
+        def begin(n, there, back):
+            sent = daemons[n].start(f"r{n}", f"f{n}", "s", clock.seconds())
+            clock.callLater(there, deliver, n, sent, back)
+
+        for n in range(2):
+            at, there, back = times[3 * n : 3 * n + 3]
+            clock.callLater(at, begin, n, there, back)
+        clock.pump([0.001] * 3_100)
+        assert len(ran) <= 1
