Give the operators' listener the callers' body limit and read deadline

The operators' body limit was checked only after the whole body had been received, and a half-sent request held its connection.

--- a/src/chivesaddle/daemon/app.py
+++ b/src/chivesaddle/daemon/app.py
@@ -41,7 +41,7 @@
 from chivesaddle.daemon.leaving import LeavingServers
 from chivesaddle.daemon.tls import ReloadingContextFactory
 from chivesaddle.engines import EngineClient, EnginePoller
-from chivesaddle.gateway import Dependencies, GatewayApi
+from chivesaddle.gateway import Dependencies, GatewayApi, limited_site
 from chivesaddle.kv import (
     FixedPace,
     HttpStoreClient,
@@ -243,7 +243,7 @@
         settings = self._settings
         await self.peers.start()
         self._listen("callers", settings.callers, self.gateway.site())
-        operators = Site(self.operator_api.resource())
+        operators = limited_site(self.operator_api.resource(), self._reactor)
         self._listen("operators", settings.operators, operators)
         self.orders.start()
         self.repair.start()
--- a/tests/e2e/test_callers.py
+++ b/tests/e2e/test_callers.py
@@ -160,12 +160,13 @@
             assert error["code"] and error["message"] and error["type"], name
         running.assert_whole()
 
+    @pytest.mark.parametrize("listener", ["callers", "operators"])
     @pytest.mark.parametrize("declared", [True, False])
-    def test_huge_body_is_refused(self, deployment, declared):
+    def test_huge_body_is_refused(self, deployment, declared, listener):
         length = (
             b"Content-Length: 9000000" if declared else b"Transfer-Encoding: chunked"
         )
-        with connect(deployment.fleet.callers[0]) as connection:
+        with connect(getattr(deployment.fleet, listener)[0]) as connection:
             connection.sendall(
                 b"POST /v1/completions HTTP/1.1\r\nHost: a\r\n" + length + b"\r\n\r\n"
             )
