Give servers that refuse a poll's connection no work

It polled the server each second, was refused, and told the router nothing. Ruled out: ejection, which had not begun at that daemon. A refused poll now takes the server out of the pools until its next load report.

--- a/src/chivesaddle/daemon/adapters.py
+++ b/src/chivesaddle/daemon/adapters.py
@@ -131,6 +131,10 @@
             },
         )
 
+    def note_refused(self, server_id: BackendServerId) -> None:
+        """Note that a server refused a connection."""
+        self._router.note_refused(server_id)
+
     def note_restart(self, server_id: BackendServerId) -> None:
         """Note that a server was started anew."""
         self._router.note_restart(server_id)
--- a/src/chivesaddle/engines/poller.py
+++ b/src/chivesaddle/engines/poller.py
@@ -46,6 +46,9 @@
     def update_versions(self, server_id: BackendServerId, state: EngineState) -> None:
         """Take what a server has loaded."""
 
+    def note_refused(self, server_id: BackendServerId) -> None:
+        """Note that a server refused a connection."""
+
     def note_restart(self, server_id: BackendServerId) -> None:
         """Note that a server was started anew."""
 
@@ -125,7 +128,9 @@
             except CancelledError:
                 raise
             except EngineError as error:
-                server.refused |= isinstance(error, EngineRefused)
+                if isinstance(error, EngineRefused):
+                    server.refused = True
+                    self._sink.note_refused(server_id)
                 _log.debug("polling %s failed: %s", server_id, error)
             except Exception:
                 _log.exception("polling %s failed unexpectedly", server_id)
--- a/src/chivesaddle/routing/pools.py
+++ b/src/chivesaddle/routing/pools.py
@@ -78,6 +78,7 @@
         ended_draining = server.draining_by_report and not report.draining
         self._forget_reported(server_id if ended_draining else None, now)
         before, usable, slots = server.load, self.is_usable(server), server.slots
+        server.refuses_connections = False
         server.apply_report(report, now)
         self.load_changed(server, before)
         if self.is_usable(server) != usable or server.slots != slots:
@@ -168,9 +169,17 @@
         return not (
             server.draining_by_config
             or server.draining_by_report
+            or server.refuses_connections
             or self.is_leaving(server.id)
         )
 
+    def note_refused(self, server_id: BackendServerId) -> None:
+        """Note that a server refused a connection; it gets no work until it reports."""
+        server = self.servers_by_id.get(server_id)
+        if server is not None and not server.refuses_connections:
+            server.refuses_connections = True
+            self._rebuild_pools()
+
     def note_restart(self, server_id: BackendServerId) -> None:
         """Note that a server was started anew; it is not the one that was leaving."""
         if self._reported_leaving_at.pop(server_id, None) is not None:
--- a/src/chivesaddle/routing/router.py
+++ b/src/chivesaddle/routing/router.py
@@ -267,6 +267,10 @@
         """Tell whether a suspect request that is announced must start again."""
         return self.suspects.has_rival(request_id, now)
 
+    def note_refused(self, server_id: BackendServerId) -> None:
+        """Note that a server refused a connection; it gets no work until it reports."""
+        self.pools.note_refused(server_id)
+
     def note_restart(self, server_id: BackendServerId) -> None:
         """Note that a server was started anew, which ends `set_leaving`."""
         self.pools.note_restart(server_id)
--- a/src/chivesaddle/routing/servers.py
+++ b/src/chivesaddle/routing/servers.py
@@ -52,6 +52,7 @@
     max_running: int
     draining_by_config: bool = False
     draining_by_report: bool = False
+    refuses_connections: bool = False
     load: int = 0
     prefill_tokens_per_s: float = DEFAULT_PREFILL_TOKENS_PER_S
     reported_prefill_tokens: float = 0.0
--- a/tests/engines/test_poller.py
+++ b/tests/engines/test_poller.py
@@ -61,6 +61,7 @@
         self.leaving = []
         self.versions = None
         self.restarts = 0
+        self.refused = []
 
     def update_load(self, server_id, report, now):
         self.loads += 1
@@ -71,6 +72,9 @@
     def update_versions(self, server_id, state):
         self.versions = state.models
 
+    def note_refused(self, server_id):
+        self.refused.append(server_id)
+
     def note_restart(self, server_id):
         self.restarts += 1
 
@@ -134,6 +138,7 @@
         engine.refusing = False
         clock.advance(1)
         clock.advance(1)
+        assert router.refused == [SERVER]
         assert router.restarts == 1
 
     def test_polling_survives_a_refused_connection(self, poller, engine, router, clock):
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -159,6 +159,16 @@
         router.update_load("s0", build.report(), 5.0)
         assert isinstance(router.choose(build.request(), 5.0), Send)
 
+    def test_server_that_refused_a_connection_gets_no_work_until_it_reports(
+        self, build
+    ):
+        """Guards against requests to a dead server that only polls have noticed."""
+        router = build.router(servers=1)
+        router.note_refused("s0")
+        assert isinstance(router.choose(build.request(), 1.0).error, NoBackendServer)
+        router.update_load("s0", build.report(), 2.0)
+        assert isinstance(router.choose(build.request(), 2.0), Send)
+
     def test_server_that_is_listed_as_leaving_stays_out_despite_its_reports(
         self, build
     ):
