Say in words what not_run, in_doubt and a running action mean

The error only named the state. During an outage the daemon cannot know whether an earlier attempt under the key ran, so not_run speaks of this attempt.

--- a/src/chivesaddle/gateway/routes.py
+++ b/src/chivesaddle/gateway/routes.py
@@ -40,6 +40,21 @@
 PROMPT_DEADLINE_S = 2.0
 MAX_KEY_LENGTH = 255
 RETRY_AFTER_S = 1.0
+# During an outage it is not known whether an earlier attempt has a record.
+_ACTION_MESSAGES = {
+    "not_run": (
+        "This attempt was not sent to the service",
+        "Send it again with the same key; an earlier attempt may have run",
+    ),
+    "in_doubt": (
+        "The operation was sent, and whether it ran is not known",
+        "Ask GET /v1/actions/KEY later, or an operator; it is not sent again",
+    ),
+}
+_ACTION_IN_PROGRESS = (
+    "The operation is running under this key",
+    "Ask again after the given time with the same key",
+)
 _log = PartLogger("gateway")
 
 Handler = Callable[..., Coroutine[Any, Any, None]]
@@ -353,8 +368,8 @@
         headers["Retry_After"] = retry_after(result.retry_after_s)
     value = result.body
     if value is None and result.status >= 400:
-        error = ChivesaddleError(f"The action is in state {state}")
-        value = error_body(error)
+        message, remedy = _ACTION_MESSAGES.get(state, _ACTION_IN_PROGRESS)
+        value = error_body(ChivesaddleError(message, remedy=remedy))
         value["error"]["code"] = result.code
     write_json(request, result.status, value, **headers)
 
