--- a/src/chivesaddle/configuration/__init__.py
+++ b/src/chivesaddle/configuration/__init__.py
@@ -2,7 +2,6 @@
 
 from chivesaddle.configuration.errors import (
     ChangesCompacted,
-    ConfigUnconfirmed,
     ConfirmOutcomeUnknown,
     NoMajorityContact,
     PlanNotFound,
@@ -23,7 +22,6 @@
     "ChangesCompacted",
     "ConfigHolder",
     "ConfigService",
-    "ConfigUnconfirmed",
     "ConfirmOutcomeUnknown",
     "Confirmation",
     "Freshness",
--- a/src/chivesaddle/configuration/errors.py
+++ b/src/chivesaddle/configuration/errors.py
@@ -31,13 +31,6 @@
     status = 503
 
 
-class ConfigUnconfirmed(ChivesaddleError):
-    """The daemon cannot tell whether its configuration is the newest."""
-
-    code = "configuration_unconfirmed"
-    status = 503
-
-
 class ChangesCompacted(ChivesaddleError):
     """Changes after a revision are no longer kept; a snapshot is needed."""
 
@@ -60,7 +53,6 @@
 
 __all__ = [
     "ChangesCompacted",
-    "ConfigUnconfirmed",
     "ConfirmOutcomeUnknown",
     "NoMajorityContact",
     "PlanNotFound",
