Serve the platform's callers with a lean daemon of its own

Cause: nothing in the product speaks the platform's protocol: requests by host and path, the store's objects and watches, weight orders, address answers.

Change: slices http1 (h11 over Twisted), fleet (replicas, watches, exchange by grpclib), placement, forwarding, weights and serving; platform/ is the adapter alone; lease and in-memory store move to objects/.

--- a/src/chivesaddle/daemon/app.py
+++ b/src/chivesaddle/daemon/app.py
@@ -51,10 +51,11 @@
     block_keys,
     scope,
 )
+from chivesaddle.objects import Lease
+from chivesaddle.objects.client import HttpObjectApi
 from chivesaddle.operators import OperatorApi, OperatorKeys
 from chivesaddle.orders import OrdersTask
 from chivesaddle.peers import Peers, ServerReport
-from chivesaddle.platform import HttpObjectApi, Lease
 from chivesaddle.routing import Announcement, Router, SuspectCleared, SuspectCrashed
 
 UPKEEP_INTERVAL_S = 1.0
--- a/src/chivesaddle/daemon/duties.py
+++ b/src/chivesaddle/daemon/duties.py
@@ -9,7 +9,7 @@
 from chivesaddle.core.aio import log_failure, start
 from chivesaddle.core.events import EventKind, EventRing
 from chivesaddle.core.logs import PartLogger
-from chivesaddle.platform import Lease
+from chivesaddle.objects import Lease
 
 log = PartLogger("duties")
 
--- /dev/null
+++ b/src/chivesaddle/fleet/channels.py
@@ -0,0 +1,133 @@
+"""Calls between daemons by grpclib, with JSON messages."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.const import Cardinality, Handler
+from grpclib.encoding.base import CodecBase
+from grpclib.server import Server, Stream
+from twisted.internet.defer import CancelledError
+
+from chivesaddle.core.aio import Clock, from_asyncio, with_deadline
+from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded, ListenFailed
+
+PATH = "/chivesaddle.Fleet/Exchange"
+
+
+class PeerUnreachable(ChivesaddleError):
+    """A daemon did not answer; whether it got the message is unknown."""
+
+    code = "peer_unreachable"
+    status = 503
+
+
+class _JsonCodec(CodecBase):
+    __content_subtype__ = "json"
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        return msgspec.json.encode(message)
+
+    def decode(self, data: bytes, message_type: Any) -> Any:
+        return msgspec.json.decode(data, type=message_type)
+
+
+class PeerCaller:
+    """Calls other daemons, over one kept channel each.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of all deadlines.
+    message_type : type
+        Struct of both messages of an exchange.
+    """
+
+    def __init__(self, clock: Clock, message_type: type) -> None:
+        self._clock = clock
+        self._type = message_type
+        self._channels_by_address: dict[str, Channel] = {}
+
+    async def call(self, address: str, message: Any, deadline: float) -> Any:
+        """Send a message and return the answer; raises `PeerUnreachable`."""
+        channel = self._channels_by_address.get(address)
+        if channel is None:
+            host, _, port = address.rpartition(":")
+            channel = Channel(host, int(port), codec=_JsonCodec())
+            self._channels_by_address[address] = channel
+        method = UnaryUnaryMethod(channel, PATH, self._type, self._type)
+        try:
+            return await with_deadline(
+                self._clock, deadline, from_asyncio(method(message)), "exchange"
+            )
+        except CancelledError:
+            raise
+        except (DeadlineExceeded, Exception) as error:
+            # A silent channel is replaced; the next call opens a new one.
+            self.close_address(address)
+            raise PeerUnreachable(f"No answer of {address}: {error!r}") from error
+
+    def close_address(self, address: str) -> None:
+        """Close the channel to a daemon."""
+        channel = self._channels_by_address.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    def keep_only(self, addresses: set[str]) -> None:
+        """Close the channels to daemons that are gone."""
+        for address in set(self._channels_by_address) - addresses:
+            self.close_address(address)
+
+    def close(self) -> None:
+        """Close all channels."""
+        self.keep_only(set())
+
+
+class PeerListener:
+    """Answers the calls of other daemons.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` to listen on.
+    message_type : type
+        Struct of both messages of an exchange.
+    handle : callable
+        Function of a message that returns the answer.
+    """
+
+    def __init__(
+        self, address: str, message_type: type, handle: Callable[[Any], Any]
+    ) -> None:
+        self._address = address
+        self._type = message_type
+        self._handle = handle
+        self._server: Server | None = None
+
+    async def start(self) -> None:
+        """Listen; raises `ListenFailed`."""
+        self._server = Server([self], codec=_JsonCodec())
+        host, _, port = self._address.rpartition(":")
+        try:
+            await from_asyncio(self._server.start(host, int(port)))
+        except OSError as error:
+            raise ListenFailed(f"Cannot listen on {self._address}: {error}") from error
+
+    def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Return the methods of the service, as grpclib asks for them."""
+        unary = Cardinality.UNARY_UNARY
+        return {PATH: Handler(self._exchange, unary, self._type, self._type)}
+
+    async def _exchange(self, stream: Stream[Any, Any]) -> None:
+        message = await stream.recv_message()
+        if message is not None:
+            await stream.send_message(self._handle(message))
+
+
+__all__ = ["PeerCaller", "PeerListener", "PeerUnreachable"]
--- /dev/null
+++ b/src/chivesaddle/forwarding/__init__.py
@@ -0,0 +1,26 @@
+"""Forwards callers' requests to backend servers, by what may be repeated."""
+
+from chivesaddle.forwarding.budget import RetryBudget
+from chivesaddle.forwarding.crashes import CrashRecord
+from chivesaddle.forwarding.forwarder import Forwarder, Wire
+from chivesaddle.forwarding.knowledge import Knowledge
+from chivesaddle.forwarding.messages import (
+    CallerRequest,
+    PromptPart,
+    SendOptions,
+    ServerAnswer,
+    ServerLoad,
+)
+
+__all__ = [
+    "CallerRequest",
+    "CrashRecord",
+    "Forwarder",
+    "Knowledge",
+    "PromptPart",
+    "RetryBudget",
+    "SendOptions",
+    "ServerAnswer",
+    "ServerLoad",
+    "Wire",
+]
--- /dev/null
+++ b/src/chivesaddle/forwarding/messages.py
@@ -0,0 +1,134 @@
+"""Requests and answers as the forwarding slice sees them, apart from their wire form."""
+
+from dataclasses import dataclass
+
+from chivesaddle.core.ids import AccountId, BackendServerId, ModelId, RequestId
+from chivesaddle.core.serving_model import CallerKey, PartId
+
+HeaderList = list[tuple[bytes, bytes]]
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt; requests that share a part share its KV cache."""
+
+    id: PartId
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """One request of a caller, decoded.
+
+    Attributes
+    ----------
+    passed_headers : list of (name, value)
+        Headers that reach the backend server as the caller sent them.
+    time_limit_s : float or None
+        How long the caller waits from when it sent the request.
+    parts : tuple of PromptPart
+        The prompt in order; the last part belongs to the request or its session.
+    resume_after : str or None
+        Last event that the caller already has of a broken stream.
+    """
+
+    id: RequestId
+    method: bytes
+    target: bytes
+    host: str
+    passed_headers: HeaderList
+    body: bytes
+    key: CallerKey | None
+    time_limit_s: float | None
+    model: ModelId | None
+    prompt_tokens: int
+    output_tokens: int
+    parts: tuple[PromptPart, ...]
+    resume_after: str | None
+
+    @property
+    def shared_part(self) -> PartId | None:
+        """The last part that other requests share, or None."""
+        return self.parts[-2].id if len(self.parts) > 1 else None
+
+
+@dataclass(frozen=True, slots=True)
+class SendOptions:
+    """What the daemon adds to a request for one backend server.
+
+    Attributes
+    ----------
+    time_left_s : float or None
+        After this the server may stop; None if the caller set no limit.
+    cache_scope : str or None
+        Separates cached parts by weight version and isolated account.
+    save_to : tuple of str or None
+        Address for each part (empty: not saved); None saves nothing.
+    fetch_from : tuple of str or None
+        Address for each part (empty: not fetched); None fetches nothing.
+    resume_after : str or None
+        Last event already delivered, if the run continues a broken stream.
+    """
+
+    server: BackendServerId
+    time_left_s: float | None
+    account: AccountId | None = None
+    weight_version: int | None = None
+    priority: int | None = None
+    cache_scope: str | None = None
+    save_to: tuple[str, ...] | None = None
+    fetch_from: tuple[str, ...] | None = None
+    resume_after: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """Requests that a backend server runs and queues, and its slots."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServerAnswer:
+    """The head of a backend server's answer, decoded.
+
+    Attributes
+    ----------
+    request_id : RequestId or None
+        The request that the answer belongs to.
+    is_signed : bool
+        Whether it carries the server's signature.
+    was_not_run : bool
+        The server states that it did not run the request.
+    server : BackendServerId or None
+        The server that answered, where it says so.
+    passed_headers : list of (name, value)
+        Headers that reach the caller.
+    content_length : int or None
+        Length of the body; None if it is chunked or ends with the connection.
+    """
+
+    status: int
+    reason: bytes
+    request_id: RequestId | None
+    is_signed: bool
+    was_not_run: bool
+    server: BackendServerId | None
+    load: ServerLoad | None
+    weight_version: int | None
+    keep_alive_s: float | None
+    retry_after_s: float | None
+    content_length: int | None
+    passed_headers: HeaderList
+
+
+__all__ = [
+    "CallerRequest",
+    "HeaderList",
+    "PromptPart",
+    "SendOptions",
+    "ServerAnswer",
+    "ServerLoad",
+]
--- /dev/null
+++ b/src/chivesaddle/objects/__init__.py
@@ -0,0 +1,12 @@
+"""Access to the platform's object API."""
+
+from chivesaddle.objects.lease import Lease, LeaseState
+from chivesaddle.objects.memory import Faults, MemoryObjectApi, WriteFault
+
+__all__ = [
+    "Faults",
+    "Lease",
+    "LeaseState",
+    "MemoryObjectApi",
+    "WriteFault",
+]
--- a/src/chivesaddle/platform/lease.py
+++ b/src/chivesaddle/objects/lease.py
@@ -128,6 +128,8 @@
         process does not take its predecessor's lease for its own.
     incarnation : str or None
         Distinguishes processes of the same name; random by default.
+    renew_s : float
+        Seconds between renewals.
     """
 
     def __init__(
@@ -137,7 +139,9 @@
         name: str,
         holder: str,
         incarnation: str | None = None,
+        renew_s: float = RENEW_S,
     ) -> None:
+        self._renew_s = renew_s
         self._api = api
         self._clock = clock
         self.name = name
@@ -167,6 +171,11 @@
         """Term of the last holding; 0 before the first."""
         return FencingToken(self._term)
 
+    @property
+    def renewed_at(self) -> float:
+        """When the last write that took effect was sent, in seconds of the clock."""
+        return self._until - TTL_S + MARGIN_S
+
     @property
     def version(self) -> int:
         """Version of the last own write, to be relayed to other candidates."""
@@ -205,10 +214,11 @@
         self._loop = start(self._run())
         self._loop.addErrback(log_failure(log, f"lease {self.name} failed"))
 
-    async def stop(self) -> None:
+    async def stop(self, *, release: bool = True) -> None:
         """Stop acting at once, then release the lease if possible.
 
-        If the platform cannot be reached the lease expires by itself.
+        If the platform cannot be reached, or without ``release``, the lease expires by
+        itself.
         """
         self._start_after_release = False
         loop, self._loop = self._loop, None
@@ -219,7 +229,7 @@
         self._cancel_timer()
         self._machine.end()
         loop.cancel()
-        if may_hold or self._pending is not None:
+        if release and (may_hold or self._pending is not None):
             self._releasing = True
             try:
                 await self._release()
@@ -253,7 +263,7 @@
         except (PlatformUnavailable, DeadlineExceeded, WriteOutcomeUnknown) as error:
             log.info("lease %s: %s", self.name, error)
             return max(now + RETRY_S, self._clock.seconds())
-        return now + RENEW_S if self._own else max(self._rival_until, now + 0.01)
+        return now + self._renew_s if self._own else max(self._rival_until, now + 0.01)
 
     async def _look(self) -> None:
         """Read the lease and learn the outcome of a write without an answer."""
--- a/src/chivesaddle/peers/ports.py
+++ b/src/chivesaddle/peers/ports.py
@@ -7,7 +7,7 @@
 
 
 class LeasePort(Protocol):
-    """The lease of the zone reader, as `chivesaddle.platform.lease.Lease`."""
+    """The lease of the zone reader, as `chivesaddle.objects.lease.Lease`."""
 
     @property
     def version(self) -> int:
--- /dev/null
+++ b/src/chivesaddle/placement/__init__.py
@@ -0,0 +1,15 @@
+"""Which backend server gets a request: what is known of servers, and the choice."""
+
+from chivesaddle.placement.affinity import preferred_servers
+from chivesaddle.placement.choice import Candidate, Need, choose
+from chivesaddle.placement.table import Outcome, ServerTable, TrackedServer
+
+__all__ = [
+    "Candidate",
+    "Need",
+    "Outcome",
+    "ServerTable",
+    "TrackedServer",
+    "choose",
+    "preferred_servers",
+]
--- /dev/null
+++ b/src/chivesaddle/platform/headers.py
@@ -0,0 +1,225 @@
+"""Headers of callers' requests and of servers' answers, decoded and encoded."""
+
+import re
+
+from chivesaddle.core.ids import BackendServerId, ModelId, RequestId
+from chivesaddle.core.serving_model import CallerKey, PartId
+from chivesaddle.forwarding.messages import (
+    CallerRequest,
+    HeaderList,
+    PromptPart,
+    SendOptions,
+    ServerAnswer,
+    ServerLoad,
+)
+from chivesaddle.http1 import Request, ResponseHead
+
+_P = b"x-chivesaddle-"
+# Each client attempt has an id of its own.
+REQUEST_ID = _P + b"attempt-identifier"
+TIME_LIMIT = _P + b"deadline-milliseconds"
+PARTS = _P + b"prompt-prefix"
+# Prompt tokens and the most output tokens, separated by a comma.
+TOKENS = _P + b"token-counts"
+MODEL = _P + b"model"
+ACCOUNT = _P + b"tenant"
+SERVER = _P + b"expected-instance"
+# The server that answers.
+ANSWERED_BY = _P + b"instance"
+# Running, waiting and slots.
+LOAD = _P + b"server-load"
+SIGNATURE = _P + b"server-signature"
+NOT_RUN = _P + b"not-executed"
+CACHE_SCOPE = _P + b"cache-salt"
+# 0 is first, 9 is last.
+PRIORITY = _P + b"request-priority"
+FETCH_FROM = _P + b"kv-fetch-from"
+SAVE_TO = _P + b"kv-save-to"
+FETCH_UNTIL = _P + b"kv-until"
+BACKUP_TO = _P + b"kv-backup"
+CONTINUE_FROM = b"kv-from"
+PIN = _P + b"pin-milliseconds"
+HOLD = _P + b"hold"
+# A single integer, despite the plural.
+WEIGHT_VERSION = _P + b"weight-versions"
+EXPECTED_VERSION = _P + b"expected-version"
+LAST_EVENT = b"last-event-id"
+
+_ONE_CONNECTION_ONLY = {
+    b"connection",
+    b"keep-alive",
+    b"proxy-authenticate",
+    b"proxy-authorization",
+    b"proxy-connection",
+    b"te",
+    b"trailer",
+    b"transfer-encoding",
+    b"upgrade",
+    b"expect",
+    b"content-length",
+}
+# Set by the daemon alone; a caller's own values are dropped.
+_DAEMON_SETS = {
+    b"authorization",
+    TIME_LIMIT,
+    ACCOUNT,
+    SERVER,
+    CACHE_SCOPE,
+    PRIORITY,
+    FETCH_FROM,
+    SAVE_TO,
+    FETCH_UNTIL,
+    BACKUP_TO,
+    CONTINUE_FROM,
+    PIN,
+    HOLD,
+    EXPECTED_VERSION,
+}
+_KEEP_ALIVE = re.compile(r"timeout=(\d+)")
+
+
+def decode_request(request: Request) -> CallerRequest:
+    """Decode a caller's request; malformed optional headers count as absent."""
+    headers = request.headers
+    dropped = _ONE_CONNECTION_ONLY | _DAEMON_SETS | _named_by_connection(headers.items)
+    host = (headers.get("host") or "").rpartition(":")
+    host_name = (host[0] if host[1] and host[2].isdigit() else "".join(host)).lower()
+    time_limit_ms = _number(_get(headers.items, TIME_LIMIT))
+    prompt_tokens, output_tokens = _token_counts(_get(headers.items, TOKENS))
+    model = _get(headers.items, MODEL)
+    return CallerRequest(
+        id=RequestId(_get(headers.items, REQUEST_ID) or ""),
+        method=request.method,
+        target=request.target,
+        host=host_name,
+        passed_headers=[item for item in headers.items if item[0] not in dropped],
+        body=request.body,
+        key=_bearer_key(headers.get("authorization")),
+        time_limit_s=None if time_limit_ms is None else time_limit_ms / 1_000,
+        model=None if model is None else ModelId(model),
+        prompt_tokens=prompt_tokens,
+        output_tokens=output_tokens,
+        parts=_parts(_get(headers.items, PARTS)),
+        resume_after=_get(headers.items, LAST_EVENT),
+    )
+
+
+def server_headers(request: CallerRequest, options: SendOptions) -> HeaderList:
+    """Return the headers of a request to a backend server."""
+    headers = [
+        item
+        for item in request.passed_headers
+        if options.resume_after is None or item[0] != LAST_EVENT
+    ]
+
+    def add(name: bytes, value: object) -> None:
+        if value is not None:
+            headers.append((name, str(value).encode("latin-1")))
+
+    add(SERVER, options.server)
+    if options.time_left_s is not None:
+        add(TIME_LIMIT, max(1, int(options.time_left_s * 1_000)))
+    add(ACCOUNT, options.account)
+    add(EXPECTED_VERSION, options.weight_version)
+    add(PRIORITY, options.priority)
+    add(CACHE_SCOPE, options.cache_scope)
+    add(SAVE_TO, _addresses(options.save_to))
+    add(FETCH_FROM, _addresses(options.fetch_from))
+    add(LAST_EVENT, options.resume_after)
+    return headers
+
+
+def decode_response(head: ResponseHead) -> ServerAnswer:
+    """Decode the head of a backend server's answer."""
+    keep_alive = _KEEP_ALIVE.search(head.get(b"keep-alive") or "")
+    request_id = head.get(REQUEST_ID)
+    server = head.get(ANSWERED_BY)
+    length = head.get(b"content-length")
+    return ServerAnswer(
+        status=head.status,
+        reason=head.reason,
+        request_id=None if request_id is None else RequestId(request_id),
+        is_signed=head.get(SIGNATURE) is not None,
+        was_not_run=head.get(NOT_RUN) is not None or head.status == 421,
+        server=None if server is None else BackendServerId(server),
+        load=_load(head.get(LOAD)),
+        weight_version=_integer(head.get(WEIGHT_VERSION)),
+        keep_alive_s=None if keep_alive is None else float(keep_alive[1]),
+        retry_after_s=_number(head.get(b"retry-after")),
+        content_length=None if length is None else int(length),
+        passed_headers=[
+            item for item in head.headers if item[0] not in _ONE_CONNECTION_ONLY
+        ],
+    )
+
+
+def _get(items: HeaderList, name: bytes) -> str | None:
+    for key, value in items:
+        if key == name:
+            return value.decode("latin-1")
+    return None
+
+
+def _named_by_connection(items: HeaderList) -> set[bytes]:
+    """Return the headers that ``Connection`` declares to be of one connection only.
+
+    Headers that identify the request stay: a caller that names them there would
+    otherwise remove what the server needs to answer it.
+    """
+    names = {
+        name.strip().lower()
+        for key, value in items
+        if key == b"connection"
+        for name in value.split(b",")
+    }
+    return names - {REQUEST_ID, MODEL, TOKENS, PARTS, b"host"}
+
+
+def _bearer_key(value: str | None) -> CallerKey | None:
+    scheme, _, key = (value or "").partition(" ")
+    return CallerKey(key.strip()) if scheme.lower() == "bearer" else None
+
+
+def _parts(value: str | None) -> tuple[PromptPart, ...]:
+    parts = []
+    for entry in (value or "").split(","):
+        part, _, tokens = entry.strip().partition(":")
+        if not part or not tokens.isdigit():
+            return ()
+        parts.append(PromptPart(PartId(part), int(tokens)))
+    return tuple(parts)
+
+
+def _token_counts(value: str | None) -> tuple[int, int]:
+    prompt, _, output = (value or "").partition(",")
+    if prompt.strip().isdigit() and output.strip().isdigit():
+        return int(prompt), int(output)
+    return 0, 0
+
+
+def _load(value: str | None) -> ServerLoad | None:
+    numbers = (value or "").split(",")
+    if len(numbers) != 3 or not all(n.strip().isdigit() for n in numbers):
+        return None
+    return ServerLoad(*(int(n) for n in numbers))
+
+
+def _addresses(values: tuple[str, ...] | None) -> str | None:
+    if values is None or not any(values):
+        return None
+    return ",".join(value or "-" for value in values)
+
+
+def _number(value: str | None) -> float | None:
+    try:
+        number = float(value) if value else None
+    except ValueError:
+        return None
+    return number if number is not None and 0 <= number < 1e9 else None
+
+
+def _integer(value: str | None) -> int | None:
+    return int(value) if value and value.isdigit() else None
+
+
+__all__ = ["decode_request", "decode_response", "server_headers"]
--- /dev/null
+++ b/src/chivesaddle/serving/metrics.py
@@ -0,0 +1,51 @@
+"""Counters and latency histograms, served as text."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+from chivesaddle.http1 import Request, Responder
+
+# Targets of the sheets lie between 0.16 and 0.85 s, time limits between 0.7 and 15 s.
+LATENCY_BUCKETS_S = (
+    0.02, 0.05, 0.1, 0.16, 0.2, 0.3, 0.4, 0.6, 0.85, 1.2, 2.0, 3.0, 5.0, 10.0, 15.0,
+)  # fmt: skip
+
+
+class ServingMetrics:
+    """What a daemon counts."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._requests = Counter(
+            "chivesaddle_requests",
+            "Requests by how they ended",
+            ["result"],
+            registry=self.registry,
+        )
+        self._latency = Histogram(
+            "chivesaddle_request_seconds",
+            "Time from reading a request to the end of its answer",
+            ["result"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._values = Gauge(
+            "chivesaddle_value", "Current values", ["name"], registry=self.registry
+        )
+
+    def observe_request(self, result: str, seconds: float) -> None:
+        """Count an ended request and its time."""
+        self._requests.labels(result).inc()
+        self._latency.labels(result).observe(seconds)
+
+    def set_value(self, name: str, value: float) -> None:
+        """Set a current value."""
+        self._values.labels(name).set(value)
+
+    def handle(self, request: Request, responder: Responder) -> None:
+        """Answer a reader of the metrics."""
+        content_type = (b"content-type", b"text/plain; version=0.0.4")
+        responder.answer(200, generate_latest(self.registry), [content_type])
+
+
+__all__ = ["ServingMetrics"]
--- a/src/chivesaddle/standins/object_api.py
+++ b/src/chivesaddle/standins/object_api.py
@@ -21,7 +21,7 @@
     VersionConflict,
     WriteOutcomeUnknown,
 )
-from chivesaddle.platform.memory import Faults, MemoryObjectApi, WriteFault
+from chivesaddle.objects.memory import Faults, MemoryObjectApi, WriteFault
 from chivesaddle.standins.errors import AnswerLost, Rejected
 from chivesaddle.standins.faults import ObjectApiFaults
 from chivesaddle.standins.rates import TokenBucket
--- a/src/chivesaddle/tools/slopes/fleet.py
+++ b/src/chivesaddle/tools/slopes/fleet.py
@@ -23,10 +23,10 @@
 from chivesaddle.core.objects import ObjectChange
 from chivesaddle.daemon.adapters import ConfigurationPort
 from chivesaddle.daemon.duties import Duties
+from chivesaddle.objects import Lease, MemoryObjectApi
 from chivesaddle.peers import Channels, Member, Peers
 from chivesaddle.peers.server import Handler
 from chivesaddle.peers.traffic import Traffic
-from chivesaddle.platform import Lease, MemoryObjectApi
 
 STEP_S = 0.1
 DEMAND = {AccountId(f"account-{n}"): 100.0 + n for n in range(200)}
--- a/tests/cli/test_app.py
+++ b/tests/cli/test_app.py
@@ -19,6 +19,7 @@
 from chivesaddle.core.aio import start
 from chivesaddle.core.events import EventKind, EventRing
 from chivesaddle.core.settings import OperatorKey
+from chivesaddle.objects import MemoryObjectApi
 from chivesaddle.operators import (
     FleetEvents,
     FleetStatus,
@@ -26,7 +27,6 @@
     OperatorKeys,
     key_digest,
 )
-from chivesaddle.platform import MemoryObjectApi
 
 SERVER = ["--url", "http://127.0.0.1:1", "--zone", "z", "--model", "m"]
 
--- a/tests/faults/conftest.py
+++ b/tests/faults/conftest.py
@@ -12,7 +12,7 @@
 from chivesaddle.core.errors import ChivesaddleError
 from chivesaddle.core.objects import PlatformUnavailable, WriteOutcomeUnknown
 from chivesaddle.daemon.adapters import ConfigurationPort
-from chivesaddle.platform import Lease
+from chivesaddle.objects import Lease
 
 
 def load_parts(name, file="conftest"):
--- a/tests/faults/test_configuration.py
+++ b/tests/faults/test_configuration.py
@@ -3,7 +3,7 @@
 import pytest
 
 from chivesaddle.configuration import PlanOutdated
-from chivesaddle.platform import WriteFault
+from chivesaddle.objects import WriteFault
 
 OTHERS = (1, 2, 3, 4, 5)
 FAULTS = {
--- a/tests/platform/test_client.py
+++ b/tests/objects/test_client.py
@@ -14,7 +14,7 @@
     VersionConflict,
     WriteOutcomeUnknown,
 )
-from chivesaddle.platform import HttpObjectApi
+from chivesaddle.objects.client import HttpObjectApi
 
 ITEM = {"name": "a/b", "version": 7, "value": {"x": 1}}
 
--- a/tests/platform/test_lease.py
+++ b/tests/objects/test_lease.py
@@ -7,7 +7,7 @@
 from twisted.internet.task import Clock
 
 from chivesaddle.core.aio import start
-from chivesaddle.platform import Lease, LeaseState, MemoryObjectApi, WriteFault
+from chivesaddle.objects import Lease, LeaseState, MemoryObjectApi, WriteFault
 
 
 class PausableProcess:
--- a/tests/platform/test_memory.py
+++ b/tests/objects/test_memory.py
@@ -7,7 +7,7 @@
     VersionConflict,
     WriteOutcomeUnknown,
 )
-from chivesaddle.platform import MemoryObjectApi, WriteFault
+from chivesaddle.objects import MemoryObjectApi, WriteFault
 
 
 @pytest.fixture
--- a/tests/operators/test_api.py
+++ b/tests/operators/test_api.py
@@ -14,6 +14,7 @@
 from chivesaddle.core.errors import ChivesaddleError
 from chivesaddle.core.events import EventKind, EventRing
 from chivesaddle.core.settings import OperatorKey
+from chivesaddle.objects import MemoryObjectApi, WriteFault
 from chivesaddle.operators import (
     FleetEvents,
     FleetStatus,
@@ -21,7 +22,6 @@
     OperatorKeys,
     key_digest,
 )
-from chivesaddle.platform import MemoryObjectApi, WriteFault
 
 ACCOUNT = {"kind": "put_account", "id": "tartu"}
 
--- a/tests/peers/conftest.py
+++ b/tests/peers/conftest.py
@@ -10,9 +10,9 @@
 
 from chivesaddle.core.aio import start
 from chivesaddle.core.events import EventRing, HybridClock
+from chivesaddle.objects import MemoryObjectApi
 from chivesaddle.peers import Channels, Member, Peers
 from chivesaddle.peers.traffic import Traffic
-from chivesaddle.platform import MemoryObjectApi
 
 # A script that test_grpc.py starts as a process; it installs its own reactor.
 collect_ignore = ["two_daemons.py"]
--- a/tests/peers/two_daemons.py
+++ b/tests/peers/two_daemons.py
@@ -15,6 +15,7 @@
 
 from chivesaddle.core.events import EventFilter, EventKind, EventRing  # noqa: E402
 from chivesaddle.core.settings import Listen, Settings  # noqa: E402
+from chivesaddle.objects import MemoryObjectApi  # noqa: E402
 from chivesaddle.peers import (  # noqa: E402
     Channels,
     MemberState,
@@ -23,7 +24,6 @@
 )
 from chivesaddle.peers.proto import peer_pb2 as pb  # noqa: E402
 from chivesaddle.peers.traffic import Traffic  # noqa: E402
-from chivesaddle.platform import MemoryObjectApi  # noqa: E402
 from chivesaddle.routing import SuspectCrashed  # noqa: E402
 from conftest import FakeConfiguration, FakeFreshness, FakeLease  # noqa: E402
 
