Place requests by current load of all daemons and move cached parts

Change: beacons tell all daemons what each has under way at a server; cache events of servers and stores feed an index; parts are fetched from a holder or saved.

--- /dev/null
+++ b/src/chivesaddle/cachemap/__init__.py
@@ -0,0 +1,15 @@
+"""Where parts of prompts are cached, and what to move for a request."""
+
+from chivesaddle.cachemap.feeds import CacheEvent, CacheEvents, CacheReader, Feeds
+from chivesaddle.cachemap.index import CacheIndex
+from chivesaddle.cachemap.transfers import PromptPlan, Transfers
+
+__all__ = [
+    "CacheEvent",
+    "CacheEvents",
+    "CacheIndex",
+    "CacheReader",
+    "Feeds",
+    "PromptPlan",
+    "Transfers",
+]
--- /dev/null
+++ b/src/chivesaddle/cachemap/index.py
@@ -0,0 +1,121 @@
+"""Parts that backend servers and KV stores hold, as their events tell."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from chivesaddle.core.aio import Clock
+from chivesaddle.core.serving_model import PartId
+
+# A view that no answer has confirmed for this long is not used: the holder may have
+# restarted, and a store may be writing a part anew that it held before.
+VIEW_USEFUL_S = 1.8
+
+PartKey = tuple[str, PartId]
+
+
+@dataclass(slots=True)
+class _View:
+    """What one holder has; ``epoch`` changes when it restarts."""
+
+    epoch: int
+    confirmed_at: float
+    tokens_by_part: dict[PartKey, int] = field(default_factory=dict)
+    used_tokens: int = 0
+
+
+class CacheIndex:
+    """Parts by the address of their holder.
+
+    A part is identified by its cache scope and id; the scope separates weight versions
+    and isolated accounts.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of ages.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._views: dict[str, _View] = {}
+        self._holders_by_part: dict[PartKey, set[str]] = {}
+
+    def confirm(self, address: str, epoch: int) -> bool:
+        """Note that a holder answered; return False if it has restarted."""
+        view = self._views.get(address)
+        if view is None or view.epoch != epoch:
+            self.forget(address)
+            self._views[address] = _View(epoch, self._clock.seconds())
+            return False
+        view.confirmed_at = self._clock.seconds()
+        return True
+
+    def replace(
+        self, address: str, epoch: int, parts: Iterable[tuple[PartKey, int]]
+    ) -> None:
+        """Take over a holder's whole list."""
+        self.forget(address)
+        self._views[address] = _View(epoch, self._clock.seconds())
+        for key, tokens in parts:
+            self.put(address, key, tokens)
+
+    def put(self, address: str, key: PartKey, tokens: int) -> None:
+        """Note the tokens of a part that a holder has now; 0 removes it."""
+        view = self._views.get(address)
+        if view is None:
+            return
+        view.used_tokens += tokens - view.tokens_by_part.pop(key, 0)
+        if tokens > 0:
+            view.tokens_by_part[key] = tokens
+            self._holders_by_part.setdefault(key, set()).add(address)
+        else:
+            self._remove_holder(key, address)
+
+    def forget(self, address: str) -> None:
+        """Drop what is known of a holder."""
+        view = self._views.pop(address, None)
+        if view is not None:
+            for key in view.tokens_by_part:
+                self._remove_holder(key, address)
+
+    def is_known(self, address: str) -> bool:
+        """Tell whether the holder's view is fresh enough to be used."""
+        view = self._views.get(address)
+        if view is None:
+            return False
+        return self._clock.seconds() - view.confirmed_at <= VIEW_USEFUL_S
+
+    def tokens(self, address: str, key: PartKey) -> int:
+        """Return the tokens of a part that a holder has, 0 if its view is old."""
+        view = self._views.get(address)
+        if view is None or not self.is_known(address):
+            return 0
+        return view.tokens_by_part.get(key, 0)
+
+    def used_tokens(self, address: str) -> int:
+        """Return the tokens that a holder has in all."""
+        view = self._views.get(address)
+        return 0 if view is None else view.used_tokens
+
+    def holders(self, key: PartKey) -> list[str]:
+        """Return the addresses of fresh holders of a part, in a fixed order."""
+        found = self._holders_by_part.get(key, ())
+        return sorted(address for address in found if self.is_known(address))
+
+    def scopes(self, address: str) -> dict[str, list[PartId]]:
+        """Return the parts of a holder by scope."""
+        view = self._views.get(address)
+        parts_by_scope: dict[str, list[PartId]] = {}
+        for scope, part in view.tokens_by_part if view else ():
+            parts_by_scope.setdefault(scope, []).append(part)
+        return parts_by_scope
+
+    def _remove_holder(self, key: PartKey, address: str) -> None:
+        holders = self._holders_by_part.get(key)
+        if holders is not None:
+            holders.discard(address)
+            if not holders:
+                del self._holders_by_part[key]
+
+
+__all__ = ["CacheIndex", "PartKey"]
--- /dev/null
+++ b/src/chivesaddle/fleet/beacons.py
@@ -0,0 +1,147 @@
+"""Datagrams that tell all daemons what this one has under way at each server.
+
+Load reports of servers are late and reach only the daemon that was answered. The sum
+over all daemons' own requests is current, and its cost does not grow with the fleet:
+each daemon sends a fixed number of datagrams a second, whatever the number of peers.
+"""
+
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import msgspec
+import xxhash
+from twisted.internet.protocol import DatagramProtocol
+
+from chivesaddle.core.aio import Clock
+from chivesaddle.core.logs import PartLogger
+from chivesaddle.fleet.members import Members
+
+# Datagrams sent by a daemon in a second. 80 take less than one per cent of a core.
+DATAGRAMS_PER_S = 80.0
+SHORTEST_PERIOD_S = 0.1
+# Unchanged figures are sent again, since datagrams get lost.
+REPEAT_S = 0.5
+
+log = PartLogger("beacons")
+
+
+class ServerShare(msgspec.Struct, array_like=True):
+    """What a daemon has under way at a server.
+
+    Attributes
+    ----------
+    server : int
+        Hash of the server's id.
+    requests : int
+        Requests without a complete answer.
+    unread_tokens : int
+        Prompt tokens to be read of requests without a first event.
+    memory_tokens : int
+        Tokens of memory that the requests take.
+    """
+
+    server: int
+    requests: int
+    unread_tokens: int
+    memory_tokens: int
+
+
+class Beacon(msgspec.Struct, array_like=True):
+    """One datagram; later sequence numbers replace earlier ones."""
+
+    daemon: str
+    incarnation: str
+    sequence: int
+    shares: list[ServerShare]
+
+
+def server_hash(server: str) -> int:
+    """Return the short name of a server in beacons."""
+    return xxhash.xxh32_intdigest(server.encode())
+
+
+class Beacons(DatagramProtocol):
+    """Sends and receives beacons on the peers' port.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of the sending period.
+    members : Members
+        The daemons to send to.
+    collect : callable
+        Returns this daemon's shares.
+    learn : callable
+        Takes over the shares of a peer and the seconds for which they hold.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        members: Members,
+        collect: Callable[[], list[ServerShare]],
+        learn: Callable[[str, Sequence[ServerShare], float], None],
+    ) -> None:
+        self._clock = clock
+        self._members = members
+        self._collect = collect
+        self._learn = learn
+        self._decoder = msgspec.msgpack.Decoder(Beacon)
+        self._sequence = 0
+        self._last: list[ServerShare] = []
+        self._last_at = 0.0
+        self._seen: dict[str, tuple[str, int]] = {}
+        self._timer: Any = None
+        self._port: Any = None
+
+    def listen(self, reactor: Any, address: str) -> None:
+        """Bind to ``ip:port`` and start to send."""
+        host, _, port = address.rpartition(":")
+        self._port = reactor.listenUDP(int(port), self, interface=host)
+        self._tick()
+
+    def stop(self) -> None:
+        """Stop sending and receiving."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        if self._port is not None:
+            self._port.stopListening()
+
+    def datagramReceived(self, data: bytes, addr: Any) -> None:  # noqa: N802
+        """Take over a peer's shares, unless newer ones are known."""
+        try:
+            beacon = self._decoder.decode(data)
+        except msgspec.MsgspecError as error:
+            log.info(
+                "beacon unreadable", extra={"sender": addr[0], "cause": str(error)}
+            )
+            return
+        incarnation, sequence = self._seen.get(beacon.daemon, ("", 0))
+        if beacon.incarnation == incarnation and beacon.sequence <= sequence:
+            return
+        self._seen[beacon.daemon] = (beacon.incarnation, beacon.sequence)
+        self._learn(beacon.daemon, beacon.shares, 3 * max(self._period(), REPEAT_S))
+
+    def _period(self) -> float:
+        peers = max(1, self._members.fleet_size() - 1)
+        return max(SHORTEST_PERIOD_S, peers / DATAGRAMS_PER_S)
+
+    def _tick(self) -> None:
+        self._timer = self._clock.callLater(self._period(), self._tick)
+        shares = self._collect()
+        now = self._clock.seconds()
+        unchanged = shares == self._last
+        if unchanged and (not shares or now - self._last_at < REPEAT_S):
+            return
+        self._last, self._last_at = shares, now
+        self._sequence += 1
+        own = self._members.own
+        data = msgspec.msgpack.encode(
+            Beacon(own.id, own.incarnation, self._sequence, shares)
+        )
+        for member in self._members.serving():
+            host, _, port = member.peers.rpartition(":")
+            self._port.write(data, (host, int(port)))
+
+
+__all__ = ["Beacon", "Beacons", "ServerShare", "server_hash"]
--- a/src/chivesaddle/fleet/channels.py
+++ b/src/chivesaddle/fleet/channels.py
@@ -56,7 +56,7 @@
             host, _, port = address.rpartition(":")
             channel = Channel(host, int(port), codec=_JsonCodec())
             self._channels_by_address[address] = channel
-        method = UnaryUnaryMethod(channel, PATH, self._type, self._type)
+        method: Any = UnaryUnaryMethod(channel, PATH, self._type, self._type)
         try:
             return await with_deadline(
                 self._clock, deadline, from_asyncio(method(message)), "exchange"
--- a/src/chivesaddle/fleet/exchange.py
+++ b/src/chivesaddle/fleet/exchange.py
@@ -7,7 +7,7 @@
 
 import random
 from collections.abc import Callable, Mapping, Sequence
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 from twisted.internet.defer import Deferred
@@ -57,16 +57,14 @@
     hints: dict[str, Any]
 
 
-class HintSource:
+class HintSource(Protocol):
     """What a slice tells peers and learns from them."""
 
     def collect(self) -> Any:
         """Return the observations to send, in JSON types."""
-        raise NotImplementedError
 
     def learn(self, hint: Any) -> None:
         """Take over a peer's observations."""
-        raise NotImplementedError
 
 
 class Exchange:
--- a/src/chivesaddle/forwarding/__init__.py
+++ b/src/chivesaddle/forwarding/__init__.py
@@ -11,6 +11,7 @@
     ServerAnswer,
     ServerLoad,
 )
+from chivesaddle.forwarding.prompts import Prompts
 
 __all__ = [
     "CallerRequest",
@@ -18,6 +19,7 @@
     "Forwarder",
     "Knowledge",
     "PromptPart",
+    "Prompts",
     "RetryBudget",
     "SendOptions",
     "ServerAnswer",
--- a/src/chivesaddle/forwarding/crashes.py
+++ b/src/chivesaddle/forwarding/crashes.py
@@ -68,7 +68,7 @@
     def learn(self, hint: Any) -> None:
         """Take over crashes that a peer saw."""
         for key, crashes in hint.items():
-            known, at = self._seen.get(Fingerprint(key), (set(), 0.0))
+            known, _ = self._seen.get(Fingerprint(key), (set(), 0.0))
             if not set(crashes) <= known:
                 for crash in crashes:
                     self.record(Fingerprint(key), crash)
--- a/src/chivesaddle/forwarding/events.py
+++ b/src/chivesaddle/forwarding/events.py
@@ -7,15 +7,15 @@
 
 
 class EventCutter:
-    """Returns complete events from arbitrary chunks, and remembers the last id.
+    r"""Returns complete events from arbitrary chunks, and remembers the last id.
 
     Examples
     --------
     >>> cutter = EventCutter()
-    >>> cutter.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
-    b'id: 1\\ndata: a\\n\\n'
+    >>> cutter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+    b'id: 1\ndata: a\n\n'
     >>> cutter.last_id, cutter.rest
-    ('1', b'id: 2\\nda')
+    ('1', b'id: 2\nda')
     """
 
     def __init__(self) -> None:
--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 
 from twisted.internet.defer import CancelledError
 
@@ -27,6 +27,7 @@
     SendOptions,
     ServerAnswer,
 )
+from chivesaddle.forwarding.prompts import Prompts, cache_scope
 from chivesaddle.forwarding.relay import Relay
 from chivesaddle.forwarding.send import Exchange, ServerBroke, ServerDidNotRun
 from chivesaddle.http1 import ConnectionPool, Request, Responder, ResponseHead
@@ -77,6 +78,7 @@
     runs: int = 0
     excluded: set[BackendServerId] = field(default_factory=set)
     first_event_at: float | None = None
+    last_candidate: Candidate | None = None
 
 
 class Forwarder:
@@ -100,6 +102,8 @@
         Limits sends beyond the first of a request.
     crashes : CrashRecord
         Stops requests that crash servers.
+    prompts : Prompts
+        Costs and transfers of prompts.
     observe : callable
         Told of each ended request: result, route kind, status and seconds.
     """
@@ -114,6 +118,7 @@
         pool: ConnectionPool,
         budget: RetryBudget,
         crashes: CrashRecord,
+        prompts: Prompts,
         observe: Callable[[str, float], None],
     ) -> None:
         self._clock = clock
@@ -124,6 +129,7 @@
         self._pool = pool
         self._budget = budget
         self._crashes = crashes
+        self._prompts = prompts
         self._observe = observe
         self._random = random.Random()
 
@@ -212,7 +218,8 @@
 
     async def _run(self, job: Job, responder: Responder) -> None:
         """Send until a server's answer is complete; raises how it ended otherwise."""
-        relay = Relay(responder, job.route.kind is RouteKind.STREAM)
+        is_stream = job.route.kind is RouteKind.STREAM
+        relay = Relay(responder, is_stream, self._clock)
         try:
             await with_deadline(
                 self._clock, job.deadline, start(self._attempts(job, relay)), "request"
@@ -230,6 +237,7 @@
             elif not self._budget.take(job.service):
                 raise self._give_up(job, relay, "the retry budget is used up")
             job.sends += 1
+            job.last_candidate = candidate
             try:
                 await self._send(job, relay, candidate)
                 return
@@ -263,13 +271,17 @@
         call = job.request
         if call.model is None:
             return Need()
-        isolated = job.account is not None and job.account.is_isolated
+        shared = call.shared_part
         return Need(
             model=call.model,
             named_version=self._knowledge.named_version(call.model),
             refuses_older=self._knowledge.refuses_older(call.model),
-            parts=[(part.id, part.tokens) for part in call.parts],
-            account_scope=str(job.account.id) if isolated and job.account else "",
+            affinity_key=None if shared is None else str(shared),
+            memory_tokens=call.memory_tokens,
+            server_tokens=self._memory_of(job.service),
+            plan_prompt=lambda server, version: self._prompts.plan(
+                call, job.account, server, version
+            ),
         )
 
     async def _send(self, job: Job, relay: Relay, candidate: Candidate) -> None:
@@ -278,8 +290,8 @@
         now = self._clock.seconds()
         if job.deadline - now < MIN_TIME_LEFT_S:
             raise DeadlineExceeded("no time left to send")
-        need = self._need(job)
-        scope = None if candidate.version is None else need.scope(candidate.version)
+        version, plan = candidate.version, candidate.plan
+        scope = None if version is None else cache_scope(version, job.account)
         options = SendOptions(
             server=server.entry.id,
             time_left_s=job.deadline - now,
@@ -287,10 +299,12 @@
             weight_version=candidate.version,
             priority=self._priority(job),
             cache_scope=scope,
+            save_to=plan.save_to if plan else None,
+            fetch_from=plan.fetch_from if plan else None,
             resume_after=relay.last_event_id or job.request.resume_after,
         )
-        if scope is not None:
-            server.remember(scope, [part.id for part in job.request.parts[:-1]])
+        if scope is not None and plan is not None:
+            self._prompts.record_sent(job.request, scope, server, plan)
         exchange = Exchange(
             self._clock,
             self._servers,
@@ -298,7 +312,14 @@
             server.entry,
             self._wire.decode_response,
         )
-        serial = self._servers.record_send(server.entry.id)
+        serial = self._servers.record_send(
+            server.entry.id,
+            plan.read_tokens if plan else 0,
+            job.request.memory_tokens if plan else 0,
+        )
+        relay.on_first = lambda: self._servers.record_first_event(
+            server.entry.id, serial
+        )
         outcome: Outcome | None = None
         try:
             headers = self._wire.server_headers(job.request, options)
@@ -318,6 +339,7 @@
                 outcome = Outcome.FAILED
                 raise ServerBroke(f"Server answered {answer.status}")
             await relay.pass_on(answer, exchange.read_chunk)
+            job.first_event_at = relay.first_at
             outcome = Outcome.FAILED if answer.status >= 500 else Outcome.ANSWERED
             exchange.finish(answer)
         except ServerDidNotRun as error:
@@ -366,12 +388,18 @@
         if error.answer_status == 503:
             self._servers.record_busy(server)
         model = job.request.model
-        if error.answer_status == 421 and model is not None:
-            if error.answered_by in (None, server):
-                named = self._knowledge.named_version(model)
-                if named is not None:
-                    self._servers.record_version(server, model, named)
-                self._servers.record_busy(server)
+        is_same_server = error.answered_by in (None, server)
+        if error.answer_status == 421 and model is not None and is_same_server:
+            named = self._knowledge.named_version(model)
+            if named is not None:
+                self._servers.record_version(server, model, named)
+            self._servers.record_busy(server)
+
+    def _memory_of(self, service_id: ServiceId) -> int:
+        """Return the tokens that a server of the service holds, or 0."""
+        configuration = self._knowledge.configuration
+        service = configuration and configuration.services_by_id.get(service_id)
+        return service.engine.memory_tokens if service and service.engine else 0
 
     def _priority(self, job: Job) -> int | None:
         if job.request.model is None:
@@ -441,11 +469,34 @@
                 "configuration": job.configuration_version,
                 "sends": job.sends,
                 "runs": job.runs,
+                **self._describe_send(job),
             }
         if error is not None:
             fields["cause"] = error.message
             fields["retry_after_s"] = error.retry_after_s
         log.info(result, extra=fields)
 
+    def _describe_send(self, job: Job) -> dict[str, object]:
+        """Return the inputs of the last choice of a server, for the log."""
+        found = job.last_candidate
+        if found is None:
+            return {}
+        load_age_s = self._clock.seconds() - found.server.load_at
+        fields: dict[str, object] = {
+            "server": found.server.entry.id,
+            "predicted_ms": round(found.predicted_ms),
+            "known": asdict(found.load),
+            "load_age_ms": round(min(load_age_s, 1e6) * 1_000),
+        }
+        if job.first_event_at is not None:
+            fields["first_ms"] = round((job.first_event_at - job.received_at) * 1_000)
+        if found.plan is not None:
+            fields |= {
+                "weights": found.version,
+                "read_tokens": found.plan.read_tokens,
+                "transfer_ms": round(found.plan.transfer_ms),
+            }
+        return fields
+
 
 __all__ = ["Forwarder", "Job", "Wire"]
--- a/src/chivesaddle/forwarding/messages.py
+++ b/src/chivesaddle/forwarding/messages.py
@@ -1,4 +1,4 @@
-"""Requests and answers as the forwarding slice sees them, apart from their wire form."""
+"""Requests and answers as the forwarding slice sees them."""
 
 from dataclasses import dataclass
 
@@ -46,6 +46,11 @@
     parts: tuple[PromptPart, ...]
     resume_after: str | None
 
+    @property
+    def memory_tokens(self) -> int:
+        """Tokens of a server's memory that the request takes at most."""
+        return self.prompt_tokens + self.output_tokens
+
     @property
     def shared_part(self) -> PartId | None:
         """The last part that other requests share, or None."""
--- /dev/null
+++ b/src/chivesaddle/forwarding/prompts.py
@@ -0,0 +1,105 @@
+"""What a request's prompt costs at each server, and the record of what was sent."""
+
+from collections.abc import Mapping
+
+from chivesaddle.cachemap import PromptPlan, Transfers
+from chivesaddle.core.aio import Clock
+from chivesaddle.core.ids import ZoneId
+from chivesaddle.core.serving_model import Account
+from chivesaddle.forwarding.knowledge import Knowledge
+from chivesaddle.forwarding.messages import CallerRequest
+from chivesaddle.placement import ServerTable, TrackedServer
+
+# Events of a part that was just read arrive within this; until then the server counts
+# as its holder.
+EVENT_DELAY_S = 1.2
+
+
+def cache_scope(version: int, account: Account | None) -> str:
+    """Return the scope of cached parts for a weight version and an account.
+
+    Accounts share parts unless one of them is isolated.
+    """
+    if account is not None and account.is_isolated:
+        return f"{version}.{account.id}"
+    return str(version)
+
+
+class Prompts:
+    """Plans prompts with what is known of servers and stores.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of what was sent.
+    knowledge : Knowledge
+        Configuration in force.
+    servers : ServerTable
+        Servers and their zones.
+    transfers : Transfers
+        Plans transfers.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        knowledge: Knowledge,
+        servers: ServerTable,
+        transfers: Transfers,
+    ) -> None:
+        self._clock = clock
+        self._knowledge = knowledge
+        self._servers = servers
+        self._transfers = transfers
+
+    def plan(
+        self,
+        request: CallerRequest,
+        account: Account | None,
+        server: TrackedServer,
+        version: int,
+    ) -> PromptPlan:
+        """Plan a request's prompt at a server that runs ``version``."""
+        scope = cache_scope(version, account)
+        parts = [(part.id, part.tokens) for part in request.parts]
+        configuration = self._knowledge.configuration
+        service = configuration and configuration.services_by_id.get(
+            server.entry.service
+        )
+        if not service or service.engine is None:
+            return PromptPlan(sum(tokens for _, tokens in parts), 0.0)
+        since = self._clock.seconds() - EVENT_DELAY_S
+        assumed = frozenset(
+            part for part, _ in parts if server.was_sent(scope, part, since)
+        )
+        return self._transfers.plan(
+            parts,
+            scope,
+            server.entry.address,
+            server.entry.zone,
+            service.engine,
+            self._zones_by_address(server),
+            assumed,
+        )
+
+    def record_sent(
+        self,
+        request: CallerRequest,
+        scope: str,
+        server: TrackedServer,
+        plan: PromptPlan,
+    ) -> None:
+        """Note what a server gets to read and to save."""
+        parts = [(part.id, part.tokens) for part in request.parts]
+        shared = [part for part, _ in parts[:-1]]
+        server.remember(scope, shared, self._clock.seconds())
+        self._transfers.record_saves(parts, scope, plan)
+
+    def _zones_by_address(self, server: TrackedServer) -> Mapping[str, ZoneId]:
+        return {
+            other.entry.address: other.entry.zone
+            for other in self._servers.of_service(server.entry.service)
+        }
+
+
+__all__ = ["Prompts", "cache_scope"]
--- a/src/chivesaddle/forwarding/relay.py
+++ b/src/chivesaddle/forwarding/relay.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 
+from chivesaddle.core.aio import Clock
 from chivesaddle.forwarding.events import EventCutter
 from chivesaddle.forwarding.messages import HeaderList, ServerAnswer
 from chivesaddle.forwarding.send import ServerBroke
@@ -23,12 +24,17 @@
         Writes to the caller.
     is_stream : bool
         Whether answers are series of events.
+    clock : Clock
+        Clock of ``first_at``, when the answer began.
     """
 
-    def __init__(self, responder: Responder, is_stream: bool) -> None:
+    def __init__(self, responder: Responder, is_stream: bool, clock: Clock) -> None:
         self._responder = responder
         self._is_stream = is_stream
         self._events = EventCutter()
+        self.first_at: float | None = None
+        self.on_first: Callable[[], None] | None = None
+        self._clock = clock
 
     @property
     def has_started(self) -> bool:
@@ -86,6 +92,9 @@
         headers: HeaderList = list(answer.passed_headers)
         if length is not None:
             headers.append((b"content-length", str(length).encode()))
+        self.first_at = self._clock.seconds()
+        if self.on_first is not None:
+            self.on_first()
         self._responder.start(answer.status, answer.reason, headers)
 
     async def _write(self, data: bytes) -> None:
--- a/src/chivesaddle/forwarding/send.py
+++ b/src/chivesaddle/forwarding/send.py
@@ -184,9 +184,9 @@
             )
         if not is_own:
             raise ServerBroke("Answer bears no request id")
-        if 200 <= answer.status < 300:
-            if not answer.is_signed or answer.request_id != request.id:
-                raise ServerBroke("Success without the server's signature or id")
+        is_whole = answer.is_signed and answer.request_id == request.id
+        if 200 <= answer.status < 300 and not is_whole:
+            raise ServerBroke("Success without the server's signature or id")
 
 
 __all__ = ["Exchange", "ServerBroke", "ServerDidNotRun"]
--- a/src/chivesaddle/http1/client.py
+++ b/src/chivesaddle/http1/client.py
@@ -70,6 +70,8 @@
         Requests sent on this connection.
     """
 
+    transport: Any
+
     def __init__(self) -> None:
         self._h11 = h11.Connection(h11.CLIENT)
         self._events: deque[_Event] = deque()
--- a/src/chivesaddle/http1/server.py
+++ b/src/chivesaddle/http1/server.py
@@ -155,6 +155,8 @@
 class CallerConnection(Protocol):
     """Connection of one caller."""
 
+    transport: Any
+
     def __init__(self, listener: Listener) -> None:
         self._listener = listener
         limits = listener.limits()
--- a/src/chivesaddle/placement/__init__.py
+++ b/src/chivesaddle/placement/__init__.py
@@ -2,10 +2,11 @@
 
 from chivesaddle.placement.affinity import preferred_servers
 from chivesaddle.placement.choice import Candidate, Need, choose
-from chivesaddle.placement.table import Outcome, ServerTable, TrackedServer
+from chivesaddle.placement.table import Load, Outcome, ServerTable, TrackedServer
 
 __all__ = [
     "Candidate",
+    "Load",
     "Need",
     "Outcome",
     "ServerTable",
--- a/src/chivesaddle/placement/choice.py
+++ b/src/chivesaddle/placement/choice.py
@@ -1,17 +1,24 @@
 """The choice of a backend server for one request, by predicted time to first token."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 
+from chivesaddle.cachemap import PromptPlan
+from chivesaddle.cachemap.transfers import PREFILL_TOKENS_PER_MS
 from chivesaddle.core.ids import BackendServerId, ModelId, ZoneId
-from chivesaddle.core.serving_model import PartId
 from chivesaddle.placement.affinity import preferred_servers
-from chivesaddle.placement.table import TrackedServer
-
-# Figures of the deployments' sheets: prompt tokens read in a millisecond, and the
-# length of a step, which each running request lengthens a little.
-PREFILL_TOKENS_PER_MS = 61.2
-# A queued request of the sheets' mix reads about 3,000 tokens that are not cached.
+from chivesaddle.placement.table import Load, TrackedServer
+
+# Reading shared parts again also takes time from all other requests of the server, and
+# is what the operators pay most for.
+READ_WEIGHT = 2.5
+# Daemons that do not know yet where a part is being read choose the same server.
+NOT_PREFERRED_MS = 15.0
+# Requests that do not fit a server's memory wait until runs end, which takes one to
+# three seconds. Requests that share parts take less memory than their sum.
+MEMORY_WAIT_MS = 3_000.0
+USABLE_MEMORY = 1.0
+# A plain service of the sheets works about this long on a request.
 WAITING_MS = 50.0
 RUNNING_MS = 6.0
 # Another zone costs a round trip and priced bytes.
@@ -24,6 +31,9 @@
 OLDER_WEIGHTS_MS = 400.0
 
 
+PlanPrompt = Callable[[TrackedServer, int], PromptPlan]
+
+
 @dataclass(frozen=True, slots=True)
 class Need:
     """What a request needs of a server.
@@ -36,36 +46,34 @@
         Version of the model's weights that servers are to run.
     refuses_older : bool
         Whether older versions must not begin requests any more.
-    parts : sequence of (part, tokens)
-        The prompt in order; the last part is the request's own.
-    account_scope : str
-        Isolated account whose cached parts are kept apart; empty for all others.
+    affinity_key : str or None
+        Part by which requests are gathered while no server holds it.
+    plan_prompt : callable or None
+        Returns what the prompt costs at a server with a weight version.
+    memory_tokens : int
+        Tokens of memory that the request takes.
+    server_tokens : int
+        Tokens that a server's memory holds; 0 if it is not known.
     """
 
     model: ModelId | None = None
     named_version: int | None = None
     refuses_older: bool = False
-    parts: Sequence[tuple[PartId, int]] = ()
-    account_scope: str = ""
-
-    def scope(self, version: int) -> str:
-        """Return the cache scope for a weight version."""
-        return f"{version}.{self.account_scope}" if self.account_scope else str(version)
-
-    @property
-    def affinity_key(self) -> str | None:
-        """Part by which requests are gathered on one server, or None."""
-        return str(self.parts[-2][0]) if len(self.parts) > 1 else None
+    affinity_key: str | None = None
+    plan_prompt: PlanPrompt | None = None
+    memory_tokens: int = 0
+    server_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """A server that may get the request, with its predicted time."""
+    """A server that may get the request, with its predicted time and its load."""
 
     server: TrackedServer
     version: int | None
     predicted_ms: float
-    missing_tokens: int
+    plan: PromptPlan | None
+    load: Load
 
 
 def choose(
@@ -119,41 +127,28 @@
     now: float,
     first: BackendServerId | None,
 ) -> Candidate:
-    running, waiting = server.load(now)
-    version = None if need.model is None else server.version_by_model[need.model]
-    missing = _missing_tokens(server, need, version, first)
+    load = server.load(now)
     penalty = FAILURE_MS * server.failure_rate + 1_000.0 * server.silent_s(now)
     if server.busy_until > now:
         penalty += BUSY_MS
     if server.entry.zone != zone:
         penalty += OTHER_ZONE_MS
-    if version is not None and version < (need.named_version or 0):
+    if need.model is None or need.plan_prompt is None:
+        queued = max(0, load.requests + 1 - server.entry.slots)
+        work = WAITING_MS * queued + RUNNING_MS * load.requests
+        return Candidate(server, None, work + penalty, None, load)
+    version = server.version_by_model[need.model]
+    if version < (need.named_version or 0):
         penalty += OLDER_WEIGHTS_MS
-    if need.model is None:
-        work = WAITING_MS * max(0.0, running + waiting - server.entry.slots)
-        work += RUNNING_MS * running
-    else:
-        work = missing / PREFILL_TOKENS_PER_MS
-        work += RUNNING_MS * running + WAITING_MS * waiting
-    return Candidate(server, version, work + penalty, missing)
-
-
-def _missing_tokens(
-    server: TrackedServer,
-    need: Need,
-    version: int | None,
-    first: BackendServerId | None,
-) -> int:
-    """Return the tokens to read: all from the first part that is not cached."""
-    if version is None:
-        return 0
-    scope = need.scope(version)
-    total = sum(tokens for _, tokens in need.parts)
-    for part, tokens in need.parts[:-1]:
-        if server.entry.id != first and not server.holds(scope, part):
-            break
-        total -= tokens
-    return total
-
-
-__all__ = ["Candidate", "Need", "choose"]
+    if server.entry.id != first:
+        penalty += NOT_PREFERRED_MS
+    plan = need.plan_prompt(server, version)
+    work = READ_WEIGHT * plan.read_tokens / PREFILL_TOKENS_PER_MS + plan.transfer_ms
+    work += load.unread_tokens / PREFILL_TOKENS_PER_MS + RUNNING_MS * load.requests
+    over = load.memory_tokens + need.memory_tokens - USABLE_MEMORY * need.server_tokens
+    if need.server_tokens and over > 0:
+        work += MEMORY_WAIT_MS * over / need.server_tokens
+    return Candidate(server, version, work + penalty, plan, load)
+
+
+__all__ = ["Candidate", "Need", "PlanPrompt", "choose"]
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -1,5 +1,6 @@
 """What this daemon knows of each backend server."""
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -41,6 +42,32 @@
     REFUSED = "refused"
 
 
+@dataclass(slots=True)
+class Flight:
+    """A request of this daemon at a server.
+
+    Attributes
+    ----------
+    unread_tokens : int
+        Prompt tokens that the server reads before the first event; 0 after it.
+    memory_tokens : int
+        Tokens of memory that the request takes.
+    """
+
+    sent_at: float
+    unread_tokens: int
+    memory_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Requests of all daemons at a server, as `Flight` counts them."""
+
+    requests: int
+    unread_tokens: int
+    memory_tokens: int
+
+
 @dataclass(slots=True)
 class TrackedServer:
     """A backend server with this daemon's observations; times of the own clock.
@@ -48,7 +75,9 @@
     Attributes
     ----------
     in_flight : dict
-        When each of this daemon's unfinished requests was sent, by a serial number.
+        This daemon's unfinished requests by a serial number.
+    peer_loads : dict
+        What each peer has at the server, and until when that holds.
     unanswered : dict
         The same for requests without any byte of an answer.
     failure_rate : float
@@ -59,7 +88,8 @@
 
     entry: ServerEntry
     version_by_model: dict[ModelId, int]
-    in_flight: dict[int, float] = field(default_factory=dict)
+    in_flight: dict[int, Flight] = field(default_factory=dict)
+    peer_loads: dict[str, tuple[Load, float]] = field(default_factory=dict)
     unanswered: dict[int, float] = field(default_factory=dict)
     last_heard_at: float = 0.0
     running: int = 0
@@ -70,7 +100,9 @@
     ejected_until: float = 0.0
     busy_until: float = 0.0
     lapses_at: float | None = None
-    parts: OrderedDict[tuple[str, PartId], None] = field(default_factory=OrderedDict)
+    sent_parts: OrderedDict[tuple[str, PartId], float] = field(
+        default_factory=OrderedDict
+    )
 
     def silent_s(self, now: float) -> float:
         """Return how long the server has left this daemon without any byte."""
@@ -78,26 +110,43 @@
             return 0.0
         return max(0.0, now - max(self.last_heard_at, min(self.unanswered.values())))
 
-    def load(self, now: float) -> tuple[float, float]:
-        """Return estimated running and waiting requests."""
-        age = now - self.load_at
-        weight = max(0.0, 1.0 - age / LOAD_USEFUL_S)
-        sent_since = sum(at > self.load_at for at in self.in_flight.values())
-        running = max(float(len(self.in_flight)), weight * self.running + sent_since)
-        return running, weight * self.waiting
+    def own_load(self) -> Load:
+        """Return what this daemon has at the server."""
+        flights = self.in_flight.values()
+        return Load(
+            len(flights),
+            sum(flight.unread_tokens for flight in flights),
+            sum(flight.memory_tokens for flight in flights),
+        )
+
+    def load(self, now: float) -> Load:
+        """Return what all daemons have at the server.
+
+        A load report that counts more requests than are known of takes their place.
+        """
+        loads = [self.own_load()]
+        loads += [load for load, until in self.peer_loads.values() if until > now]
+        requests = sum(load.requests for load in loads)
+        weight = max(0.0, 1.0 - (now - self.load_at) / LOAD_USEFUL_S)
+        reported = int(weight * (self.running + self.waiting))
+        return Load(
+            max(requests, reported),
+            sum(load.unread_tokens for load in loads),
+            sum(load.memory_tokens for load in loads),
+        )
 
-    def holds(self, scope: str, part: PartId) -> bool:
-        """Tell whether this daemon recently had the server read a part."""
-        return (scope, part) in self.parts
+    def was_sent(self, scope: str, part: PartId, since: float) -> bool:
+        """Tell whether this daemon sent the server a part after ``since``."""
+        return self.sent_parts.get((scope, part), -math.inf) >= since
 
-    def remember(self, scope: str, parts: Iterable[PartId]) -> None:
-        """Note parts that the server now holds."""
+    def remember(self, scope: str, parts: Iterable[PartId], now: float) -> None:
+        """Note parts that the server gets to read."""
         for part in parts:
             key = (scope, part)
-            self.parts[key] = None
-            self.parts.move_to_end(key)
-        while len(self.parts) > MAX_PARTS:
-            self.parts.popitem(last=False)
+            self.sent_parts[key] = now
+            self.sent_parts.move_to_end(key)
+        while len(self.sent_parts) > MAX_PARTS:
+            self.sent_parts.popitem(last=False)
 
 
 class ServerTable:
@@ -174,13 +223,15 @@
         log.info("server gone", extra={"server": server})
         del self._by_id[server]
 
-    def record_send(self, server: BackendServerId) -> int:
+    def record_send(
+        self, server: BackendServerId, unread_tokens: int = 0, memory_tokens: int = 0
+    ) -> int:
         """Note a request that is about to be sent; return its serial number."""
         self._serial += 1
         tracked = self._by_id.get(server)
         if tracked is not None:
             now = self._clock.seconds()
-            tracked.in_flight[self._serial] = now
+            tracked.in_flight[self._serial] = Flight(now, unread_tokens, memory_tokens)
             tracked.unanswered[self._serial] = now
         return self._serial
 
@@ -191,6 +242,13 @@
             tracked.unanswered.pop(serial, None)
             tracked.last_heard_at = self._clock.seconds()
 
+    def record_first_event(self, server: BackendServerId, serial: int) -> None:
+        """Note that a request's prompt has been read."""
+        tracked = self._by_id.get(server)
+        flight = None if tracked is None else tracked.in_flight.get(serial)
+        if flight is not None:
+            flight.unread_tokens = 0
+
     def record_load(
         self, server: BackendServerId, running: int, waiting: int, age_s: float = 0.0
     ) -> None:
--- a/src/chivesaddle/platform/calls.py
+++ b/src/chivesaddle/platform/calls.py
@@ -2,9 +2,11 @@
 
 import msgspec
 
+from chivesaddle.cachemap import CacheEvent, CacheEvents
 from chivesaddle.core.aio import Clock
 from chivesaddle.core.errors import ChivesaddleError
 from chivesaddle.core.ids import BackendServerId, FencingToken, ModelId
+from chivesaddle.core.serving_model import PartId
 from chivesaddle.http1 import (
     ConnectionPool,
     NotSent,
@@ -12,6 +14,7 @@
     ResponseHead,
     exchange,
 )
+from chivesaddle.http1.client import HeaderList
 
 # Servers close idle connections after seconds at the least.
 POOLED_IDLE_S = 1.0
@@ -39,6 +42,21 @@
     models: list[_Model] = msgspec.field(default_factory=list)
 
 
+class _CacheEvents(msgspec.Struct):
+    # Changes when the holder restarts.
+    boot_epoch: int
+    # Value of ``since`` for the next call.
+    next_token: int
+    # Events before these are gone.
+    lost: bool = False
+    # Number, "+" or "-", scope, part, tokens stored now, model.
+    events: list[tuple[int, str, str, str, int, str]] = msgspec.field(
+        default_factory=list
+    )
+    # Scope, part, tokens, model.
+    held: list[tuple[str, str, int, str]] = msgspec.field(default_factory=list)
+
+
 class ServerApi:
     """Report and orders of backend servers.
 
@@ -111,6 +129,57 @@
         head, _ = await self._call(server, address, "POST", "/order", body, deadline)
         return head.status in (200, 202)
 
+    async def read_events(
+        self, address: str, position: int, wait_s: float, deadline: float
+    ) -> CacheEvents:
+        """Wait for cache events after a position; raises `ServerCallFailed`."""
+        target = f"/kv-events?since={position}"
+        headers = [(b"wait-ms", str(int(wait_s * 1_000)).encode())]
+        found = await self._read_cache(address, target, headers, deadline)
+        events = [
+            CacheEvent((scope, PartId(part)), tokens)
+            for _, _, scope, part, tokens, _ in found.events
+        ]
+        return CacheEvents(
+            found.boot_epoch, found.next_token, found.lost, tuple(events)
+        )
+
+    async def read_list(self, address: str, deadline: float) -> CacheEvents:
+        """Read all parts that a holder has; raises `ServerCallFailed`."""
+        found = await self._read_cache(address, "/kv-list", [], deadline)
+        events = [
+            CacheEvent((scope, PartId(part)), tokens)
+            for scope, part, tokens, _ in found.held
+        ]
+        return CacheEvents(found.boot_epoch, found.next_token, False, tuple(events))
+
+    async def _read_cache(
+        self, address: str, target: str, headers: HeaderList, deadline: float
+    ) -> _CacheEvents:
+        try:
+            head, body = await exchange(
+                self._pool,
+                self._clock,
+                address,
+                "GET",
+                target,
+                deadline=deadline,
+                headers=headers,
+                max_idle_s=POOLED_IDLE_S,
+            )
+        except (NotSent, ResponseBroken) as error:
+            raise ServerCallFailed(
+                f"No answer of cache holder {address}: {error.message}"
+            ) from error
+        if head.status != 200:
+            raise ServerCallFailed(f"Cache holder {address} answered {head.status}")
+        try:
+            return msgspec.json.decode(body, type=_CacheEvents)
+        except msgspec.MsgspecError as error:
+            raise ServerCallFailed(
+                f"Answer of cache holder {address} is malformed: {error}"
+            ) from None
+
     async def _call(
         self,
         server: BackendServerId,
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -3,11 +3,13 @@
 import os
 from typing import Any
 
+from chivesaddle.cachemap import CacheIndex, Feeds, Transfers
 from chivesaddle.core.aio import log_failure, sleep_until, start
 from chivesaddle.core.errors import InvalidValue
 from chivesaddle.core.ids import BackendServerId, ZoneId
 from chivesaddle.core.logs import PartLogger
 from chivesaddle.fleet import (
+    Beacons,
     Entry,
     Exchange,
     ExchangeMessage,
@@ -19,7 +21,14 @@
 )
 from chivesaddle.fleet.channels import PeerCaller, PeerListener
 from chivesaddle.fleet.members import MEMBERS_KIND
-from chivesaddle.forwarding import CrashRecord, Forwarder, Knowledge, RetryBudget, Wire
+from chivesaddle.forwarding import (
+    CrashRecord,
+    Forwarder,
+    Knowledge,
+    Prompts,
+    RetryBudget,
+    Wire,
+)
 from chivesaddle.http1 import (
     CallerLimits,
     ConnectionPool,
@@ -47,7 +56,7 @@
     decode_weight_version,
     server_headers,
 )
-from chivesaddle.serving.hints import LoadHints
+from chivesaddle.serving.hints import LoadHints, ServerShares
 from chivesaddle.serving.metrics import ServingMetrics
 from chivesaddle.serving.registration import Registration
 from chivesaddle.serving.settings import ServingSettings
@@ -130,9 +139,12 @@
         self._peer_listener = PeerListener(
             settings.listen.peers, ExchangeMessage, self._exchange.handle
         )
+        shares = ServerShares(reactor, self._servers)
+        self._beacons = Beacons(reactor, self._members, shares.collect, shares.learn)
         self._registration = Registration(
             self.store, reactor, own, self._replicas[MEMBERS_KIND]
         )
+        server_api = ServerApi(self._server_pool, reactor)
         self._rollout = Rollout(
             reactor,
             settings.daemon_id,
@@ -146,9 +158,12 @@
             ),
             self._servers,
             self._knowledge,
-            ServerApi(self._server_pool, reactor),
+            server_api,
             self._members.rank,
         )
+        self._index = CacheIndex(reactor)
+        self._feeds = Feeds(reactor, server_api, self._index)
+        self._transfers = Transfers(reactor, self._index)
         self._forwarder = Forwarder(
             reactor,
             ZoneId(settings.zone),
@@ -164,6 +179,7 @@
                 self._members.fleet_size,
             ),
             crashes,
+            Prompts(reactor, self._knowledge, self._servers, self._transfers),
             self.metrics.observe_request,
         )
         self._callers: Any = None
@@ -184,6 +200,7 @@
         await self._peer_listener.start()
         for watcher in self._watchers:
             watcher.start()
+        self._beacons.listen(self._reactor, addresses.peers)
         self._exchange.start()
         self._registration.start()
         self._rollout.start()
@@ -207,6 +224,8 @@
         while self._callers.in_flight and self._reactor.seconds() < end:
             await sleep_until(self._reactor, self._reactor.seconds() + 0.05)
         self._exchange.stop()
+        self._feeds.stop()
+        self._beacons.stop()
         for watcher in self._watchers:
             watcher.stop()
         log.info("stopped", extra={"in_flight": self._callers.in_flight})
@@ -293,9 +312,28 @@
             return
         self._knowledge.put_weight_version(named.model, named.version)
 
+    def _follow_holders(self) -> None:
+        """Read cache events of all holders, if they accept that many readers."""
+        configuration = self._knowledge.configuration
+        if configuration is None:
+            return
+        stores = {s.address: s for s in configuration.stores_by_id.values()}
+        self._transfers.set_stores(stores)
+        is_store_by_address = dict.fromkeys(stores, True)
+        fleet_size = self._members.fleet_size()
+        for tracked in self._servers.all():
+            service = configuration.services_by_id.get(tracked.entry.service)
+            if service is not None and service.engine is not None:
+                if fleet_size > service.engine.event_readers:
+                    is_store_by_address.clear()
+                    break
+                is_store_by_address[tracked.entry.address] = False
+        self._feeds.set_holders(is_store_by_address)
+
     async def _keep_house(self) -> None:
         while not self._leaving:
             await sleep_until(self._reactor, self._reactor.seconds() + HOUSEKEEPING_S)
+            self._follow_holders()
             self._server_pool.close_expired()
             self._store_pool.close_expired()
             self.metrics.set_value("store_calls", self.store.calls)
--- a/src/chivesaddle/weights/rollout.py
+++ b/src/chivesaddle/weights/rollout.py
@@ -196,7 +196,9 @@
             if server.entry.id not in self._loading
             and self._retry_at.get(server.entry.id, 0.0) <= now
         ]
-        return sorted(due, key=lambda server: (sum(server.load(now)), server.entry.id))
+        return sorted(
+            due, key=lambda server: (server.load(now).requests, server.entry.id)
+        )
 
     def _start_load(self, server: TrackedServer, model: ModelId, version: int) -> None:
         name = server.entry.id
