Replace the assumed object API by the platform's published protocol

There is one client of the store now: platform/store.py. The stand-in, the demo fleet and the daemon speak the same protocol. Before: two protocols for one store.

--- a/src/chivesaddle/daemon/app.py
+++ b/src/chivesaddle/daemon/app.py
@@ -52,10 +52,10 @@
     scope,
 )
 from chivesaddle.objects import Lease
-from chivesaddle.objects.client import HttpObjectApi
 from chivesaddle.operators import OperatorApi, OperatorKeys
 from chivesaddle.orders import OrdersTask
 from chivesaddle.peers import Peers, ServerReport
+from chivesaddle.platform.store import StoreClient
 from chivesaddle.routing import Announcement, Router, SuspectCleared, SuspectCrashed
 
 UPKEEP_INTERVAL_S = 1.0
@@ -113,7 +113,7 @@
 
     def _build_configuration(self) -> None:
         settings, reactor = self._settings, self._reactor
-        self.platform = HttpObjectApi.from_config(settings.platform_url, reactor)
+        self.platform = StoreClient.from_config(settings.platform_url, reactor)
         self.holder = ConfigHolder()
         self.freshness = Freshness(settings.daemon_id, settings.zone)
         self.config = ConfigService(
--- a/src/chivesaddle/http1/__init__.py
+++ b/src/chivesaddle/http1/__init__.py
@@ -10,6 +10,7 @@
     NotSent,
     ResponseBroken,
     ResponseHead,
+    ResponseLate,
     ServerConnection,
 )
 from chivesaddle.http1.exchange import exchange
@@ -34,6 +35,7 @@
     "Responder",
     "ResponseBroken",
     "ResponseHead",
+    "ResponseLate",
     "ServerConnection",
     "exchange",
     "listen",
--- a/src/chivesaddle/http1/client.py
+++ b/src/chivesaddle/http1/client.py
@@ -35,6 +35,12 @@
     status = 502
 
 
+class ResponseLate(ResponseBroken):
+    """No complete response arrived by the deadline."""
+
+    code = "response_late"
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Status and headers of a response; header names are lower case."""
@@ -347,5 +353,6 @@
     "NotSent",
     "ResponseBroken",
     "ResponseHead",
+    "ResponseLate",
     "ServerConnection",
 ]
--- a/src/chivesaddle/http1/exchange.py
+++ b/src/chivesaddle/http1/exchange.py
@@ -4,8 +4,8 @@
 from chivesaddle.core.errors import DeadlineExceeded
 from chivesaddle.http1.client import (
     HeaderList,
-    ResponseBroken,
     ResponseHead,
+    ResponseLate,
     ServerConnection,
 )
 from chivesaddle.http1.pool import ConnectionPool
@@ -42,7 +42,8 @@
     NotSent
         If no byte of the request was written.
     ResponseBroken
-        If the request was written and a complete response is missing.
+        If the request was written and a complete response is missing;
+        `ResponseLate` if the deadline passed.
     """
     connect_deadline = min(deadline, clock.seconds() + CONNECT_S)
     connection = await pool.acquire(address, connect_deadline, max_idle_s=max_idle_s)
@@ -58,7 +59,7 @@
     try:
         answer = await with_deadline(clock, deadline, start(run()), what)
     except DeadlineExceeded as error:
-        raise ResponseBroken(error.message) from error
+        raise ResponseLate(error.message) from error
     finally:
         if not connection.is_reusable:
             connection.abort()
--- a/src/chivesaddle/http1/pool.py
+++ b/src/chivesaddle/http1/pool.py
@@ -31,7 +31,7 @@
     async def acquire(
         self, address: str, deadline: float, *, max_idle_s: float = DEFAULT_IDLE_S
     ) -> ServerConnection:
-        """Return a kept connection idle for at most ``max_idle_s``, or a new one.
+        """Return a kept connection idle for less than ``max_idle_s``, or a new one.
 
         Raises
         ------
@@ -45,7 +45,7 @@
             until = self._usable_until.pop(connection, 0.0)
             if not connection.is_reusable:
                 continue
-            if now < until and now - connection.idle_since <= max_idle_s:
+            if now < until and now - connection.idle_since < max_idle_s:
                 connection.on_idle_loss = None
                 return connection
             connection.abort()
--- a/src/chivesaddle/platform/store.py
+++ b/src/chivesaddle/platform/store.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from chivesaddle.core.aio import Clock
-from chivesaddle.core.errors import InvalidValue
+from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded, InvalidValue
 from chivesaddle.core.objects import (
     ChangeType,
     ObjectChange,
@@ -19,13 +19,24 @@
     VersionConflict,
     WriteOutcomeUnknown,
 )
-from chivesaddle.http1 import ConnectionPool, NotSent, ResponseBroken, exchange
+from chivesaddle.http1 import (
+    ConnectionPool,
+    Connector,
+    NotSent,
+    ResponseBroken,
+    ResponseHead,
+    ResponseLate,
+    exchange,
+)
 
 # Part of a watch's deadline that is kept for its answer to arrive.
 WATCH_ANSWER_S = 1.0
 MAX_WATCH_S = 30.0
-# A pooled connection may have gone silent; the store answers in milliseconds.
+MAX_VALUE_BYTES = 1_000_000
+# A kept connection may have gone silent. The store answers in 4 ms, and in 0.3 s while
+# it is slow.
 POOLED_IDLE_S = 2.0
+POOLED_READ_S = 0.5
 
 
 class _Metadata(msgspec.Struct):
@@ -59,8 +70,9 @@
 class StoreClient:
     """Objects of the platform's store over HTTP.
 
-    Writes raise `PlatformUnavailable` only if they certainly had no effect, otherwise
-    `WriteOutcomeUnknown`. Reads raise `PlatformUnavailable`.
+    Reads raise `PlatformUnavailable` or `DeadlineExceeded`. Writes raise
+    `PlatformUnavailable` only if they certainly had no effect, otherwise
+    `WriteOutcomeUnknown`; they never raise `DeadlineExceeded`.
 
     Parameters
     ----------
@@ -83,9 +95,18 @@
         self._max_value_bytes = max_value_bytes
         self.calls = 0
 
+    @classmethod
+    def from_config(
+        cls, url: str, reactor: Any, max_value_bytes: int = MAX_VALUE_BYTES
+    ) -> "StoreClient":
+        """Build a client of the store at ``http://ip:port``."""
+        address = url.removeprefix("http://").rstrip("/")
+        pool = ConnectionPool(Connector(reactor), reactor)
+        return cls(address, pool, reactor, max_value_bytes)
+
     async def get(self, kind: str, name: str, *, deadline: float) -> StoredObject:
         """Read one object."""
-        content = await self._call("GET", _path(kind, name), b"", deadline)
+        content = await self._read(_path(kind, name), deadline)
         return _stored(kind, _decoded(content, _Object))
 
     async def list_objects(
@@ -101,7 +122,7 @@
         after = ""
         while True:
             query = f"?{urlencode({'after': after})}" if after else ""
-            content = await self._call("GET", _path(kind) + query, b"", deadline)
+            content = await self._read(_path(kind) + query, deadline)
             page = _decoded(content, _Page)
             revision = page.at if revision is None else revision
             for found in page.items:
@@ -143,7 +164,8 @@
         wait_ms = int(min(max(wait_s, 0.0), MAX_WATCH_S) * 1_000)
         query = urlencode({"watch": after, "wait_ms": wait_ms})
         limit = min(deadline, self._clock.seconds() + wait_ms / 1_000 + WATCH_ANSWER_S)
-        content = await self._call("GET", f"{_path(kind)}?{query}", b"", limit)
+        target = f"{_path(kind)}?{query}"
+        content = await self._call("GET", target, b"", limit, POOLED_IDLE_S)
         found = _decoded(content, _Events)
         return ObjectChanges(
             found.at, tuple(_change(kind, event) for event in found.events)
@@ -158,20 +180,34 @@
             )
         return body
 
+    async def _read(self, target: str, deadline: float) -> bytes:
+        """Read over a kept connection, and over a new one if that stays silent."""
+        first = min(deadline, self._clock.seconds() + POOLED_READ_S)
+        try:
+            return await self._call("GET", target, b"", first, POOLED_IDLE_S)
+        except (_AnswerMissing, DeadlineExceeded):
+            if self._clock.seconds() >= deadline:
+                raise
+        return await self._call("GET", target, b"", deadline, 0.0)
+
     async def _write(
-        self, method: str, path: str, body: bytes, deadline: float
+        self, method: str, target: str, body: bytes, deadline: float
     ) -> bytes:
+        # A write may take effect without an answer, so it never risks a connection
+        # that has been idle.
         try:
-            return await self._call(method, path, body, deadline)
-        except _AnswerMissing as error:
+            return await self._call(method, target, body, deadline, 0.0)
+        except (_AnswerMissing, DeadlineExceeded) as error:
             raise WriteOutcomeUnknown(
-                f"No answer to {method} {path}: {error.message}"
+                f"No answer to {method} {target}: {error.message}"
             ) from error
 
     async def _call(
-        self, method: str, path: str, body: bytes, deadline: float
+        self, method: str, target: str, body: bytes, deadline: float, max_idle_s: float
     ) -> bytes:
-        what = f"{method} {path}"
+        what = f"{method} {target}"
+        if self._clock.seconds() >= deadline:
+            raise PlatformUnavailable(f"{what} was not sent: its deadline has passed")
         self.calls += 1
         try:
             head, content = await exchange(
@@ -179,22 +215,22 @@
                 self._clock,
                 self._address,
                 method,
-                path,
+                target,
                 deadline=deadline,
                 body=body,
-                # A write may take effect without an answer, so it never risks a
-                # connection that has been idle.
-                max_idle_s=POOLED_IDLE_S if method == "GET" else 0.0,
+                max_idle_s=max_idle_s,
             )
         except NotSent as error:
             raise PlatformUnavailable(
                 f"{what} was not sent: {error.message}"
             ) from error
+        except ResponseLate as error:
+            raise DeadlineExceeded(error.message) from error
         except ResponseBroken as error:
             raise _AnswerMissing(f"{what}: {error.message}") from error
         if 200 <= head.status < 300:
             return content
-        raise _rejection(head.status, what)
+        raise _rejection(head, what)
 
 
 class _AnswerMissing(PlatformUnavailable):
@@ -230,9 +266,9 @@
     return ObjectChange(change, _stored(kind, event.object))
 
 
-def _rejection(status: int, what: str) -> Exception:
-    message = f"The store answered {status} to {what}"
-    match status:
+def _rejection(head: ResponseHead, what: str) -> ChivesaddleError:
+    message = f"The store answered {head.status} to {what}"
+    match head.status:
         case 404:
             return ObjectNotFound(message)
         case 409:
@@ -243,7 +279,14 @@
             return InvalidValue(message, remedy="Split the value over several objects")
         case 408 | 500 | 502 | 504:
             return _AnswerMissing(message)
-    return PlatformUnavailable(message)
+    return PlatformUnavailable(message, retry_after_s=_retry_after_s(head))
+
+
+def _retry_after_s(head: ResponseHead) -> float | None:
+    try:
+        return float(head.get(b"retry-after") or "")
+    except ValueError:
+        return None
 
 
 __all__ = ["StoreClient"]
--- a/src/chivesaddle/tools/fleet.py
+++ b/src/chivesaddle/tools/fleet.py
@@ -78,7 +78,7 @@
         self._daemon_count = daemons
         self._zones_by_name: dict[str, str] = {}
         self._instances_by_name: dict[str, dict[str, Any]] = {}
-        self._tags_by_instance: dict[str, str] = {}
+        self._revisions_by_instance: dict[str, int] = {}
         self._standin_names: list[str] = []
         self._daemon_names: list[str] = []
         self.urls_by_name: dict[str, str] = {}
@@ -168,13 +168,18 @@
     def set_instance_state(self, name: str, state: str) -> None:
         """Change an instance's state in the platform's list: live or leaving."""
         value = {**self._instances_by_name[name], "state": state}
-        self._put_instance(name, value, {"If-Match": self._tags_by_instance[name]})
+        metadata = {"name": name, "revision": self._revisions_by_instance[name]}
+        answer = HTTP.put(
+            f"{self._instances_url()}/{name}",
+            json={"metadata": metadata, "specification": value},
+        )
+        self._remember_instance(name, value, answer)
 
     def remove_instance(self, name: str) -> None:
         """Remove an instance from the platform's list."""
+        revision = self._revisions_by_instance.pop(name)
         HTTP.delete(
-            self._instance_url(name),
-            headers={"If-Match": self._tags_by_instance.pop(name)},
+            f"{self._instances_url()}/{name}", params={"revision": revision}
         ).raise_for_status()
 
     def describe(self) -> dict[str, Any]:
@@ -353,21 +358,21 @@
             **addresses,
             "state": "live",
         }
-        self._put_instance(name, value, {"If-None-Match": "*"})
+        answer = HTTP.post(
+            self._instances_url(),
+            json={"metadata": {"name": name}, "specification": value},
+        )
+        self._remember_instance(name, value, answer)
         self._zones_by_name[name] = zone
 
-    def _put_instance(
-        self, name: str, value: dict[str, Any], precondition: dict[str, str]
-    ) -> None:
-        answer = HTTP.put(
-            self._instance_url(name), json=value, headers=precondition
-        ).raise_for_status()
+    def _remember_instance(self, name: str, value: dict[str, Any], answer: Any) -> None:
+        metadata = answer.raise_for_status().json()["metadata"]
         self._instances_by_name[name] = value
-        # Reads of the list lag, so versions are remembered from writes.
-        self._tags_by_instance[name] = f'"{answer.json()["version"]}"'
+        # Reads of the list lag, so revisions are remembered from writes.
+        self._revisions_by_instance[name] = metadata["revision"]
 
-    def _instance_url(self, name: str) -> str:
-        return f"{self.urls_by_name['object-api']}/objects/instances/{name}"
+    def _instances_url(self) -> str:
+        return f"{self.urls_by_name['object-api']}/objects/instances"
 
     def _write_description(self) -> None:
         text = json.dumps(self.describe(), indent=2)
