--- a/src/chivesaddle/fleet/members.py
+++ b/src/chivesaddle/fleet/members.py
@@ -101,6 +101,10 @@
         age = self._clock.seconds() - heard.at
         return age <= self._silent_s() and not heard.is_leaving
 
+    def _is_leaving(self, daemon: str) -> bool:
+        heard = self._heard_by_id.get(daemon)
+        return heard is not None and heard.is_leaving
+
     def serving(self) -> list[Member]:
         """Return the daemons that take callers, without this one's own state."""
         return [member for member in self.peers() if self.is_serving(member.id)]
@@ -117,7 +121,7 @@
         """
         found = self.serving()
         if not found:
-            found = self.peers()
+            found = [peer for peer in self.peers() if not self._is_leaving(peer.id)]
         if own_is_ready:
             found = [*found, self.own]
         near = [member for member in found if member.zone == zone]
--- /dev/null
+++ b/tests/fleet/test_members.py
@@ -0,0 +1,59 @@
+import pytest
+
+from chivesaddle.fleet import Entry, Member, Members, Replica
+
+
+def member(name, zone="z"):
+    return Member(name, f"{name}-1", zone, f"{name}:80", f"{name}:81")
+
+
+def value(found):
+    return {f: getattr(found, f) for f in found.__struct_fields__}
+
+
+@pytest.fixture
+def members(clock):
+    replica = Replica("daemons")
+    for number, name in enumerate("bcd"):
+        zone = "z" if name != "d" else "y"
+        replica.merge(number + 1, [Entry(name, number + 1, value(member(name, zone)))])
+    return Members(clock, member("a"), replica)
+
+
+class TestCallerAddresses:
+    def test_callers_get_the_running_daemons_of_their_zone(self, members):
+        for name in "bcd":
+            members.record_heard(name, f"{name}-1", 0.0, False)
+        assert members.caller_addresses("z", True) == ["b:80", "c:80", "a:80"]
+
+    def test_zone_with_one_daemon_shares_all(self, members):
+        for name in "bcd":
+            members.record_heard(name, f"{name}-1", 0.0, False)
+        assert len(members.caller_addresses("y", True)) == 4
+
+    def test_silent_and_leaving_daemons_are_left_out(self, members, clock):
+        members.record_heard("b", "b-1", 0.0, False)
+        members.record_heard("c", "c-1", 0.0, True)
+        clock.advance(1)
+        members.record_heard("d", "d-1", 0.0, False)
+        clock.advance(2.5)
+        assert members.caller_addresses("z", False) == ["d:80"]
+
+    def test_daemon_that_hears_nobody_names_all(self, members):
+        assert len(members.caller_addresses("z", True)) == 3
+
+    def test_restarted_daemon_is_no_longer_leaving(self, members, clock):
+        members.record_heard("b", "b-1", 0.0, True)
+        clock.advance(0.5)
+        members.record_heard("b", "b-2", 0.0, False)
+        assert members.is_serving("b")
+
+    def test_news_of_an_earlier_run_changes_nothing(self, members, clock):
+        clock.advance(5)
+        members.record_heard("b", "b-2", 0.0, False)
+        members.record_heard("b", "b-1", 1.0, True)
+        assert members.is_serving("b")
+
+    def test_unreadable_registration_is_passed_over(self, members):
+        members._replica.merge(9, [Entry("e", 9, {"id": 5})])
+        assert [m.id for m in members.peers()] == ["b", "c", "d"]
--- /dev/null
+++ b/tests/forwarding/conftest.py
@@ -0,0 +1,296 @@
+"""A daemon's request path over a network and servers that the tests play by hand."""
+
+from types import SimpleNamespace
+
+import pytest
+from twisted.internet.error import (
+    ConnectionDone,
+    ConnectionLost,
+    ConnectionRefusedError,
+)
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
+
+from chivesaddle.cachemap import CacheIndex, Transfers
+from chivesaddle.core.ids import ServiceId, ZoneId
+from chivesaddle.forwarding import (
+    CrashRecord,
+    Forwarder,
+    Knowledge,
+    Prompts,
+    RetryBudget,
+    Wire,
+)
+from chivesaddle.http1 import ConnectionPool, Connector
+from chivesaddle.http1.server import CallerConnection, Listener
+from chivesaddle.placement import ServerTable
+from chivesaddle.platform import (
+    decode_configuration,
+    decode_request,
+    decode_response,
+    decode_server,
+    server_headers,
+)
+
+CONFIGURATION = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "safe",
+            "host": "h.example",
+            "path_prefix": "/safe/",
+            "kind": "safe",
+            "timeout_ms": 1000,
+            "target_latency_ms": 200,
+            "attempts": 2,
+            "service": "app",
+        },
+        {
+            "name": "unsafe",
+            "host": "h.example",
+            "path_prefix": "/unsafe/",
+            "kind": "unsafe",
+            "timeout_ms": 1000,
+            "attempts": 1,
+            "service": "app",
+        },
+        {
+            "name": "stream",
+            "host": "h.example",
+            "path_prefix": "/stream/",
+            "kind": "streaming",
+            "timeout_ms": 9000,
+            "attempts": 1,
+            "service": "app",
+        },
+        {
+            "name": "resumable",
+            "host": "h.example",
+            "path_prefix": "/resumable/",
+            "kind": "streaming",
+            "timeout_ms": 9000,
+            "attempts": 2,
+            "allow_resume": True,
+            "service": "app",
+        },
+    ],
+    "services": [{"name": "app"}],
+    "tenants": [{"name": "acme", "keys": ["k1"], "priority": 1}],
+}
+
+
+class Transport(StringTransport):
+    """Transport whose loss reaches the protocol as the reactor would deliver it."""
+
+    def __init__(self, clock):
+        super().__init__()
+        self.clock = clock
+        self.protocol = None
+        self.gone = False
+
+    def lose(self, reason=ConnectionLost):
+        if not self.gone:
+            self.gone = True
+            self.protocol.connectionLost(Failure(reason()))
+
+    def abortConnection(self):  # noqa: N802
+        self.clock.callLater(0, self.lose)
+
+    def loseConnection(self):  # noqa: N802
+        self.clock.callLater(0, self.lose, ConnectionDone)
+
+
+class Network:
+    """Reactor of the request path: a virtual clock, and connections by address."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.callLater = self.clock.callLater
+        self.seconds = self.clock.seconds
+        self.refuses = set()
+        self.silent = set()
+        self.connections = []
+
+    def connectTCP(self, host, port, factory, **_):  # noqa: N802
+        address = f"{host}:{port}"
+        connector = SimpleNamespace(disconnect=lambda: None)
+        if address in self.silent:
+            return connector
+        if address in self.refuses:
+            failure = Failure(ConnectionRefusedError())
+            self.clock.callLater(0, factory.clientConnectionFailed, None, failure)
+            return connector
+
+        def open_connection():
+            protocol = factory.buildProtocol(None)
+            transport = Transport(self.clock)
+            transport.protocol = protocol
+            self.connections.append(Server(address, protocol, transport))
+            protocol.makeConnection(transport)
+
+        self.clock.callLater(0, open_connection)
+        return connector
+
+
+class Server:
+    """The server's end of one connection."""
+
+    def __init__(self, address, protocol, transport):
+        self.address = address
+        self.protocol = protocol
+        self.transport = transport
+
+    @property
+    def head(self):
+        return self.transport.value().partition(b"\r\n\r\n")[0].decode()
+
+    def header(self, name):
+        for line in self.head.splitlines():
+            key, _, value = line.partition(": ")
+            if key.lower() == name.lower():
+                return value
+        return None
+
+    @property
+    def request_id(self):
+        return self.header("x-chivesaddle-attempt-identifier")
+
+    def send(self, data):
+        self.protocol.dataReceived(data)
+
+    def answer(self, status=200, body=b"ok", *, request_id=None, signed=True, extra=""):
+        lines = [f"HTTP/1.1 {status} X"]
+        lines.append(
+            f"X-Chivesaddle-Attempt-Identifier: {request_id or self.request_id}"
+        )
+        if signed:
+            lines.append("X-Chivesaddle-Server-Signature: sig")
+        if extra:
+            lines.append(extra)
+        lines.append(f"Content-Length: {len(body)}")
+        self.send("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+    def start_stream(self, *events):
+        self.send(
+            b"HTTP/1.1 200 OK\r\nX-Chivesaddle-Server-Signature: sig\r\n"
+            + f"X-Chivesaddle-Attempt-Identifier: {self.request_id}\r\n".encode()
+            + b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        for event in events:
+            self.chunk(event)
+
+    def chunk(self, data):
+        self.send(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+
+    def end_stream(self):
+        self.send(b"0\r\n\r\n")
+
+
+class Path:
+    """A daemon's request path with two servers of one plain service."""
+
+    def __init__(self):
+        self.network = Network()
+        clock = self.network
+        self.knowledge = Knowledge(clock, 7.0)
+        self.knowledge.put_configuration(decode_configuration(CONFIGURATION))
+        self.servers = ServerTable(clock)
+        for number in (1, 2):
+            self.list_server(number)
+        self.pool = ConnectionPool(Connector(clock), clock)
+        self.crashes = CrashRecord(clock)
+        self.budget = RetryBudget(clock, 0.2, 50, 10, lambda: 1)
+        transfers = Transfers(clock, CacheIndex(clock))
+        self.results = []
+        self.forwarder = Forwarder(
+            clock,
+            ZoneId("z"),
+            Wire(decode_request, decode_response, server_headers),
+            self.knowledge,
+            self.servers,
+            self.pool,
+            self.budget,
+            self.crashes,
+            Prompts(clock, self.knowledge, self.servers, transfers),
+            lambda result, _: self.results.append(result),
+        )
+        self.listener = Listener(clock, self.forwarder.handle, limits)
+
+    def list_server(self, number, **fields):
+        entry = {
+            "service": "app",
+            "address": f"10.0.0.{number}:80",
+            "zone": "z",
+            "slots": 4,
+            "state": "ready",
+            **fields,
+        }
+        self.servers.put(decode_server(f"i-{number}", entry))
+
+    def caller(self):
+        return Caller(self)
+
+    def advance(self, seconds=0.0):
+        self.network.clock.advance(seconds)
+
+    @property
+    def connections(self):
+        return self.network.connections
+
+
+def limits():
+    from chivesaddle.http1 import CallerLimits
+
+    return CallerLimits(body_bytes=1_000)
+
+
+class Caller:
+    """The caller's end of one connection."""
+
+    def __init__(self, path):
+        self.path = path
+        self.protocol = CallerConnection(path.listener)
+        self.transport = Transport(path.network.clock)
+        self.transport.protocol = self.protocol
+        self.protocol.makeConnection(self.transport)
+
+    def request(self, target, request_id="a1", key="k1", headers="", body=b"x"):
+        lines = [f"POST {target} HTTP/1.1", "Host: h.example"]
+        lines.append(f"X-Chivesaddle-Attempt-Identifier: {request_id}")
+        if key:
+            lines.append(f"Authorization: Bearer {key}")
+        if headers:
+            lines.append(headers)
+        lines.append(f"Content-Length: {len(body)}")
+        self.send("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        self.path.advance()
+        self.path.advance()
+
+    def send(self, data):
+        self.protocol.dataReceived(data)
+
+    def received(self):
+        return self.transport.value()
+
+    @property
+    def status(self):
+        value = self.received()
+        return int(value.split(b" ")[1]) if value else None
+
+    def leave(self):
+        self.transport.lose()
+        self.path.advance()
+
+
+@pytest.fixture
+def path():
+    return Path()
+
+
+@pytest.fixture
+def caller(path):
+    return path.caller()
+
+
+__all__ = ["CONFIGURATION", "Caller", "Path", "ServiceId"]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -85,7 +85,9 @@
 
     def test_update_sends_a_quoted_name_and_the_expected_revision(self, wire):
         start(wire.api.update("k", "a/b", {"x": 2}, version=7, deadline=2))
-        head, _, body = wire.open()[1].value().partition(b"\r\n\r\n")
+        protocol, transport = wire.open()
+        answer(protocol, 200, ITEM)
+        head, _, body = transport.value().partition(b"\r\n\r\n")
         assert head.startswith(b"PUT /objects/k/a%2Fb HTTP/1.1\r\n")
         assert json.loads(body)["metadata"] == {"name": "a/b", "revision": 7}
 
