--- a/src/chivesaddle/core/aio.py
+++ b/src/chivesaddle/core/aio.py
@@ -40,11 +40,12 @@
 
 
 def install_reactor() -> None:
-    """Install the asyncio reactor with a monotonic clock.
+    """Install the asyncio reactor with a clock that counts suspended time.
 
     Call before anything imports ``twisted.internet.reactor``; klein and treq do.
     Twisted's own ``seconds`` is the wall clock, on which a clock adjustment would move
-    lease margins and send deadlines.
+    lease margins and send deadlines. A monotonic clock stands still while the instance
+    is suspended, so a holder would act on a lease that has lapsed meanwhile.
 
     Raises
     ------
@@ -60,7 +61,12 @@
 
     from twisted.internet import reactor
 
-    setattr(reactor, "seconds", time.monotonic)  # noqa: B010
+    setattr(reactor, "seconds", seconds_since_boot)  # noqa: B010
+
+
+def seconds_since_boot() -> float:
+    """Return seconds since the instance started, suspended time included."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 def start(coroutine: Coroutine[Any, Any, T]) -> "Deferred[T]":
@@ -205,6 +211,7 @@
     "from_asyncio",
     "install_reactor",
     "log_failure",
+    "seconds_since_boot",
     "sleep_until",
     "start",
     "to_asyncio",
