--- a/src/chivesaddle/cachemap/feeds.py
+++ b/src/chivesaddle/cachemap/feeds.py
@@ -16,6 +16,8 @@
 WAIT_S = 1.0
 ANSWER_S = 0.6
 LIST_S = 1.0
+# Pause after an answer with events, so that events which come together cost one call.
+PAUSE_S = 0.05
 RETRY_FIRST_S = 0.2
 RETRY_MOST_S = 1.5
 
@@ -104,6 +106,7 @@
             try:
                 position = await self._step(address, is_store, position)
                 failures = 0
+                await sleep_until(self._clock, self._clock.seconds() + PAUSE_S)
             except ChivesaddleError as error:
                 if failures == 0:
                     log.info(
--- a/src/chivesaddle/cachemap/transfers.py
+++ b/src/chivesaddle/cachemap/transfers.py
@@ -36,6 +36,8 @@
     ----------
     read_tokens : int
         Tokens that the server has to read.
+    shared_read_tokens : int
+        Those of them that belong to parts which other requests share.
     transfer_ms : float
         Predicted time of transfers.
     fetch_from, save_to : tuple of str
@@ -46,6 +48,7 @@
     transfer_ms: float
     fetch_from: tuple[str, ...] = ()
     save_to: tuple[str, ...] = ()
+    shared_read_tokens: int = 0
 
 
 class Transfers:
@@ -94,25 +97,28 @@
         transfer_ms = 0.0
         for part, tokens in parts[:-1]:
             key = (scope, part)
-            if part in assumed or self._holds(address, key, tokens):
-                fetch.append("")
-                save.append("")
-                continue
             source, ms = self._source(
                 key, tokens, address, zone, engine, servers_by_address
             )
             fetch.append(source)
-            if source:
+            if part in assumed or self._holds(address, key, tokens):
+                # Nothing moves while the server keeps the part. If it evicts the part
+                # before the request begins, it is fetched instead of read again.
+                save.append("")
+            elif source:
                 transfer_ms += ms
                 save.append("")
             else:
                 read_tokens += tokens
                 save.append(self._save_target(key, tokens))
+        shared_read_tokens = read_tokens
         if parts:
             read_tokens += parts[-1][1]
             fetch.append("")
             save.append("")
-        return PromptPlan(read_tokens, transfer_ms, tuple(fetch), tuple(save))
+        return PromptPlan(
+            read_tokens, transfer_ms, tuple(fetch), tuple(save), shared_read_tokens
+        )
 
     def record_saves(
         self, parts: Sequence[tuple[PartId, int]], scope: str, plan: PromptPlan
--- a/src/chivesaddle/fleet/beacons.py
+++ b/src/chivesaddle/fleet/beacons.py
@@ -47,12 +47,19 @@
 
 
 class Beacon(msgspec.Struct, array_like=True):
-    """One datagram; later sequence numbers replace earlier ones."""
+    """One datagram; later sequence numbers replace earlier ones.
+
+    Attributes
+    ----------
+    loading : list of int
+        Hashes of servers that load weights by this daemon's order.
+    """
 
     daemon: str
     incarnation: str
     sequence: int
     shares: list[ServerShare]
+    loading: list[int] = []
 
 
 def server_hash(server: str) -> int:
@@ -70,17 +77,17 @@
     members : Members
         The daemons to send to.
     collect : callable
-        Returns this daemon's shares.
+        Returns this daemon's shares and the servers that load weights.
     learn : callable
-        Takes over the shares of a peer and the seconds for which they hold.
+        Takes over both from a peer, and the seconds for which they hold.
     """
 
     def __init__(
         self,
         clock: Clock,
         members: Members,
-        collect: Callable[[], list[ServerShare]],
-        learn: Callable[[str, Sequence[ServerShare], float], None],
+        collect: Callable[[], tuple[list[ServerShare], list[int]]],
+        learn: Callable[[str, Sequence[ServerShare], Sequence[int], float], None],
     ) -> None:
         self._clock = clock
         self._members = members
@@ -88,7 +95,7 @@
         self._learn = learn
         self._decoder = msgspec.msgpack.Decoder(Beacon)
         self._sequence = 0
-        self._last: list[ServerShare] = []
+        self._last: tuple[list[ServerShare], list[int]] = ([], [])
         self._last_at = 0.0
         self._seen: dict[str, tuple[str, int]] = {}
         self._timer: Any = None
@@ -120,7 +127,8 @@
         if beacon.incarnation == incarnation and beacon.sequence <= sequence:
             return
         self._seen[beacon.daemon] = (beacon.incarnation, beacon.sequence)
-        self._learn(beacon.daemon, beacon.shares, 3 * max(self._period(), REPEAT_S))
+        valid_s = 3 * max(self._period(), REPEAT_S)
+        self._learn(beacon.daemon, beacon.shares, beacon.loading, valid_s)
 
     def _period(self) -> float:
         peers = max(1, self._members.fleet_size() - 1)
@@ -128,16 +136,16 @@
 
     def _tick(self) -> None:
         self._timer = self._clock.callLater(self._period(), self._tick)
-        shares = self._collect()
+        shares, loading = found = self._collect()
         now = self._clock.seconds()
-        unchanged = shares == self._last
-        if unchanged and (not shares or now - self._last_at < REPEAT_S):
+        is_empty = not shares and not loading
+        if found == self._last and (is_empty or now - self._last_at < REPEAT_S):
             return
-        self._last, self._last_at = shares, now
+        self._last, self._last_at = found, now
         self._sequence += 1
         own = self._members.own
         data = msgspec.msgpack.encode(
-            Beacon(own.id, own.incarnation, self._sequence, shares)
+            Beacon(own.id, own.incarnation, self._sequence, shares, loading)
         )
         for member in self._members.serving():
             host, _, port = member.peers.rpartition(":")
--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -493,7 +493,9 @@
         if found.plan is not None:
             fields |= {
                 "weights": found.version,
+                "part": job.request.shared_part,
                 "read_tokens": found.plan.read_tokens,
+                "shared_read_tokens": found.plan.shared_read_tokens,
                 "transfer_ms": round(found.plan.transfer_ms),
             }
         return fields
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -139,8 +139,6 @@
         self._peer_listener = PeerListener(
             settings.listen.peers, ExchangeMessage, self._exchange.handle
         )
-        shares = ServerShares(reactor, self._servers)
-        self._beacons = Beacons(reactor, self._members, shares.collect, shares.learn)
         self._registration = Registration(
             self.store, reactor, own, self._replicas[MEMBERS_KIND]
         )
@@ -161,6 +159,8 @@
             server_api,
             self._members.rank,
         )
+        shares = ServerShares(reactor, self._servers, lambda: self._rollout.ordered)
+        self._beacons = Beacons(reactor, self._members, shares.collect, shares.learn)
         self._index = CacheIndex(reactor)
         self._feeds = Feeds(reactor, server_api, self._index)
         self._transfers = Transfers(reactor, self._index)
--- a/src/chivesaddle/serving/hints.py
+++ b/src/chivesaddle/serving/hints.py
@@ -1,9 +1,10 @@
 """Observations that daemons exchange besides documents."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
 from chivesaddle.core.aio import Clock
+from chivesaddle.core.ids import BackendServerId
 from chivesaddle.fleet import ServerShare
 from chivesaddle.fleet.beacons import server_hash
 from chivesaddle.placement import Load, ServerTable
@@ -42,14 +43,22 @@
         Clock on which peers' figures expire.
     servers : ServerTable
         Where they are read and kept.
+    loading : callable
+        Returns the servers that load weights by this daemon's order.
     """
 
-    def __init__(self, clock: Clock, servers: ServerTable) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        servers: ServerTable,
+        loading: Callable[[], Iterable[BackendServerId]],
+    ) -> None:
         self._clock = clock
         self._servers = servers
+        self._loading = loading
 
-    def collect(self) -> list[ServerShare]:
-        """Return this daemon's shares."""
+    def collect(self) -> tuple[list[ServerShare], list[int]]:
+        """Return this daemon's shares, and the servers that it has load weights."""
         shares = []
         for tracked in self._servers.all():
             if tracked.in_flight:
@@ -62,14 +71,26 @@
                         own.memory_tokens,
                     )
                 )
-        return shares
-
-    def learn(self, peer: str, shares: Sequence[ServerShare], valid_s: float) -> None:
+        loading = list(self._loading())
+        for server in loading:
+            self._servers.record_busy(server)
+        return shares, sorted(server_hash(server) for server in loading)
+
+    def learn(
+        self,
+        peer: str,
+        shares: Sequence[ServerShare],
+        loading: Sequence[int],
+        valid_s: float,
+    ) -> None:
         """Take over a peer's shares; servers it does not name have none."""
         until = self._clock.seconds() + valid_s
         found = {share.server: share for share in shares}
         for tracked in self._servers.all():
-            share = found.get(server_hash(tracked.entry.id))
+            name = server_hash(tracked.entry.id)
+            if name in loading:
+                self._servers.record_busy(tracked.entry.id)
+            share = found.get(name)
             if share is None:
                 tracked.peer_loads.pop(peer, None)
                 continue
--- a/src/chivesaddle/weights/rollout.py
+++ b/src/chivesaddle/weights/rollout.py
@@ -127,6 +127,8 @@
         self._term = FencingToken(0)
         self._may_order_from = 0.0
         self._loading: set[BackendServerId] = set()
+        # Servers that took an order and have not reported its version.
+        self.ordered: set[BackendServerId] = set()
         self._retry_at: dict[BackendServerId, float] = {}
         self._loop: Deferred[None] | None = None
         self._seeks_lease = False
@@ -206,6 +208,7 @@
 
         def done(result: object) -> None:
             self._loading.discard(name)
+            self.ordered.discard(name)
             self._retry_at[name] = self._clock.seconds() + RETRY_S
 
         work = start(self._bring_up(server, model, version))
@@ -262,6 +265,8 @@
                 "taken": taken,
             },
         )
+        if taken:
+            self.ordered.add(server.entry.id)
         self._servers.record_busy(server.entry.id)
 
 
