Let each renewal change the lease, so that candidates see it

Cause: the platform keeps an object's revision when a write changes nothing. The in-memory object API now behaves as the platform; three lease tests failed with it, one of them on two holders in time. Ruled out: clock drift, lost answers.

--- a/src/chivesaddle/objects/lease.py
+++ b/src/chivesaddle/objects/lease.py
@@ -154,6 +154,7 @@
         self._timer: DelayedCall | None = None
         self._until = 0.0
         self._term = 0
+        self._writes = 0
         self._own: StoredObject | None = None
         # Version that a write without an answer replaces, and when it was first sent.
         self._pending: tuple[int, float] | None = None
@@ -334,7 +335,15 @@
     async def _put(
         self, version: int, holder: str, term: int, deadline: float
     ) -> StoredObject:
-        value = {"holder": holder, "term": term, "ttl_ms": int(TTL_S * 1_000)}
+        # A write that changes nothing keeps the version, and others would take the
+        # lease for lapsed, so each write differs from the one before.
+        self._writes += 1
+        value = {
+            "holder": holder,
+            "term": term,
+            "ttl_ms": int(TTL_S * 1_000),
+            "write": self._writes,
+        }
         if version == 0:
             return await self._api.create(KIND, self.name, value, deadline=deadline)
         return await self._api.update(
--- a/src/chivesaddle/objects/memory.py
+++ b/src/chivesaddle/objects/memory.py
@@ -240,6 +240,10 @@
                 f"Value of {kind}/{name} has {size} bytes, over {MAX_VALUE_BYTES}",
                 remedy="Split the value over several objects",
             )
+        known = self._objects.get((kind, name))
+        if known is not None and known.value == value:
+            # As on the platform, a write that changes nothing keeps the revision.
+            return copy.deepcopy(known)
         self._revision += 1
         item = StoredObject(kind, name, self._revision, copy.deepcopy(value))
         self._objects[kind, name] = item
