Shorten the takeover of weight orders; candidates hear renewals in beacons

Cause: candidates read the lease only every 3 s, so a takeover came up to 6 s after the last renewal. The renewal's age now travels with it.

--- a/src/chivesaddle/fleet/beacons.py
+++ b/src/chivesaddle/fleet/beacons.py
@@ -53,6 +53,9 @@
     ----------
     loading : list of int
         Hashes of servers that load weights by this daemon's order.
+    lease : (int, int)
+        Version of the orders' lease and the age of its renewal in ms; version 0 if
+        this daemon does not hold it.
     """
 
     daemon: str
@@ -60,6 +63,7 @@
     sequence: int
     shares: list[ServerShare]
     loading: list[int] = []
+    lease: tuple[int, int] = (0, 0)
 
 
 def server_hash(server: str) -> int:
@@ -80,6 +84,10 @@
         Returns this daemon's shares and the servers that load weights.
     learn : callable
         Takes over both from a peer, and the seconds for which they hold.
+    lease : callable
+        Returns version and age in ms of the lease if this daemon holds it.
+    observe_lease : callable
+        Takes over version and age in seconds from the holder.
     """
 
     def __init__(
@@ -88,11 +96,15 @@
         members: Members,
         collect: Callable[[], tuple[list[ServerShare], list[int]]],
         learn: Callable[[str, Sequence[ServerShare], Sequence[int], float], None],
+        lease: Callable[[], tuple[int, int]],
+        observe_lease: Callable[[int, float], None],
     ) -> None:
         self._clock = clock
         self._members = members
         self._collect = collect
         self._learn = learn
+        self._lease = lease
+        self._observe_lease = observe_lease
         self._decoder = msgspec.msgpack.Decoder(Beacon)
         self._sequence = 0
         self._last: tuple[list[ServerShare], list[int]] = ([], [])
@@ -129,6 +141,9 @@
         self._seen[beacon.daemon] = (beacon.incarnation, beacon.sequence)
         valid_s = 3 * max(self._period(), REPEAT_S)
         self._learn(beacon.daemon, beacon.shares, beacon.loading, valid_s)
+        version, age_ms = beacon.lease
+        if version:
+            self._observe_lease(version, age_ms / 1_000)
 
     def _period(self) -> float:
         peers = max(1, self._members.fleet_size() - 1)
@@ -138,14 +153,15 @@
         self._timer = self._clock.callLater(self._period(), self._tick)
         shares, loading = found = self._collect()
         now = self._clock.seconds()
-        is_empty = not shares and not loading
+        lease = self._lease()
+        is_empty = not shares and not loading and not lease[0]
         if found == self._last and (is_empty or now - self._last_at < REPEAT_S):
             return
         self._last, self._last_at = found, now
         self._sequence += 1
         own = self._members.own
         data = msgspec.msgpack.encode(
-            Beacon(own.id, own.incarnation, self._sequence, shares, loading)
+            Beacon(own.id, own.incarnation, self._sequence, shares, loading, lease)
         )
         for member in self._members.serving():
             host, _, port = member.peers.rpartition(":")
--- a/src/chivesaddle/objects/lease.py
+++ b/src/chivesaddle/objects/lease.py
@@ -190,15 +190,23 @@
         """Call ``listener(held)`` whenever holding starts or ends."""
         self._core.listeners.append(listener)
 
-    def observe(self, version: int) -> None:
+    def observe(self, version: int, age_s: float = 0.0) -> None:
         """Take note of a version that the holder relayed.
 
         A candidate that hears from the holder does not need to read the platform. A
         repeated version counts again, because the holder relays it only while it holds.
+
+        Parameters
+        ----------
+        version : int
+            Version of the holder's last write.
+        age_s : float
+            Seconds since the holder sent that write.
         """
         if self._own is None and version >= self._seen_version:
             self._seen_version = version
-            self._rival_until = max(self._rival_until, self._clock.seconds() + TTL_S)
+            until = self._clock.seconds() - age_s + TTL_S
+            self._rival_until = max(self._rival_until, until)
 
     def start(self) -> None:
         """Start to acquire and then renew.
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -160,7 +160,14 @@
             self._members.rank,
         )
         shares = ServerShares(reactor, self._servers, lambda: self._rollout.ordered)
-        self._beacons = Beacons(reactor, self._members, shares.collect, shares.learn)
+        self._beacons = Beacons(
+            reactor,
+            self._members,
+            shares.collect,
+            shares.learn,
+            self._rollout.lease_to_relay,
+            self._rollout.observe_lease,
+        )
         self._index = CacheIndex(reactor)
         self._feeds = Feeds(reactor, server_api, self._index)
         self._transfers = Transfers(reactor, self._index)
--- a/src/chivesaddle/weights/rollout.py
+++ b/src/chivesaddle/weights/rollout.py
@@ -20,12 +20,12 @@
 from chivesaddle.placement import ServerTable, TrackedServer
 
 LEASE_NAME = "weights"
-RENEW_S = 0.6
+RENEW_S = 0.4
 # Orders follow a renewal by at most this, so that one missed renewal stops them.
-ORDER_WINDOW_S = 1.0
+ORDER_WINDOW_S = 0.6
 # The lease lapses TTL after its last renewal was seen, and a former holder's orders end
 # ORDER_WINDOW after it; the pause makes up a whole lease period between the two.
-TAKEOVER_PAUSE_S = ORDER_WINDOW_S + 0.3
+TAKEOVER_PAUSE_S = ORDER_WINDOW_S + 0.15
 TICK_S = 0.15
 # Loading takes 0.4 s a server, and longer while more than two in five load at once.
 PARALLEL_SHARE = 0.4
@@ -75,9 +75,16 @@
     def renewed_at(self) -> float:
         """When the last renewal was sent."""
 
+    @property
+    def version(self) -> int:
+        """Version of the last own write."""
+
     def held_at(self, now: float) -> bool:
         """Tell whether this process holds the lease."""
 
+    def observe(self, version: int, age_s: float = 0.0) -> None:
+        """Note a renewal that the holder relayed."""
+
     def start(self) -> None:
         """Start to acquire."""
 
@@ -148,6 +155,17 @@
             self._loop.cancel()
         await self._lease.stop(release=False)
 
+    def lease_to_relay(self) -> tuple[int, int]:
+        """Return the lease's version and the age of its renewal in ms, if held."""
+        now = self._clock.seconds()
+        if not self._lease.held_at(now):
+            return 0, 0
+        return self._lease.version, int((now - self._lease.renewed_at) * 1_000)
+
+    def observe_lease(self, version: int, age_s: float) -> None:
+        """Note that another daemon holds the lease."""
+        self._lease.observe(version, age_s)
+
     async def _run(self) -> None:
         while True:
             self._seek_lease()
--- a/tests/objects/test_lease.py
+++ b/tests/objects/test_lease.py
@@ -239,6 +239,18 @@
 )
 
 
+class TestRelayedAges:
+    def test_relayed_renewal_counts_from_its_sending(self, clock, api):
+        """Guards against waiting for a holder that only repeats an old renewal."""
+        lease = Lease(api, clock, "l", "b")
+        lease.observe(5, 1.0)
+        lease.start()
+        clock.advance(1.9)
+        assert not lease.held_at(clock.seconds())
+        clock.advance(0.2)
+        assert lease.held_at(clock.seconds())
+
+
 class TestInterleavings:
     @settings(max_examples=300, derandomize=True, deadline=None, database=None)
     @given(
