--- /dev/null
+++ b/tests/http1/test_server.py
@@ -0,0 +1,151 @@
+import pytest
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
+
+from chivesaddle.http1 import CallerConnection, CallerLimits
+from chivesaddle.http1.server import Listener
+
+REQUEST = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+
+
+class Transport(StringTransport):
+    def __init__(self, clock):
+        super().__init__()
+        self.clock = clock
+        self.reset = False
+
+    def abortConnection(self):  # noqa: N802
+        self.reset = True
+        self.clock.callLater(0, self.protocol.connectionLost, Failure(ConnectionLost()))
+
+    def loseConnection(self):  # noqa: N802
+        super().loseConnection()
+        self.clock.callLater(0, self.protocol.connectionLost, Failure(ConnectionDone()))
+
+
+@pytest.fixture
+def requests():
+    return []
+
+
+@pytest.fixture
+def listener(clock, requests):
+    def limits():
+        return CallerLimits(
+            header_bytes=500, body_bytes=10, header_timeout_s=3.0, idle_timeout_s=15.0
+        )
+
+    return Listener(clock, lambda *found: requests.append(found), limits)
+
+
+@pytest.fixture
+def connection(clock, listener):
+    found = CallerConnection(listener)
+    transport = Transport(clock)
+    transport.protocol = found
+    found.makeConnection(transport)
+    return found
+
+
+def status(connection):
+    return int(connection.transport.value().split(b" ")[1])
+
+
+class TestRequests:
+    def test_request_is_handled_once_its_body_is_whole(self, connection, requests):
+        connection.dataReceived(REQUEST[:-1])
+        assert not requests
+        connection.dataReceived(REQUEST[-1:])
+        assert requests[0][0].body == b"abc"
+
+    def test_chunked_body_is_put_together(self, connection, requests):
+        connection.dataReceived(
+            b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"1\r\na\r\n2\r\nbc\r\n0\r\n\r\n"
+        )
+        assert requests[0][0].body == b"abc"
+
+    def test_next_request_waits_for_the_answer_to_the_first(self, connection, requests):
+        connection.dataReceived(REQUEST + REQUEST)
+        assert len(requests) == 1
+        requests[0][1].answer(200)
+        assert len(requests) == 2
+
+    def test_two_framings_of_one_body_are_refused(self, connection, requests):
+        """Guards against a request smuggled inside another one's body."""
+        connection.dataReceived(
+            b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + REQUEST
+        )
+        assert status(connection) == 400
+        assert not requests
+
+
+class TestLimits:
+    def test_large_body_is_refused(self, connection):
+        connection.dataReceived(
+            b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n" + b"a" * 11
+        )
+        assert status(connection) == 413
+
+    def test_large_header_is_refused(self, connection):
+        connection.dataReceived(b"GET /x HTTP/1.1\r\nHost: h\r\nA: " + b"a" * 600)
+        assert status(connection) == 431
+
+    def test_slow_header_times_out(self, connection, clock):
+        connection.dataReceived(b"GET /x HT")
+        clock.advance(3.1)
+        assert status(connection) == 408
+
+    def test_idle_connection_is_closed_only_after_its_limit(self, connection, clock):
+        clock.advance(14)
+        assert not connection.transport.disconnecting
+        clock.advance(2)
+        assert connection.transport.disconnecting
+
+    def test_answer_under_way_is_not_idle(self, connection, clock, requests):
+        connection.dataReceived(REQUEST)
+        clock.advance(60)
+        assert not connection.transport.disconnecting
+
+
+class TestLeaving:
+    def test_idle_connections_close_at_once_and_others_after_their_answer(
+        self, connection, listener, requests
+    ):
+        connection.dataReceived(REQUEST)
+        listener.leave()
+        assert not connection.transport.disconnecting
+        requests[0][1].answer(200, b"done")
+        assert b"connection: close" in connection.transport.value().lower()
+        assert connection.transport.value().endswith(b"done")
+        assert connection.transport.disconnecting
+
+    def test_idle_connection_closes(self, connection, listener):
+        listener.leave()
+        assert connection.transport.disconnecting
+
+
+class TestBackPressure:
+    def test_writer_waits_while_the_caller_does_not_read(
+        self, connection, requests, run, clock
+    ):
+        from chivesaddle.core.aio import start
+
+        connection.dataReceived(REQUEST)
+        connection.pauseProducing()
+        waiting = start(requests[0][1].drained())
+        assert not waiting.called
+        connection.resumeProducing()
+        assert waiting.called
+
+    def test_writer_does_not_wait_for_a_caller_that_left(self, connection, requests):
+        from chivesaddle.core.aio import start
+
+        connection.dataReceived(REQUEST)
+        connection.pauseProducing()
+        waiting = start(requests[0][1].drained())
+        connection.connectionLost(Failure(ConnectionLost()))
+        assert waiting.called
+        assert requests[0][1].is_gone
--- /dev/null
+++ b/tests/placement/test_table.py
@@ -0,0 +1,108 @@
+import pytest
+
+from chivesaddle.core.ids import ZoneId
+from chivesaddle.placement import Need, Outcome, ServerTable, choose
+from chivesaddle.platform import decode_server
+
+
+def entry(number, **fields):
+    value = {
+        "service": "app",
+        "address": f"10.0.0.{number}:80",
+        "zone": "z",
+        "slots": 4,
+        "state": "ready",
+        **fields,
+    }
+    return decode_server(f"s{number}", value)
+
+
+@pytest.fixture
+def table(clock):
+    found = ServerTable(clock)
+    for number in range(3):
+        found.put(entry(number))
+    return found
+
+
+def chosen(table, clock, **kwargs):
+    found = choose(
+        table.of_service("app"), Need(), ZoneId("z"), clock.seconds(), **kwargs
+    )
+    return None if found is None else found.server.entry.id
+
+
+class TestEjection:
+    def test_unreachable_server_is_passed_over_and_comes_back(self, table, clock):
+        table.record_end("s0", table.record_send("s0"), Outcome.UNREACHABLE)
+        assert chosen(table, clock) != "s0"
+        clock.advance(5)
+        table.record_end("s0", table.record_send("s0"), Outcome.ANSWERED)
+        assert table.get("s0").ejected_until == 0
+
+    def test_ejection_never_empties_a_service(self, table, clock):
+        for server in ("s0", "s1", "s2"):
+            for _ in range(3):
+                table.record_end(server, table.record_send(server), Outcome.BROKEN)
+        assert chosen(table, clock) is not None
+
+    def test_server_that_fails_often_is_chosen_less_than_a_sound_one(
+        self, table, clock
+    ):
+        for _ in range(4):
+            table.record_end("s0", table.record_send("s0"), Outcome.FAILED)
+        assert chosen(table, clock, excluded={"s1"}) == "s2"
+
+    def test_silent_server_is_passed_over_while_it_is_silent(self, table, clock):
+        table.record_send("s0")
+        clock.advance(1)
+        assert chosen(table, clock, excluded={"s1"}) == "s2"
+
+
+class TestEntries:
+    def test_draining_server_gets_no_new_request(self, table):
+        table.put(entry(0, state="draining"))
+        assert "s0" not in [s.entry.id for s in table.of_service("app")]
+
+    def test_new_run_under_the_same_id_starts_without_a_past(self, table):
+        table.record_end("s0", table.record_send("s0"), Outcome.UNREACHABLE)
+        table.put(entry(0, born=5))
+        assert table.get("s0").ejected_until == 0
+
+    def test_entry_that_lapsed_with_the_store_stays_shortly(self, table, clock):
+        """A server whose entry lapsed in an outage writes it again within 2 s."""
+        table.remove("s0", may_have_lapsed=True)
+        assert table.get("s0") is not None
+        table.put(entry(0))
+        clock.advance(3)
+        assert table.get("s0") is not None
+        table.remove("s0", may_have_lapsed=True)
+        clock.advance(1.6)
+        assert table.get("s0") is None
+
+    def test_list_never_takes_back_a_version_that_the_server_told(self, table):
+        table.put(entry(0, models=[{"name": "m", "version": 1}]))
+        table.record_version("s0", "m", 2)
+        table.put(entry(0, models=[{"name": "m", "version": 1}], slots=5))
+        assert table.get("s0").version_by_model == {"m": 2}
+
+
+class TestLoad:
+    def test_load_is_the_sum_over_all_daemons(self, table, clock):
+        from chivesaddle.placement import Load
+
+        table.record_send("s0", 100, 500)
+        table.get("s0").peer_loads["d2"] = (Load(2, 300, 900), clock.seconds() + 1)
+        assert table.get("s0").load(clock.seconds()) == Load(3, 400, 1_400)
+        clock.advance(2)
+        assert table.get("s0").load(clock.seconds()) == Load(1, 100, 500)
+
+    def test_least_loaded_server_is_chosen(self, table, clock):
+        for server in ("s0", "s0", "s1"):
+            table.record_send(server)
+        assert chosen(table, clock) == "s2"
+
+    def test_prompt_that_has_been_read_no_longer_counts_as_unread(self, table, clock):
+        serial = table.record_send("s0", 100, 500)
+        table.record_first_event("s0", serial)
+        assert table.get("s0").load(clock.seconds()).unread_tokens == 0
--- /dev/null
+++ b/tests/serving/test_settings.py
@@ -0,0 +1,68 @@
+import json
+
+import pytest
+
+from chivesaddle.serving.main import EXIT_INVALID_SETTINGS, main
+from chivesaddle.serving.settings import ServingSettings, SettingsError
+
+VALID = {
+    "daemon_id": "d1",
+    "zone": "z",
+    "listen": {
+        "callers": "10.0.0.1:80",
+        "readiness": "10.0.0.1:81",
+        "peers": "10.0.0.1:82",
+        "addresses": "10.0.0.1:83",
+        "metrics": "10.0.0.1:84",
+    },
+    "store": {"address": "10.9.0.1:80"},
+    "bounds": {
+        "retry_ratio": 0.2,
+        "retry_slack": 58,
+        "retry_window_s": 10,
+        "older_weights_s": 8000e-3,
+        "shutdown_s": 8,
+        "address_valid_most_s": 5,
+    },
+}
+
+
+@pytest.fixture
+def write(tmp_path):
+    def write_settings(value):
+        path = tmp_path / "settings.json"
+        path.write_text(value if isinstance(value, str) else json.dumps(value))
+        return path
+
+    return write_settings
+
+
+def test_valid_settings_are_read(write):
+    settings = ServingSettings.from_config(write(VALID))
+    assert settings.bounds.older_weights_s == 8.0
+    assert settings.seeds == []
+
+
+@pytest.mark.parametrize(
+    "section, field, value",
+    [
+        ("listen", "callers", "nowhere"),
+        ("bounds", "retry_window_s", 0),
+        ("bounds", "retry_ratio", "many"),
+        ("store", "unknown", 1),
+    ],
+)
+def test_wrong_field_is_named(write, section, field, value):
+    wrong = {**VALID, section: {**VALID[section], field: value}}
+    with pytest.raises(SettingsError, match=field):
+        ServingSettings.from_config(write(wrong))
+
+
+def test_daemon_with_wrong_settings_exits_before_listening(write, capsys):
+    assert main(str(write("{"))) == EXIT_INVALID_SETTINGS
+    assert "settings.json" in capsys.readouterr().err
+
+
+def test_missing_file_is_named(tmp_path):
+    with pytest.raises(SettingsError, match="absent"):
+        ServingSettings.from_config(tmp_path / "absent.json")
