--- a/src/chivesaddle/cachemap/feeds.py
+++ b/src/chivesaddle/cachemap/feeds.py
@@ -17,7 +17,7 @@
 ANSWER_S = 0.6
 LIST_S = 1.0
 # Pause after an answer with events, so that events which come together cost one call.
-PAUSE_S = 0.05
+PAUSE_S = 0.12
 RETRY_FIRST_S = 0.2
 RETRY_MOST_S = 1.5
 
--- a/src/chivesaddle/cachemap/transfers.py
+++ b/src/chivesaddle/cachemap/transfers.py
@@ -72,6 +72,10 @@
         """Use these stores, by address."""
         self._stores_by_address = dict(stores)
 
+    def knows(self, address: str) -> bool:
+        """Tell whether cache events of a holder are being read."""
+        return self._index.is_known(address)
+
     def plan(
         self,
         parts: Sequence[tuple[PartId, int]],
--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -279,8 +279,8 @@
             affinity_key=None if shared is None else str(shared),
             memory_tokens=call.memory_tokens,
             server_tokens=self._memory_of(job.service),
-            plan_prompt=lambda server, version: self._prompts.plan(
-                call, job.account, server, version
+            plan_prompt=lambda server, version, is_preferred: self._prompts.plan(
+                call, job.account, server, version, is_preferred
             ),
         )
 
--- a/src/chivesaddle/forwarding/prompts.py
+++ b/src/chivesaddle/forwarding/prompts.py
@@ -58,8 +58,13 @@
         account: Account | None,
         server: TrackedServer,
         version: int,
+        is_preferred: bool,
     ) -> PromptPlan:
-        """Plan a request's prompt at a server that runs ``version``."""
+        """Plan a request's prompt at a server that runs ``version``.
+
+        The preferred server of a part counts as its holder while no cache events tell
+        more, since all daemons send the part there.
+        """
         scope = cache_scope(version, account)
         parts = [(part.id, part.tokens) for part in request.parts]
         configuration = self._knowledge.configuration
@@ -70,7 +75,10 @@
             return PromptPlan(sum(tokens for _, tokens in parts), 0.0)
         since = self._clock.seconds() - EVENT_DELAY_S
         assumed = frozenset(
-            part for part, _ in parts if server.was_sent(scope, part, since)
+            part
+            for part, _ in parts
+            if server.was_sent(scope, part, since)
+            or (is_preferred and not self._transfers.knows(server.entry.address))
         )
         return self._transfers.plan(
             parts,
--- a/src/chivesaddle/placement/choice.py
+++ b/src/chivesaddle/placement/choice.py
@@ -31,7 +31,8 @@
 OLDER_WEIGHTS_MS = 400.0
 
 
-PlanPrompt = Callable[[TrackedServer, int], PromptPlan]
+# Server, weight version, and whether the server is the preferred one.
+PlanPrompt = Callable[[TrackedServer, int, bool], PromptPlan]
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,9 +141,10 @@
     version = server.version_by_model[need.model]
     if version < (need.named_version or 0):
         penalty += OLDER_WEIGHTS_MS
-    if server.entry.id != first:
+    is_preferred = server.entry.id == first
+    if not is_preferred:
         penalty += NOT_PREFERRED_MS
-    plan = need.plan_prompt(server, version)
+    plan = need.plan_prompt(server, version, is_preferred)
     work = READ_WEIGHT * plan.read_tokens / PREFILL_TOKENS_PER_MS + plan.transfer_ms
     work += load.unread_tokens / PREFILL_TOKENS_PER_MS + RUNNING_MS * load.requests
     over = load.memory_tokens + need.memory_tokens - USABLE_MEMORY * need.server_tokens
