--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -275,7 +275,7 @@
         return Need(
             model=call.model,
             named_version=self._knowledge.named_version(call.model),
-            refuses_older=self._knowledge.refuses_older(call.model),
+            oldest_version=self._knowledge.oldest_usable_version(call.model),
             affinity_key=None if shared is None else str(shared),
             memory_tokens=call.memory_tokens,
             server_tokens=self._memory_of(job.service),
--- a/src/chivesaddle/forwarding/knowledge.py
+++ b/src/chivesaddle/forwarding/knowledge.py
@@ -1,5 +1,7 @@
 """Configuration and weight versions in force on this daemon."""
 
+from dataclasses import dataclass
+
 from chivesaddle.core.aio import Clock
 from chivesaddle.core.ids import ModelId
 from chivesaddle.core.logs import PartLogger
@@ -23,7 +25,7 @@
         self._clock = clock
         self._older_weights_s = older_weights_s
         self.configuration: Configuration | None = None
-        self._version_by_model: dict[ModelId, tuple[int, float]] = {}
+        self._named_by_model: dict[ModelId, list[_Named]] = {}
 
     def put_configuration(self, configuration: Configuration) -> None:
         """Take a configuration into force unless it is older than the present one."""
@@ -41,26 +43,44 @@
 
     def put_weight_version(self, model: ModelId, version: int) -> None:
         """Note a newer named version of a model's weights."""
-        known, _ = self._version_by_model.get(model, (0, 0.0))
-        if version > known:
+        named = self._named_by_model.setdefault(model, [])
+        if not named or version > named[-1].version:
             log.info("weights named", extra={"model": model, "version": version})
-            self._version_by_model[model] = (version, self._clock.seconds())
+            named.append(_Named(version, self._clock.seconds()))
 
     def named_models(self) -> list[ModelId]:
         """Return the models of which a version was named."""
-        return list(self._version_by_model)
+        return list(self._named_by_model)
 
     def named_version(self, model: ModelId) -> int | None:
-        """Return the named version of a model's weights, or None."""
-        found = self._version_by_model.get(model)
-        return None if found is None else found[0]
-
-    def refuses_older(self, model: ModelId) -> bool:
-        """Tell whether older versions must not begin requests any more."""
-        found = self._version_by_model.get(model)
-        if found is None or found[0] <= 1:
-            return False
-        return self._clock.seconds() - found[1] >= self._older_weights_s
+        """Return the newest named version of a model's weights, or None."""
+        named = self._named_by_model.get(model)
+        return named[-1].version if named else None
+
+    def oldest_usable_version(self, model: ModelId) -> int:
+        """Return the version below which no request must begin any more.
+
+        Each version has its own bound, so naming a third one extends nothing for the
+        first. The version that is known at the start bounds nothing.
+        """
+        limit = self._clock.seconds() - self._older_weights_s
+        due = [
+            n.version for n in self._named_by_model.get(model, [])[1:] if n.at <= limit
+        ]
+        return due[-1] if due else 0
+
+    def behind_s(self, model: ModelId, version: int) -> float:
+        """Return for how long a newer version than ``version`` has been named."""
+        for named in self._named_by_model.get(model, []):
+            if named.version > version:
+                return self._clock.seconds() - named.at
+        return 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Named:
+    version: int
+    at: float
 
 
 __all__ = ["Knowledge"]
--- a/src/chivesaddle/placement/choice.py
+++ b/src/chivesaddle/placement/choice.py
@@ -45,8 +45,8 @@
         None for plain services.
     named_version : int or None
         Version of the model's weights that servers are to run.
-    refuses_older : bool
-        Whether older versions must not begin requests any more.
+    oldest_version : int
+        Version below which no request must begin any more.
     affinity_key : str or None
         Part by which requests are gathered while no server holds it.
     plan_prompt : callable or None
@@ -59,7 +59,7 @@
 
     model: ModelId | None = None
     named_version: int | None = None
-    refuses_older: bool = False
+    oldest_version: int = 0
     affinity_key: str | None = None
     plan_prompt: PlanPrompt | None = None
     memory_tokens: int = 0
@@ -107,9 +107,7 @@
     if need.model is None:
         return True
     version = server.version_by_model.get(need.model)
-    if version is None:
-        return False
-    return not (need.refuses_older and version < (need.named_version or 0))
+    return version is not None and version >= need.oldest_version
 
 
 def _first_preferred(
--- a/src/chivesaddle/weights/rollout.py
+++ b/src/chivesaddle/weights/rollout.py
@@ -29,6 +29,10 @@
 TICK_S = 0.15
 # Loading takes 0.4 s a server, and longer while more than two in five load at once.
 PARALLEL_SHARE = 0.4
+# Servers that are this late load in larger numbers: near the bound of 8 s they would be
+# passed over anyway.
+LATE_S = 3.0
+LATE_SHARE = 0.6
 CALL_S = 0.8
 # Report lag is 0.1 s; loading takes 0.4 s after the runs have finished.
 REPORT_INTERVAL_S = 0.25
@@ -199,8 +203,16 @@
                 if model in server.version_by_model
                 and server.entry.state is ServerState.READY
             ]
-            most = max(1, int(PARALLEL_SHARE * len(servers)))
             behind = [s for s in servers if s.version_by_model[model] < version]
+            late_s = max(
+                (
+                    self._knowledge.behind_s(model, s.version_by_model[model])
+                    for s in behind
+                ),
+                default=0.0,
+            )
+            share = LATE_SHARE if late_s > LATE_S else PARALLEL_SHARE
+            most = max(1, int(share * len(servers)))
             for server in self._order_of_loads(behind, now):
                 if len(self._loading) >= most:
                     break
--- /dev/null
+++ b/tests/forwarding/test_knowledge.py
@@ -0,0 +1,36 @@
+from chivesaddle.core.ids import ModelId
+from chivesaddle.forwarding import Knowledge
+
+MODEL = ModelId("m")
+
+
+class TestOldestUsableVersion:
+    def test_a_third_version_extends_nothing_for_the_first(self, clock):
+        """Two versions named 4 s apart: runs began on the first after its bound."""
+        knowledge = Knowledge(clock, 7.0)
+        knowledge.put_weight_version(MODEL, 1)
+        clock.advance(20)
+        knowledge.put_weight_version(MODEL, 2)
+        clock.advance(4)
+        knowledge.put_weight_version(MODEL, 3)
+        clock.advance(2.9)
+        assert knowledge.oldest_usable_version(MODEL) == 0
+        clock.advance(0.2)
+        assert knowledge.oldest_usable_version(MODEL) == 2
+        clock.advance(4)
+        assert knowledge.oldest_usable_version(MODEL) == 3
+
+    def test_version_known_at_the_start_bounds_nothing(self, clock):
+        knowledge = Knowledge(clock, 7.0)
+        knowledge.put_weight_version(MODEL, 5)
+        clock.advance(60)
+        assert knowledge.oldest_usable_version(MODEL) == 0
+
+    def test_lateness_counts_from_the_first_newer_version(self, clock):
+        knowledge = Knowledge(clock, 7.0)
+        for version in (1, 2, 3):
+            knowledge.put_weight_version(MODEL, version)
+            clock.advance(4)
+        assert knowledge.behind_s(MODEL, 1) == 8
+        assert knowledge.behind_s(MODEL, 2) == 4
+        assert knowledge.behind_s(MODEL, 3) == 0
