--- a/src/chivesaddle/forwarding/knowledge.py
+++ b/src/chivesaddle/forwarding/knowledge.py
@@ -7,6 +7,10 @@
 from chivesaddle.core.logs import PartLogger
 from chivesaddle.core.serving_model import Configuration
 
+# A daemon that starts does not know when the version that it finds was named. Restarts
+# take up to 3 s.
+FIRST_VERSION_AGE_S = 3.0
+
 log = PartLogger("configuration")
 
 
@@ -46,7 +50,8 @@
         named = self._named_by_model.setdefault(model, [])
         if not named or version > named[-1].version:
             log.info("weights named", extra={"model": model, "version": version})
-            named.append(_Named(version, self._clock.seconds()))
+            age_s = 0.0 if named else FIRST_VERSION_AGE_S
+            named.append(_Named(version, self._clock.seconds() - age_s))
 
     def named_models(self) -> list[ModelId]:
         """Return the models of which a version was named."""
@@ -61,13 +66,11 @@
         """Return the version below which no request must begin any more.
 
         Each version has its own bound, so naming a third one extends nothing for the
-        first. The version that is known at the start bounds nothing.
+        first.
         """
         limit = self._clock.seconds() - self._older_weights_s
-        due = [
-            n.version for n in self._named_by_model.get(model, [])[1:] if n.at <= limit
-        ]
-        return due[-1] if due else 0
+        named = self._named_by_model.get(model, [])
+        return max((n.version for n in named if n.at <= limit), default=0)
 
     def behind_s(self, model: ModelId, version: int) -> float:
         """Return for how long a newer version than ``version`` has been named."""
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -70,8 +70,8 @@
 # Callers that keep an answer three times as long come up to here after SIGTERM.
 LEAVING_S = 3 * ADDRESS_VALID_S + 0.5
 HOUSEKEEPING_S = 1.0
-# Part of the bound on older weights that is left for the news to arrive and for requests
-# that wait at a server.
+# Part of the bound on older weights that is left for the news to arrive and for
+# requests that wait at a server.
 OLDER_WEIGHTS_RESERVE_S = 1.3
 
 log = PartLogger("serving")
--- a/tests/forwarding/test_knowledge.py
+++ b/tests/forwarding/test_knowledge.py
@@ -14,17 +14,18 @@
         clock.advance(4)
         knowledge.put_weight_version(MODEL, 3)
         clock.advance(2.9)
-        assert knowledge.oldest_usable_version(MODEL) == 0
+        assert knowledge.oldest_usable_version(MODEL) == 1
         clock.advance(0.2)
         assert knowledge.oldest_usable_version(MODEL) == 2
         clock.advance(4)
         assert knowledge.oldest_usable_version(MODEL) == 3
 
-    def test_version_known_at_the_start_bounds_nothing(self, clock):
+    def test_version_found_at_the_start_may_have_been_named_before(self, clock):
+        """A daemon that restarts during a rollout is bound by the same version."""
         knowledge = Knowledge(clock, 7.0)
         knowledge.put_weight_version(MODEL, 5)
-        clock.advance(60)
-        assert knowledge.oldest_usable_version(MODEL) == 0
+        clock.advance(4.1)
+        assert knowledge.oldest_usable_version(MODEL) == 5
 
     def test_lateness_counts_from_the_first_newer_version(self, clock):
         knowledge = Knowledge(clock, 7.0)
