--- a/tests/weights/test_rollout.py
+++ b/tests/weights/test_rollout.py
@@ -84,6 +84,7 @@
     def __init__(self, clock, count=5):
         self.clock = clock
         self.knowledge = Knowledge(clock, 7.0)
+        self.knowledge.put_weight_version(MODEL, 1)
         self.table = ServerTable(clock)
         for number in range(count):
             entry = {
@@ -129,6 +130,14 @@
         assert world.servers.most_busy <= 2
         assert len(world.servers.orders) == 5
 
+    def test_late_rollout_loads_more_servers_at_once(self, world):
+        world.knowledge.put_weight_version(MODEL, 2)
+        world.clock.advance(4)
+        world.rollout.start()
+        world.play(3)
+        assert set(world.servers.version_by_id.values()) == {2}
+        assert world.servers.most_busy == 3
+
     def test_version_named_during_a_rollout_is_reached_too(self, world):
         world.rollout.start()
         world.knowledge.put_weight_version(MODEL, 2)
