--- a/src/chivesaddle/http1/server.py
+++ b/src/chivesaddle/http1/server.py
@@ -70,7 +70,7 @@
     """Writes the answer to one request."""
 
     def __init__(self, connection: "CallerConnection") -> None:
-        self._connection = connection
+        self.connection = connection
         self.gone: Deferred[None] = Deferred()
         self.is_gone = False
         self.started = False
@@ -81,18 +81,18 @@
         if self.is_gone:
             return
         self.started = True
-        self._connection.send_head(status, reason, headers)
+        self.connection.send_head(status, reason, headers)
 
     def write(self, data: bytes) -> None:
         """Write body bytes."""
         if not self.is_gone and data:
-            self._connection.send_data(data)
+            self.connection.send_data(data)
 
     def finish(self) -> None:
         """End a complete answer."""
         if not self.is_gone and not self.finished:
             self.finished = True
-            self._connection.send_end()
+            self.connection.send_end()
 
     def answer(
         self, status: int, body: bytes = b"", headers: HeaderList | None = None
@@ -106,11 +106,11 @@
     def abort(self) -> None:
         """Reset the connection so that a partial answer cannot look complete."""
         if not self.is_gone:
-            self._connection.abort()
+            self.connection.abort()
 
     async def drained(self) -> None:
         """Wait until the caller has read enough for more to be written."""
-        await self._connection.drained()
+        await self.connection.drained()
 
     def mark_gone(self) -> None:
         """Note that the caller has left."""
