--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint format settings-reference demo fleet slopes faults bench
+.PHONY: setup test lint format settings-reference demo fleet slopes faults bench soak
 
 setup: $(VENV)/.installed
 
@@ -43,3 +43,6 @@
 
 bench: setup
 	$(BIN)/python -m chivesaddle.tools.bench
+
+soak: setup
+	$(BIN)/python -m chivesaddle.tools.soak --count 50
