--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -279,9 +279,7 @@
             affinity_key=None if shared is None else str(shared),
             memory_tokens=call.memory_tokens,
             server_tokens=self._memory_of(job.service),
-            plan_prompt=lambda server, version, is_preferred: self._prompts.plan(
-                call, job.account, server, version, is_preferred
-            ),
+            plan_prompt=self._prompts.planner(call, job.account, job.service),
         )
 
     async def _send(self, job: Job, relay: Relay, candidate: Candidate) -> None:
--- a/src/chivesaddle/forwarding/prompts.py
+++ b/src/chivesaddle/forwarding/prompts.py
@@ -1,14 +1,12 @@
 """What a request's prompt costs at each server, and the record of what was sent."""
 
-from collections.abc import Mapping
-
 from chivesaddle.cachemap import PromptPlan, Transfers
 from chivesaddle.core.aio import Clock
-from chivesaddle.core.ids import ZoneId
+from chivesaddle.core.ids import ServiceId
 from chivesaddle.core.serving_model import Account
 from chivesaddle.forwarding.knowledge import Knowledge
 from chivesaddle.forwarding.messages import CallerRequest
-from chivesaddle.placement import ServerTable, TrackedServer
+from chivesaddle.placement import PlanPrompt, ServerTable, TrackedServer
 
 # Events of a part that was just read arrive within this; until then the server counts
 # as its holder.
@@ -52,43 +50,39 @@
         self._servers = servers
         self._transfers = transfers
 
-    def plan(
-        self,
-        request: CallerRequest,
-        account: Account | None,
-        server: TrackedServer,
-        version: int,
-        is_preferred: bool,
-    ) -> PromptPlan:
-        """Plan a request's prompt at a server that runs ``version``.
+    def planner(
+        self, request: CallerRequest, account: Account | None, service_id: ServiceId
+    ) -> PlanPrompt:
+        """Return a function that plans a request's prompt at a server of a service.
 
         The preferred server of a part counts as its holder while no cache events tell
         more, since all daemons send the part there.
         """
-        scope = cache_scope(version, account)
         parts = [(part.id, part.tokens) for part in request.parts]
         configuration = self._knowledge.configuration
-        service = configuration and configuration.services_by_id.get(
-            server.entry.service
-        )
-        if not service or service.engine is None:
-            return PromptPlan(sum(tokens for _, tokens in parts), 0.0)
+        service = configuration and configuration.services_by_id.get(service_id)
+        engine = service.engine if service else None
+        if engine is None:
+            whole = PromptPlan(sum(tokens for _, tokens in parts), 0.0)
+            return lambda server, version, is_preferred: whole
         since = self._clock.seconds() - EVENT_DELAY_S
-        assumed = frozenset(
-            part
-            for part, _ in parts
-            if server.was_sent(scope, part, since)
-            or (is_preferred and not self._transfers.knows(server.entry.address))
-        )
-        return self._transfers.plan(
-            parts,
-            scope,
-            server.entry.address,
-            server.entry.zone,
-            service.engine,
-            self._zones_by_address(server),
-            assumed,
-        )
+        servers = self._servers.of_service(service_id)
+        zones = {found.entry.address: found.entry.zone for found in servers}
+
+        def plan(server: TrackedServer, version: int, is_preferred: bool) -> PromptPlan:
+            scope = cache_scope(version, account)
+            address = server.entry.address
+            is_holder = is_preferred and not self._transfers.knows(address)
+            assumed = frozenset(
+                part
+                for part, _ in parts
+                if is_holder or server.was_sent(scope, part, since)
+            )
+            return self._transfers.plan(
+                parts, scope, address, server.entry.zone, engine, zones, assumed
+            )
+
+        return plan
 
     def record_sent(
         self,
@@ -103,11 +97,5 @@
         server.remember(scope, shared, self._clock.seconds())
         self._transfers.record_saves(parts, scope, plan)
 
-    def _zones_by_address(self, server: TrackedServer) -> Mapping[str, ZoneId]:
-        return {
-            other.entry.address: other.entry.zone
-            for other in self._servers.of_service(server.entry.service)
-        }
-
 
 __all__ = ["Prompts", "cache_scope"]
--- a/src/chivesaddle/placement/__init__.py
+++ b/src/chivesaddle/placement/__init__.py
@@ -1,7 +1,7 @@
 """Which backend server gets a request: what is known of servers, and the choice."""
 
 from chivesaddle.placement.affinity import preferred_servers
-from chivesaddle.placement.choice import Candidate, Need, choose
+from chivesaddle.placement.choice import Candidate, Need, PlanPrompt, choose
 from chivesaddle.placement.table import Load, Outcome, ServerTable, TrackedServer
 
 __all__ = [
@@ -9,6 +9,7 @@
     "Load",
     "Need",
     "Outcome",
+    "PlanPrompt",
     "ServerTable",
     "TrackedServer",
     "choose",
