Free parts of replaced weight versions in the stores

Stores drop nothing on their own, so every new version found them full of parts that nobody can use.

--- a/src/chivesaddle/cachemap/__init__.py
+++ b/src/chivesaddle/cachemap/__init__.py
@@ -1,5 +1,6 @@
 """Where parts of prompts are cached, and what to move for a request."""
 
+from chivesaddle.cachemap.cleaning import Cleaner
 from chivesaddle.cachemap.feeds import CacheEvent, CacheEvents, CacheReader, Feeds
 from chivesaddle.cachemap.index import CacheIndex
 from chivesaddle.cachemap.transfers import PromptPlan, Transfers
@@ -9,6 +10,7 @@
     "CacheEvents",
     "CacheIndex",
     "CacheReader",
+    "Cleaner",
     "Feeds",
     "PromptPlan",
     "Transfers",
--- a/src/chivesaddle/cachemap/index.py
+++ b/src/chivesaddle/cachemap/index.py
@@ -97,6 +97,11 @@
         view = self._views.get(address)
         return 0 if view is None else view.used_tokens
 
+    def epoch(self, address: str) -> int:
+        """Return the run of a holder that its view is of, 0 if it is not known."""
+        view = self._views.get(address)
+        return 0 if view is None else view.epoch
+
     def holders(self, key: PartKey) -> list[str]:
         """Return the addresses of fresh holders of a part, in a fixed order."""
         found = self._holders_by_part.get(key, ())
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -182,6 +182,15 @@
             and tracked.entry.state is ServerState.READY
         ]
 
+    def oldest_version(self) -> int | None:
+        """Return the oldest weight version of all listed servers, or None."""
+        versions = [
+            version
+            for tracked in self._by_id.values()
+            for version in tracked.version_by_model.values()
+        ]
+        return min(versions, default=None)
+
     def put(self, entry: ServerEntry) -> None:
         """Take over a server's entry; a new run of it starts without a past."""
         known = self._by_id.get(entry.id)
--- a/src/chivesaddle/platform/calls.py
+++ b/src/chivesaddle/platform/calls.py
@@ -1,8 +1,11 @@
 """Calls to backend servers beside requests: their report, and orders."""
 
+from collections.abc import Sequence
+
 import msgspec
 
 from chivesaddle.cachemap import CacheEvent, CacheEvents
+from chivesaddle.cachemap.index import PartKey
 from chivesaddle.core.aio import Clock
 from chivesaddle.core.errors import ChivesaddleError
 from chivesaddle.core.ids import BackendServerId, FencingToken, ModelId
@@ -153,6 +156,28 @@
         ]
         return CacheEvents(found.boot_epoch, found.next_token, False, tuple(events))
 
+    async def free_parts(
+        self, address: str, epoch: int, keys: Sequence[PartKey], deadline: float
+    ) -> None:
+        """Free parts of a store; raises `ServerCallFailed`."""
+        body = msgspec.json.encode({"parts": keys, "boot_epoch": epoch})
+        try:
+            head, _ = await exchange(
+                self._pool,
+                self._clock,
+                address,
+                "POST",
+                "/kv-free",
+                deadline=deadline,
+                body=body,
+            )
+        except (NotSent, ResponseBroken) as error:
+            raise ServerCallFailed(
+                f"No answer of store {address}: {error.message}"
+            ) from error
+        if head.status != 200:
+            raise ServerCallFailed(f"Store {address} answered {head.status}")
+
     async def _read_cache(
         self, address: str, target: str, headers: HeaderList, deadline: float
     ) -> _CacheEvents:
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -3,7 +3,7 @@
 import os
 from typing import Any
 
-from chivesaddle.cachemap import CacheIndex, Feeds, Transfers
+from chivesaddle.cachemap import CacheIndex, Cleaner, Feeds, Transfers
 from chivesaddle.core.aio import log_failure, sleep_until, start
 from chivesaddle.core.errors import InvalidValue
 from chivesaddle.core.ids import BackendServerId, ZoneId
@@ -172,6 +172,9 @@
         )
         self._index = CacheIndex(reactor)
         self._feeds = Feeds(reactor, server_api, self._index)
+        self._cleaner = Cleaner(
+            reactor, self._index, server_api, self._servers.oldest_version
+        )
         self._transfers = Transfers(reactor, self._index)
         self._forwarder = Forwarder(
             reactor,
@@ -339,10 +342,17 @@
                 is_store_by_address[tracked.entry.address] = False
         self._feeds.set_holders(is_store_by_address)
 
+    async def _clean_stores(self) -> None:
+        configuration = self._knowledge.configuration
+        if configuration is not None:
+            stores = [s.address for s in configuration.stores_by_id.values()]
+            await self._cleaner.step(stores, self._rollout.gives_orders)
+
     async def _keep_house(self) -> None:
         while not self._leaving:
             await sleep_until(self._reactor, self._reactor.seconds() + HOUSEKEEPING_S)
             self._follow_holders()
+            await self._clean_stores()
             self._server_pool.close_expired()
             self._store_pool.close_expired()
             self.metrics.set_value("store_calls", self.store.calls)
--- a/src/chivesaddle/weights/rollout.py
+++ b/src/chivesaddle/weights/rollout.py
@@ -159,6 +159,11 @@
             self._loop.cancel()
         await self._lease.stop(release=False)
 
+    @property
+    def gives_orders(self) -> bool:
+        """Whether this daemon holds the lease."""
+        return self._lease.held_at(self._clock.seconds())
+
     def lease_to_relay(self) -> tuple[int, int]:
         """Return the lease's version and the age of its renewal in ms, if held."""
         now = self._clock.seconds()
