--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -2,13 +2,13 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass
 
 from twisted.internet.defer import CancelledError
 
 from chivesaddle.core.aio import Clock, start, with_deadline
 from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded
-from chivesaddle.core.ids import BackendServerId, Fingerprint, ServiceId, ZoneId
+from chivesaddle.core.ids import ServiceId, ZoneId
 from chivesaddle.core.logs import PartLogger
 from chivesaddle.core.serving_model import Account, Configuration, Route, RouteKind
 from chivesaddle.forwarding.budget import RetryBudget
@@ -20,6 +20,7 @@
     TimedOut,
     UnknownKey,
 )
+from chivesaddle.forwarding.job import Job
 from chivesaddle.forwarding.knowledge import Knowledge
 from chivesaddle.forwarding.messages import (
     CallerRequest,
@@ -61,26 +62,6 @@
     server_headers: Callable[[CallerRequest, SendOptions], HeaderList]
 
 
-@dataclass(slots=True)
-class Job:
-    """A caller's request on its way; times in seconds of the daemon's clock."""
-
-    request: CallerRequest
-    route: Route
-    service: ServiceId
-    account: Account | None
-    configuration_version: int
-    received_at: float
-    deadline: float
-    caller_deadline: float | None
-    fingerprint: Fingerprint
-    sends: int = 0
-    runs: int = 0
-    excluded: set[BackendServerId] = field(default_factory=set)
-    first_event_at: float | None = None
-    last_candidate: Candidate | None = None
-
-
 class Forwarder:
     """Forwards requests of callers.
 
@@ -466,36 +447,12 @@
                 "configuration": job.configuration_version,
                 "sends": job.sends,
                 "runs": job.runs,
-                **self._describe_send(job),
+                **job.describe_send(self._clock.seconds()),
             }
         if error is not None:
             fields["cause"] = error.message
             fields["retry_after_s"] = error.retry_after_s
         log.info(result, extra=fields)
 
-    def _describe_send(self, job: Job) -> dict[str, object]:
-        """Return the inputs of the last choice of a server, for the log."""
-        found = job.last_candidate
-        if found is None:
-            return {}
-        load_age_s = self._clock.seconds() - found.server.load_at
-        fields: dict[str, object] = {
-            "server": found.server.entry.id,
-            "predicted_ms": round(found.predicted_ms),
-            "known": asdict(found.load),
-            "load_age_ms": round(min(load_age_s, 1e6) * 1_000),
-        }
-        if job.first_event_at is not None:
-            fields["first_ms"] = round((job.first_event_at - job.received_at) * 1_000)
-        if found.plan is not None:
-            fields |= {
-                "weights": found.version,
-                "part": job.request.shared_part,
-                "read_tokens": found.plan.read_tokens,
-                "shared_read_tokens": found.plan.shared_read_tokens,
-                "transfer_ms": round(found.plan.transfer_ms),
-            }
-        return fields
-
 
-__all__ = ["Forwarder", "Job", "Wire"]
+__all__ = ["Forwarder", "Wire"]
--- a/src/chivesaddle/tools/soak/callers.py
+++ b/src/chivesaddle/tools/soak/callers.py
@@ -7,6 +7,7 @@
 
 import httpx
 
+from chivesaddle.platform.headers import REQUEST_ID, TIME_LIMIT
 from chivesaddle.standins.platform_server import EVENTS
 from chivesaddle.tools.platform_fleet import HOST_NAME, KEY
 
@@ -78,8 +79,8 @@
         headers = {
             "Host": HOST_NAME,
             "Authorization": f"Bearer {KEY}",
-            "X-Chivesaddle-Attempt-Identifier": request_id,
-            "X-Chivesaddle-Deadline-Milliseconds": str(TIME_LIMIT_MS),
+            REQUEST_ID.decode(): request_id,
+            TIME_LIMIT.decode(): str(TIME_LIMIT_MS),
         }
         body = request_id.encode()
         url = f"http://{address}/{kind}/x"
