--- a/src/chivesaddle/tools/soak/run.py
+++ b/src/chivesaddle/tools/soak/run.py
@@ -60,6 +60,7 @@
         self.record = Record()
         self.log: list[str] = []
         self._calm_from = 0.0
+        self._restarting: set[str] = set()
 
     def _via(self, name: str, address: str) -> str:
         if name not in self._proxies:
@@ -131,7 +132,12 @@
         return []
 
     def _running_daemon(self) -> str | None:
-        running = [n for n in self.fleet.listeners if n in self.fleet.processes.pids]
+        """Return a daemon that may be ended; one that is being restarted may not."""
+        running = [
+            name
+            for name in self.fleet.listeners
+            if name in self.fleet.processes.pids and name not in self._restarting
+        ]
         return self._random.choice(running) if len(running) > 1 else None
 
     @contextlib.contextmanager
@@ -143,11 +149,13 @@
     async def _restart(self, name: str) -> None:
         loop = asyncio.get_running_loop()
         await loop.run_in_executor(None, self.fleet.processes.restart, name)
+        self._restarting.discard(name)
 
     async def _kill(self) -> None:
         name = self._running_daemon()
         if name is None:
             return
+        self._restarting.add(name)
         with self._noted(f"kill {name}"):
             self.fleet.processes.kill(name)
             await asyncio.sleep(self._random.uniform(0.0, 1.0))
@@ -166,6 +174,7 @@
         name = self._running_daemon()
         if name is None:
             return
+        self._restarting.add(name)
         with self._noted(f"terminate {name}"):
             self.fleet.processes.terminate(name)
             loop = asyncio.get_running_loop()
