Read the settings again on SIGHUP; leave an address that another server uses

SIGHUP only logged that settings were read. Now they are read and checked, what can change takes effect, and the rest is named. A 421 of another server ejects the expected one, so that each request does not try the reused address first.

--- a/src/chivesaddle/forwarding/send.py
+++ b/src/chivesaddle/forwarding/send.py
@@ -176,9 +176,11 @@
         # Without the id, an answer on a kept connection may belong to another request.
         is_own = answer.request_id == request.id or self._connection.exchanges == 1
         if answer.was_not_run and is_own:
+            # Another server at the address means that the expected one is gone.
+            is_other = answer.server not in (None, self._server.id)
             raise ServerDidNotRun(
                 f"Server answered {answer.status} without running the request",
-                Outcome.REFUSED,
+                Outcome.UNREACHABLE if is_other else Outcome.REFUSED,
                 answer.status,
                 answer.server,
             )
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -1,6 +1,8 @@
 """The serving daemon: builds the slices, starts and stops them in order."""
 
+import logging
 import os
+from pathlib import Path
 from typing import Any
 
 from chivesaddle.cachemap import CacheIndex, Cleaner, Feeds, Transfers
@@ -59,7 +61,7 @@
 from chivesaddle.serving.hints import LoadHints, ServerShares
 from chivesaddle.serving.metrics import ServingMetrics
 from chivesaddle.serving.registration import Registration
-from chivesaddle.serving.settings import ServingSettings
+from chivesaddle.serving.settings import ServingSettings, SettingsError
 from chivesaddle.weights import LEASE_NAME, RENEW_S, Rollout
 
 # How long callers keep an address answer. Some keep it three times as long, which must
@@ -242,9 +244,26 @@
             watcher.stop()
         log.info("stopped", extra={"in_flight": self._callers.in_flight})
 
-    def reload(self) -> None:
-        """Note a changed settings file; nothing in it changes while running."""
-        log.info("settings read again")
+    def reload(self, path: Path) -> None:
+        """Read the settings again; a wrong file is logged and changes nothing.
+
+        Log level and the times of shutdown and address answers take effect at once. A
+        change of anything else needs a restart and is logged.
+        """
+        try:
+            settings = ServingSettings.from_config(path)
+        except SettingsError as error:
+            log.error("settings not read", extra={"cause": str(error)})
+            return
+        logging.getLogger().setLevel(settings.log_level)
+        fixed = ("daemon_id", "zone", "listen", "store", "seeds")
+        changed = [
+            name
+            for name in fixed
+            if getattr(settings, name) != getattr(self._settings, name)
+        ]
+        self._settings = settings
+        log.info("settings read again", extra={"needs_restart": changed})
 
     @property
     def is_ready(self) -> bool:
--- a/src/chivesaddle/serving/main.py
+++ b/src/chivesaddle/serving/main.py
@@ -30,10 +30,10 @@
         print(f"chivesaddle-serve: {error}", file=sys.stderr)
         return EXIT_INVALID_SETTINGS
     configure_logs(settings.daemon_id, settings.log_level, settings.log_lines_per_s)
-    return 0 if _run(settings) else 1
+    return 0 if _run(settings, Path(settings_path)) else 1
 
 
-def _run(settings: ServingSettings) -> bool:
+def _run(settings: ServingSettings, path: Path) -> bool:
     """Run the daemon; return False if it could not start."""
     install_reactor()
     # Imported here: these modules import the reactor, which must be ours.
@@ -60,7 +60,7 @@
 
     signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(stop))
     signal.signal(signal.SIGINT, lambda *_: reactor.callFromThread(stop))
-    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(daemon.reload))
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(daemon.reload, path))
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD, 50, 100)
     # callWhenRunning would run before the asyncio loop does, which grpclib needs.
--- a/src/chivesaddle/tools/platform_fleet.py
+++ b/src/chivesaddle/tools/platform_fleet.py
@@ -131,6 +131,10 @@
         url = f"http://{self.servers[name]}/control/faults"
         HTTP.put(url, json=switches).raise_for_status()
 
+    def settings_path(self, name: str) -> Path:
+        """Return the settings file of a daemon."""
+        return self._build_dir / f"{name}.json"
+
     def callers_of(self, name: str) -> list[str]:
         """Return the addresses for callers that a daemon names."""
         address = self.listeners[name]["addresses"]
@@ -159,7 +163,7 @@
             },
             "seeds": [found["peers"] for found in self.listeners.values()],
         }
-        path = self._build_dir / f"{name}.json"
+        path = self.settings_path(name)
         path.write_text(json.dumps(settings))
         readiness = self.listeners[name]["readiness"]
         url = f"http://{readiness}/readiness"
--- a/tests/e2e_platform/test_fleet.py
+++ b/tests/e2e_platform/test_fleet.py
@@ -151,3 +151,25 @@
             thread.join()
         assert set(results) == {200}
         assert fleet.processes.wait_for_end("daemon-0", 8) == 0
+
+
+class TestReload:
+    def test_changed_settings_are_read_and_wrong_ones_change_nothing(self, fleet):
+        import json
+        import os
+        import signal
+
+        path = fleet.settings_path("daemon-1")
+        settings = json.loads(path.read_text())
+        pid = fleet.processes.pids["daemon-1"]
+        for text, event in (
+            (json.dumps({**settings, "zone": "y"}), '"needs_restart":["zone"]'),
+            ("{", "settings not read"),
+        ):
+            path.write_text(text)
+            os.kill(pid, signal.SIGHUP)
+            assert wait_until(
+                lambda e=event: e in fleet.processes.log_tail("daemon-1", 5_000), 5
+            )
+        path.write_text(json.dumps(settings))
+        assert ask(fleet, "daemon-1", "/safe/x", "reloaded").status_code == 200
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -94,6 +94,17 @@
         path.connections[1].answer(200, b"done")
         assert caller.status == 200
 
+    def test_address_of_another_server_is_left_at_once(self, path, caller):
+        """Guards against sending each request to a reused address first."""
+        caller.request("/unsafe/x")
+        first = path.connections[0]
+        first.answer(421, extra="X-Chivesaddle-Instance: i-9")
+        path.advance()
+        path.advance()
+        path.connections[1].answer(200, b"done")
+        assert caller.status == 200
+        assert path.servers.get(f"i-{first.address[7]}").ejected_until > 0
+
     def test_refused_connection_proves_that_nothing_ran(self, path, caller):
         path.network.refuses = {"10.0.0.1:80", "10.0.0.2:80"}
         caller.request("/unsafe/x")
