Soak: ask for addresses without blocking its loop; keep the seeds that failed

Seed 208: synchronous questions for addresses held up the soak's own loop, so a fault planned for 3 s lasted 8 s into the time of recovery. Seed 203: a server logged a request without an id while three soaks ran at once; not traced, runs without an id now log their target.

--- a/src/chivesaddle/standins/platform_server.py
+++ b/src/chivesaddle/standins/platform_server.py
@@ -76,7 +76,8 @@
             not_run = (b"x-chivesaddle-not-executed", b"1")
             responder.answer(503, b"", [*identity, not_run])
             return
-        self.runs.append(request_id)
+        # A request without an id is told by its target, so that it can be traced.
+        self.runs.append(request_id or f"{request.method!r} {request.target!r}")
         await sleep_until(self.reactor, self.reactor.seconds() + WORK_S)
         if self.faults.mute:
             return
--- a/src/chivesaddle/tools/soak/callers.py
+++ b/src/chivesaddle/tools/soak/callers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import httpx
@@ -47,7 +47,7 @@
         name: str,
         seed: int,
         record: Record,
-        addresses: Callable[[], list[str]],
+        addresses: Callable[[], Awaitable[list[str]]],
         clock: Callable[[], float],
     ) -> None:
         self._name = name
@@ -63,7 +63,7 @@
             address = ""
             while self._clock() < until:
                 if not address:
-                    found = self._addresses()
+                    found = await self._addresses()
                     address = self._random.choice(found) if found else ""
                 if address and not await self._request(client, address):
                     address = ""
--- a/src/chivesaddle/tools/soak/run.py
+++ b/src/chivesaddle/tools/soak/run.py
@@ -118,17 +118,18 @@
             await fault()
             await asyncio.sleep(self._random.uniform(0.1, 0.8))
 
-    def _addresses(self) -> list[str]:
+    async def _addresses(self) -> list[str]:
         names = list(self.fleet.listeners)
         self._random.shuffle(names)
-        for name in names:
-            address = self.fleet.listeners[name]["addresses"]
-            with contextlib.suppress(httpx.HTTPError):
-                answer = httpx.get(
-                    f"http://{address}/resolve", params={"zone": "z"}, timeout=0.3
-                )
-                if answer.status_code == 200:
-                    return answer.json()["addresses"]
+        async with httpx.AsyncClient(timeout=0.5) as client:
+            for name in names:
+                address = self.fleet.listeners[name]["addresses"]
+                with contextlib.suppress(httpx.HTTPError):
+                    answer = await client.get(
+                        f"http://{address}/resolve", params={"zone": "z"}
+                    )
+                    if answer.status_code == 200:
+                        return answer.json()["addresses"]
         return []
 
     def _running_daemon(self) -> str | None:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,7 +4,15 @@
 from chivesaddle.tools.soak.callers import Record, judge_runs
 
 # Seeds that are always played; a seed that ever failed is kept here with its cause.
-SEEDS = [1]
+SEEDS = [
+    1,
+    # A server logged a request without an id. Not traced: three soaks ran at once, and
+    # each takes ports that are free for a moment (docs/soak.md).
+    203,
+    # Callers' questions for addresses blocked the soak's own loop, so that faults
+    # lasted into the time of recovery.
+    208,
+]
 FAULT_S = 6.0
 
 
