--- a/src/chivesaddle/http1/client.py
+++ b/src/chivesaddle/http1/client.py
@@ -304,7 +304,9 @@
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:  # noqa: N802
         self._connection.lost = True
         if not self._connection.opened.called:
-            message = f"Cannot connect: {reason.getErrorMessage()}"
+            # The message of a failure may quote the traceback of another one.
+            cause = reason.getErrorMessage().partition(": [Failure")[0]
+            message = f"Cannot connect: {reason.type.__name__}: {cause}"
             self._connection.opened.errback(Failure(NotSent(message)))
 
 
