--- a/src/chivesaddle/http1/client.py
+++ b/src/chivesaddle/http1/client.py
@@ -306,7 +306,7 @@
         if not self._connection.opened.called:
             # The message of a failure may quote the traceback of another one.
             cause = reason.getErrorMessage().partition(": [Failure")[0]
-            message = f"Cannot connect: {reason.type.__name__}: {cause}"
+            message = f"Cannot connect: {type(reason.value).__name__}: {cause}"
             self._connection.opened.errback(Failure(NotSent(message)))
 
 
