--- a/src/chivesaddle/tools/processes.py
+++ b/src/chivesaddle/tools/processes.py
@@ -1,6 +1,7 @@
 """Child processes of the tools: start, pause, kill, restart, stop."""
 
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -17,6 +18,8 @@
 
 START_WAIT_S = 60.0
 POLL_S = 0.05
+# Linux takes ports of outgoing connections from 32,768 on.
+PORTS = (15_000, 32_000)
 
 
 # Creating a client loads certificates, so one is shared. Connections are not kept,
@@ -166,12 +169,19 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return distinct loopback TCP ports that are free at the moment."""
+    """Return distinct loopback TCP ports that are free at the moment.
+
+    They lie below the range from which the system takes ports of outgoing connections,
+    which could otherwise take one before its process listens.
+    """
     with ExitStack() as stack:
-        ports = []
-        for _ in range(count):
+        ports: list[int] = []
+        while len(ports) < count:
             listener = stack.enter_context(socket.socket())
-            listener.bind(("127.0.0.1", 0))
+            try:
+                listener.bind(("127.0.0.1", random.randint(*PORTS)))
+            except OSError:
+                continue
             ports.append(listener.getsockname()[1])
     return ports
 
