Let requests wait in the daemon until a model server has memory for them

Reading slows the runs, which hold their memory longer; the service did not leave this state.

Change: a line per service on each daemon (placement/waiting.py). A request is sent when its server has room by the sum of all daemons' requests; the line goes by lateness, rank and target; requests that have waited for half of their target reserve a server; what the line cannot serve before its caller leaves is refused on arrival with the predicted time.

--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -1,14 +1,14 @@
 """One request of a caller: admission, sends to servers, and the answer."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from twisted.internet.defer import CancelledError
 
 from chivesaddle.core.aio import Clock, start, with_deadline
 from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded
-from chivesaddle.core.ids import ServiceId, ZoneId
+from chivesaddle.core.ids import BackendServerId, ServiceId, ZoneId
 from chivesaddle.core.logs import PartLogger
 from chivesaddle.core.serving_model import Account, Configuration, Route, RouteKind
 from chivesaddle.forwarding.budget import RetryBudget
@@ -32,7 +32,16 @@
 from chivesaddle.forwarding.relay import Relay
 from chivesaddle.forwarding.send import Exchange, ServerBroke, ServerDidNotRun
 from chivesaddle.http1 import ConnectionPool, Request, Responder, ResponseHead
-from chivesaddle.placement import Candidate, Need, Outcome, ServerTable, choose
+from chivesaddle.placement import (
+    Candidate,
+    Claim,
+    MemoryLine,
+    Need,
+    NoRoom,
+    Outcome,
+    ServerTable,
+    choose,
+)
 
 # Sends of one request, those that a server refused included.
 MAX_SENDS = 4
@@ -41,6 +50,8 @@
 FIRST_ATTEMPT_SHARE = 0.5
 # A server under load answers a repeatable request within a few times its target.
 PATIENCE_TARGETS = 4.0
+# Callers leave a stream without events no sooner than after this.
+LEAST_PATIENCE_S = 2.0
 # Times after which a refused caller may come back are spread over this range, so that
 # callers refused together do not return together.
 RETRY_FIRST_S = 0.2
@@ -113,6 +124,8 @@
         self._prompts = prompts
         self._observe = observe
         self._random = random.Random()
+        self._lines_by_service: dict[ServiceId, MemoryLine] = {}
+        servers.on_room = self._look_for_room
 
     def handle(self, request: Request, responder: Responder) -> None:
         """Answer a request; the handler of the callers' listener."""
@@ -212,7 +225,7 @@
 
     async def _attempts(self, job: Job, relay: Relay) -> None:
         while True:
-            candidate = self._choose(job)
+            candidate = await self._find_server(job)
             if job.sends == 0:
                 self._budget.record_request(job.service)
             elif not self._budget.take(job.service):
@@ -233,14 +246,60 @@
                 if not self._may_repeat(job):
                     raise self._give_up(job, relay, error.message) from error
 
-    def _choose(self, job: Job) -> Candidate:
+    async def _find_server(self, job: Job) -> Candidate:
+        """Return the server to send to, after a wait for its memory where it is full.
+
+        Raises `NotRun` or `MayHaveRun` if there is none.
+        """
+        if not self._memory_of(job.service):
+            return self._choose(job)
+        now = self._clock.seconds()
+        target_s = job.route.target_s
+        patience_s = max(LEAST_PATIENCE_S, PATIENCE_TARGETS * target_s)
+        claim = Claim(
+            tokens=job.request.memory_tokens,
+            rank=self._priority(job) or 0,
+            arrived_at=job.received_at,
+            wanted_by=job.received_at + target_s,
+            useless_after=min(
+                job.deadline - target_s, job.received_at + patience_s - target_s
+            ),
+        )
+        try:
+            return await self._line_of(job.service).wait_for_room(
+                claim, lambda reserved: self._choose(job, reserved)
+            )
+        except NoRoom as error:
+            waited_s = self._clock.seconds() - now
+            message = f"{error.message}; waited {waited_s:.2f} s"
+            if job.runs:
+                raise MayHaveRun(message) from error
+            expected_s = error.retry_after_s or 0.0
+            raise NotRun(
+                message, retry_after_s=expected_s + self._return_time()
+            ) from error
+
+    def _line_of(self, service: ServiceId) -> MemoryLine:
+        line = self._lines_by_service.get(service)
+        if line is None:
+            line = self._lines_by_service[service] = MemoryLine(self._clock)
+        return line
+
+    def _look_for_room(self, service: ServiceId) -> None:
+        line = self._lines_by_service.get(service)
+        if line is not None:
+            line.look()
+
+    def _choose(
+        self, job: Job, reserved: Collection[BackendServerId] = ()
+    ) -> Candidate:
         """Choose a server; raises `NotRun` or `MayHaveRun` if there is none."""
         now = self._clock.seconds()
         servers = self._servers.of_service(job.service)
         need = self._need(job)
-        found = choose(servers, need, self._zone, now, job.excluded)
+        found = choose(servers, need, self._zone, now, job.excluded, reserved)
         if found is None and job.excluded and job.runs == 0:
-            found = choose(servers, need, self._zone, now)
+            found = choose(servers, need, self._zone, now, reserved=reserved)
         if found is None:
             message = f"Service {job.service} has no usable server of {len(servers)}"
             if job.runs:
--- a/src/chivesaddle/placement/choice.py
+++ b/src/chivesaddle/placement/choice.py
@@ -1,7 +1,7 @@
 """The choice of a backend server for one request, by predicted time to first token."""
 
 from collections.abc import Callable, Collection, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from chivesaddle.cachemap import PromptPlan
 from chivesaddle.cachemap.transfers import PREFILL_TOKENS_PER_MS
@@ -15,8 +15,10 @@
 # Daemons that do not know yet where a part is being read choose the same server.
 NOT_PREFERRED_MS = 15.0
 # Requests that do not fit a server's memory wait until runs end, which takes one to
-# three seconds. Requests that share parts take less memory than their sum.
+# three seconds.
 MEMORY_WAIT_MS = 3_000.0
+# Share of a server's memory that runs may take by their own figures. These are upper
+# bounds: few runs make as many tokens as they may, and shared parts count repeatedly.
 USABLE_MEMORY = 1.0
 # A plain service of the sheets works about this long on a request.
 WAITING_MS = 50.0
@@ -68,13 +70,23 @@
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """A server that may get the request, with its predicted time and its load."""
+    """A server that may get the request, with its predicted time and its load.
+
+    Attributes
+    ----------
+    has_room : bool
+        Whether its memory holds the request now.
+    alternatives : int
+        Servers that could run the request, this one included.
+    """
 
     server: TrackedServer
     version: int | None
     predicted_ms: float
     plan: PromptPlan | None
     load: Load
+    has_room: bool = True
+    alternatives: int = 1
 
 
 def choose(
@@ -83,10 +95,13 @@
     zone: ZoneId,
     now: float,
     excluded: Collection[BackendServerId] = (),
+    reserved: Collection[BackendServerId] = (),
 ) -> Candidate | None:
     """Return the server with the smallest predicted time, or None if there is none.
 
-    Ejected servers are used only if all are ejected, the one that returns first.
+    Servers with room for the request come before all others, and ejected servers are
+    used only if all are ejected, the one that returns first. A reserved server counts
+    as one without room.
     """
     usable = [
         server
@@ -100,7 +115,16 @@
         open_servers = [min(usable, key=lambda server: server.ejected_until)]
     first = _first_preferred(servers, need)
     candidates = [_predict(server, need, zone, now, first) for server in open_servers]
-    return min(candidates, key=lambda c: (c.predicted_ms, c.server.entry.id))
+    best = min(
+        candidates,
+        key=lambda c: (
+            not c.has_room or c.server.entry.id in reserved,
+            c.predicted_ms,
+            c.server.entry.id,
+        ),
+    )
+    has_room = best.has_room and best.server.entry.id not in reserved
+    return replace(best, has_room=has_room, alternatives=len(candidates))
 
 
 def _has_usable_version(server: TrackedServer, need: Need) -> bool:
@@ -146,9 +170,13 @@
     work = READ_WEIGHT * plan.read_tokens / PREFILL_TOKENS_PER_MS + plan.transfer_ms
     work += load.unread_tokens / PREFILL_TOKENS_PER_MS + RUNNING_MS * load.requests
     over = load.memory_tokens + need.memory_tokens - USABLE_MEMORY * need.server_tokens
+    has_room = True
     if need.server_tokens and over > 0:
         work += MEMORY_WAIT_MS * over / need.server_tokens
-    return Candidate(server, version, work + penalty, plan, load)
+        # A request that no empty server would have room for is sent to an empty one.
+        has_room = load.memory_tokens == 0
+    has_room = has_room and server.busy_until <= now
+    return Candidate(server, version, work + penalty, plan, load, has_room)
 
 
 __all__ = ["Candidate", "Need", "PlanPrompt", "choose"]
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -162,6 +162,8 @@
         self._clock = clock
         # Told of each server that proves to be down or to have started anew.
         self.on_down: Callable[[BackendServerId], None] = lambda server: None
+        # Told when a server may have got room.
+        self.on_room: Callable[[ServiceId], None] = lambda service: None
         self._by_id: dict[BackendServerId, TrackedServer] = {}
         self._serial = 0
 
@@ -298,6 +300,7 @@
             return
         tracked.in_flight.pop(serial, None)
         tracked.unanswered.pop(serial, None)
+        self._clock.callLater(0, self.on_room, tracked.entry.service)
         match outcome:
             case None | Outcome.REFUSED:
                 return
