Load weights while the last runs go on

Each order waited for the server's longest run, up to 8 s, and the server took nothing meanwhile; 40 % of the servers were out. Ruled out: the time of a load itself (0.4 s) and repeated orders (8 orders, 8 loads).

Change: a server gets no new requests for up to 0.5 s, known to all daemons by the beacons, and then the order lets the remaining runs go on. What they make afterwards earns nothing, which is the price of it.

--- a/src/chivesaddle/platform/calls.py
+++ b/src/chivesaddle/platform/calls.py
@@ -104,9 +104,12 @@
         orders_accepted: int,
         holder: str,
         fence: FencingToken,
+        runs_go_on: bool,
         deadline: float,
     ) -> bool:
-        """Order a weight version, loaded after the current runs have finished.
+        """Order a weight version.
+
+        It is loaded at once if runs go on under it, else after they have finished.
 
         Returns whether the server took the order or already has the version.
 
@@ -123,7 +126,7 @@
                 "operation": "version",
                 "model": model,
                 "version": version,
-                "mode": "wait",
+                "mode": "retain" if runs_go_on else "wait",
                 "holder": holder,
                 "fencing_token": fence,
                 "precondition": orders_accepted,
--- a/src/chivesaddle/weights/rollout.py
+++ b/src/chivesaddle/weights/rollout.py
@@ -39,6 +39,10 @@
 # A server that does not come up in this time is tried again from its report.
 BRING_UP_S = 6.0
 RETRY_S = 0.5
+# A server gets no new requests for up to this long before its order. Half of the runs
+# last less than 2 s; the last ones, of up to 8 s, go on under the new weights, since a
+# server that waits for them serves nobody meanwhile.
+FINISH_RUNS_S = 0.5
 # Daemons that try to hold the lease; more only read it in vain.
 CANDIDATES = 3
 
@@ -63,6 +67,7 @@
         orders_accepted: int,
         holder: str,
         fence: FencingToken,
+        runs_go_on: bool,
         deadline: float,
     ) -> bool:
         """Give an order; return whether the server took it or needs none."""
@@ -138,7 +143,7 @@
         self._term = FencingToken(0)
         self._may_order_from = 0.0
         self._loading: set[BackendServerId] = set()
-        # Servers that took an order and have not reported its version.
+        # Servers that get no new requests until they report their version.
         self.ordered: set[BackendServerId] = set()
         self._retry_at: dict[BackendServerId, float] = {}
         self._loop: Deferred[None] | None = None
@@ -255,6 +260,7 @@
     ) -> None:
         name, address = server.entry.id, server.entry.address
         give_up_at = self._clock.seconds() + BRING_UP_S
+        await self._finish_runs(server)
         while self._clock.seconds() < give_up_at:
             now = self._clock.seconds()
             try:
@@ -277,9 +283,20 @@
                 return
             await sleep_until(self._clock, self._clock.seconds() + REPORT_INTERVAL_S)
 
+    async def _finish_runs(self, server: TrackedServer) -> None:
+        """Keep new requests of all daemons from a server while its runs finish."""
+        self.ordered.add(server.entry.id)
+        until = self._clock.seconds() + FINISH_RUNS_S
+        while self._clock.seconds() < until:
+            self._servers.record_busy(server.entry.id)
+            if not server.load(self._clock.seconds()).requests:
+                return
+            await sleep_until(self._clock, self._clock.seconds() + TICK_S)
+
     async def _order(
         self, server: TrackedServer, model: ModelId, version: int, accepted: int
     ) -> None:
+        runs = server.load(self._clock.seconds()).requests
         taken = await self._giver.order(
             server.entry.id,
             server.entry.address,
@@ -288,6 +305,7 @@
             orders_accepted=accepted,
             holder=self._holder,
             fence=self._term,
+            runs_go_on=runs > 0,
             deadline=self._clock.seconds() + CALL_S,
         )
         log.info(
@@ -297,11 +315,10 @@
                 "version": version,
                 "fence": self._term,
                 "orders_accepted": accepted,
+                "runs": runs,
                 "taken": taken,
             },
         )
-        if taken:
-            self.ordered.add(server.entry.id)
         self._servers.record_busy(server.entry.id)
 
 
--- a/tests/weights/test_rollout.py
+++ b/tests/weights/test_rollout.py
@@ -3,7 +3,7 @@
 
 from chivesaddle.core.ids import FencingToken, ModelId
 from chivesaddle.forwarding import Knowledge
-from chivesaddle.placement import ServerTable
+from chivesaddle.placement import Outcome, ServerTable
 from chivesaddle.platform import ServerCallFailed, decode_server
 from chivesaddle.weights import Rollout
 
@@ -42,6 +42,7 @@
         self.accepted_by_id = dict.fromkeys(self.version_by_id, 0)
         self.busy = set()
         self.orders = []
+        self.runs_go_on = {}
         self.most_busy = 0
         self.lost = set()
 
@@ -64,9 +65,11 @@
         orders_accepted,
         holder,
         fence,
+        runs_go_on,
         deadline,
     ):
         self.orders.append((self.clock.seconds(), server, version, fence))
+        self.runs_go_on[server] = runs_go_on
         if orders_accepted != self.accepted_by_id[server] or server in self.busy:
             return False
         self.accepted_by_id[server] += 1
@@ -204,3 +207,47 @@
         versions = dict(world.servers.version_by_id)
         assert versions.pop("s0") == 1
         assert set(versions.values()) == {2}
+
+
+class TestRunsAtALoad:
+    def test_server_gets_no_new_requests_while_its_runs_finish(self, world):
+        world.table.record_send("s0", 10, 10)
+        world.rollout.start()
+        world.knowledge.put_weight_version(MODEL, 2)
+        world.play(4.0)
+        given_at = next(at for at, server, *_ in world.servers.orders if server == "s0")
+        assert world.table.get("s0").busy_until >= given_at
+
+    def test_last_runs_go_on_so_that_the_server_is_not_idle_for_them(self, world):
+        world.table.record_send("s0", 10, 10)
+        world.rollout.start()
+        world.knowledge.put_weight_version(MODEL, 2)
+        world.play(4.0)
+        assert set(world.servers.version_by_id.values()) == {2}
+        assert world.servers.runs_go_on == {
+            "s0": True,
+            "s1": False,
+            "s2": False,
+            "s3": False,
+            "s4": False,
+        }
+
+    def test_server_without_runs_loads_at_once(self, world):
+        world.rollout.start()
+        world.knowledge.put_weight_version(MODEL, 2)
+        world.play(0.3)
+        assert world.servers.orders
+
+    def test_runs_that_end_in_time_delay_the_order_no_longer(self, world):
+        serials = {s: world.table.record_send(s, 10, 10) for s in ("s0", "s1")}
+        for server in ("s2", "s3", "s4"):
+            world.table.record_version(server, MODEL, 2)
+            world.servers.version_by_id[server] = 2
+        world.rollout.start()
+        world.knowledge.put_weight_version(MODEL, 2)
+        world.play(0.25)
+        assert not world.servers.orders
+        for server, serial in serials.items():
+            world.table.record_end(server, serial, Outcome.ANSWERED)
+        world.play(0.2)
+        assert world.servers.runs_go_on == {"s0": False, "s1": False}
