Count a server's slots as room of the waiting line

Cause: servers of the grown sites run 12 and 24 requests at once, and their own queues take three times as many. Change: a server whose known requests fill its slots has no room.

--- a/src/chivesaddle/placement/choice.py
+++ b/src/chivesaddle/placement/choice.py
@@ -75,7 +75,7 @@
     Attributes
     ----------
     has_room : bool
-        Whether its memory holds the request now.
+        Whether it has memory and a slot for the request now.
     alternatives : int
         Servers that could run the request, this one included.
     """
@@ -175,7 +175,8 @@
         work += MEMORY_WAIT_MS * over / need.server_tokens
         # A request that no empty server would have room for is sent to an empty one.
         has_room = load.memory_tokens == 0
-    has_room = has_room and server.busy_until <= now
+    has_slot = load.requests < server.entry.slots or not server.entry.slots
+    has_room = has_room and has_slot and server.busy_until <= now
     return Candidate(server, version, work + penalty, plan, load, has_room)
 
 
--- a/src/chivesaddle/placement/waiting.py
+++ b/src/chivesaddle/placement/waiting.py
@@ -1,10 +1,10 @@
-"""Requests that wait in this daemon until a model server has memory for them.
+"""Requests that wait in this daemon until a model server has room for them.
 
 A server that is sent more than its memory holds keeps the rest waiting, while the parts
 that it cached or fetched for them are evicted and read again. That slows the runs,
 which then hold their memory longer, and a service does not leave this state by itself.
-So a request is sent only when its server has room; the line goes by urgency, and what
-cannot be served in time is refused on arrival.
+So a request is sent only when its server has memory and a slot; the line goes by
+urgency, and what cannot be served in time is refused on arrival.
 """
 
 from collections import deque
--- a/tests/placement/test_table.py
+++ b/tests/placement/test_table.py
@@ -1,5 +1,8 @@
+from dataclasses import replace
+
 import pytest
 
+from chivesaddle.cachemap import PromptPlan
 from chivesaddle.core.ids import ZoneId
 from chivesaddle.placement import Need, Outcome, ServerTable, choose
 from chivesaddle.platform import decode_server
@@ -106,3 +109,55 @@
         serial = table.record_send("s0", 100, 500)
         table.record_first_event("s0", serial)
         assert table.get("s0").load(clock.seconds()).unread_tokens == 0
+
+
+class TestRoom:
+    NEED = Need(
+        model="m",
+        plan_prompt=lambda server, version, is_preferred: PromptPlan(10, 0.0),
+        memory_tokens=40,
+        server_tokens=100,
+    )
+
+    @pytest.fixture
+    def engines(self, clock):
+        table = ServerTable(clock)
+        for number in range(2):
+            models = [{"name": "m", "version": 1}]
+            table.put(entry(number, service="llm", models=models))
+        return table
+
+    def choose(self, table, clock, **kwargs):
+        servers = table.of_service("llm")
+        return choose(servers, self.NEED, ZoneId("z"), clock.seconds(), **kwargs)
+
+    def test_server_without_memory_comes_after_one_that_has_it(self, engines, clock):
+        engines.record_send("s0", 0, 70)
+        engines.record_send("s1", 5_000, 10)
+        found = self.choose(engines, clock)
+        assert (found.server.entry.id, found.has_room) == ("s1", True)
+
+    def test_server_without_a_slot_has_no_room(self, engines, clock):
+        for _ in range(4):
+            engines.record_send("s0", 0, 1)
+            engines.record_send("s1", 0, 1)
+        assert not self.choose(engines, clock).has_room
+
+    def test_server_that_loads_weights_has_no_room(self, engines, clock):
+        engines.record_busy("s0")
+        assert self.choose(engines, clock).server.entry.id == "s1"
+        engines.record_busy("s1")
+        assert not self.choose(engines, clock).has_room
+
+    def test_reserved_server_is_left_to_others(self, engines, clock):
+        assert self.choose(engines, clock, reserved={"s0"}).server.entry.id == "s1"
+        assert not self.choose(engines, clock, reserved={"s0", "s1"}).has_room
+
+    def test_request_larger_than_any_memory_goes_to_an_empty_server(
+        self, engines, clock
+    ):
+        engines.record_send("s0", 0, 10)
+        servers = engines.of_service("llm")
+        need = replace(self.NEED, memory_tokens=150)
+        found = choose(servers, need, ZoneId("z"), clock.seconds())
+        assert (found.server.entry.id, found.has_room) == ("s1", True)
