Log how long a request waited for room, and its target

On-call could not tell a request that waited in this daemon from one that waited at its server. The line of each ended request now has waited_ms and target_ms, also if it was refused without a send. Tests of the request path with model engines: sent once memory is free, nothing sent for a caller that left, a refusal with a time to come back.

--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -265,19 +265,20 @@
                 job.deadline - target_s, job.received_at + patience_s - target_s
             ),
         )
+        line = self._line_of(job.service)
         try:
-            return await self._line_of(job.service).wait_for_room(
+            return await line.wait_for_room(
                 claim, lambda reserved: self._choose(job, reserved)
             )
         except NoRoom as error:
-            waited_s = self._clock.seconds() - now
-            message = f"{error.message}; waited {waited_s:.2f} s"
             if job.runs:
-                raise MayHaveRun(message) from error
+                raise MayHaveRun(error.message) from error
             expected_s = error.retry_after_s or 0.0
             raise NotRun(
-                message, retry_after_s=expected_s + self._return_time()
+                error.message, retry_after_s=expected_s + self._return_time()
             ) from error
+        finally:
+            job.waited_s += self._clock.seconds() - now
 
     def _line_of(self, service: ServiceId) -> MemoryLine:
         line = self._lines_by_service.get(service)
--- a/src/chivesaddle/forwarding/job.py
+++ b/src/chivesaddle/forwarding/job.py
@@ -10,7 +10,13 @@
 
 @dataclass(slots=True)
 class Job:
-    """A caller's request on its way; times in seconds of the daemon's clock."""
+    """A caller's request on its way; times in seconds of the daemon's clock.
+
+    Attributes
+    ----------
+    waited_s : float
+        Time in which it waited for a server with room.
+    """
 
     request: CallerRequest
     route: Route
@@ -25,15 +31,20 @@
     runs: int = 0
     excluded: set[BackendServerId] = field(default_factory=set)
     first_event_at: float | None = None
+    waited_s: float = 0.0
     last_candidate: Candidate | None = None
 
     def describe_send(self, now: float) -> dict[str, object]:
         """Return the inputs of the last choice of a server, for the log."""
+        fields: dict[str, object] = {
+            "target_ms": round(self.route.target_s * 1_000),
+            "waited_ms": round(self.waited_s * 1_000),
+        }
         found = self.last_candidate
         if found is None:
-            return {}
+            return fields
         load_age_s = min(now - found.server.load_at, 1e6)
-        fields: dict[str, object] = {
+        fields |= {
             "server": found.server.entry.id,
             "predicted_ms": round(found.predicted_ms),
             "known": asdict(found.load),
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -229,6 +229,22 @@
         }
         self.servers.put(decode_server(f"i-{number}", entry))
 
+    def list_engines(self):
+        """Make the servers model engines whose memory holds 100 tokens."""
+        engine = {
+            "slots": 64,
+            "kv_capacity": 100,
+            "kv_token_bytes": 163_840,
+            "link_mbps": 1_000,
+            "max_concurrent": 12,
+        }
+        services = [{"name": "app", "engine": engine}]
+        configuration = {**CONFIGURATION, "version": 4, "services": services}
+        self.knowledge.put_configuration(decode_configuration(configuration))
+        for number in (1, 2):
+            models = [{"name": "m", "version": 1}]
+            self.list_server(number, models=models, slots=64)
+
     def caller(self):
         return Caller(self)
 
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -315,3 +315,61 @@
         caller.request("/unsafe/x", request_id="a9")
         path.connections[-1].answer()
         assert caller.status == 200
+
+
+class TestWaitingForMemory:
+    PROMPT = (
+        "X-Chivesaddle-Model: m\r\nX-Chivesaddle-Token-Counts: 50,10\r\n"
+        "X-Chivesaddle-Prompt-Prefix: aa:20,bb:30"
+    )
+
+    @pytest.fixture
+    def engines(self, path):
+        path.list_engines()
+        return path
+
+    def fill(self, path):
+        """Send one request to each server; its memory holds no second one."""
+        callers = [path.caller() for _ in range(2)]
+        for number, caller in enumerate(callers):
+            caller.request("/resumable/", f"first{number}", headers=self.PROMPT)
+        assert len(path.connections) == 2
+        for server in path.connections:
+            server.start_stream(EVENT_1)
+        return callers
+
+    def test_request_is_sent_once_a_server_has_memory(self, engines):
+        self.fill(engines)
+        waiting = engines.caller()
+        waiting.request("/resumable/", "next", headers=self.PROMPT)
+        engines.advance(0.1)
+        assert len(engines.connections) == 2
+        engines.connections[0].end_stream()
+        engines.advance()
+        engines.advance()
+        assert b"next" in engines.connections[0].transport.value()
+
+    def test_nothing_is_sent_for_a_caller_that_left_the_line(self, engines):
+        self.fill(engines)
+        waiting = engines.caller()
+        waiting.request("/resumable/", "next", headers=self.PROMPT)
+        waiting.leave()
+        engines.connections[0].end_stream()
+        engines.advance(0.2)
+        assert not any(
+            b"next" in server.transport.value() for server in engines.connections
+        )
+
+    def test_request_that_got_no_memory_is_refused_with_a_time_to_come_back(
+        self, engines
+    ):
+        self.fill(engines)
+        waiting = engines.caller()
+        waiting.request("/resumable/", "next", headers=self.PROMPT)
+        for _ in range(80):
+            engines.advance(0.05)
+        assert waiting.status == 503
+        assert b"retry-after" in waiting.received().lower()
+        assert not any(
+            b"next" in server.transport.value() for server in engines.connections
+        )
