--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint format settings-reference demo fleet slopes faults bench soak
+.PHONY: setup test lint format settings-reference demo fleet slopes faults bench soak worth
 
 setup: $(VENV)/.installed
 
@@ -46,3 +46,8 @@
 
 soak: setup
 	$(BIN)/python -m chivesaddle.tools.soak --count 50
+
+# Usage: make worth LOG=day.log [REPORT=day.json] [PLOT=day.png]
+worth: setup
+	$(BIN)/python -m chivesaddle.tools.worth $(LOG) \
+		$(if $(REPORT),--report $(REPORT)) $(if $(PLOT),--plot $(PLOT))
--- /dev/null
+++ b/src/chivesaddle/tools/worth/__main__.py
@@ -0,0 +1,74 @@
+"""Command line of the report: ``python -m chivesaddle.tools.worth LOG``."""
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+from rich.console import Console
+from rich.table import Table
+
+from chivesaddle.core.errors import InvalidValue
+from chivesaddle.tools.worth.records import Day, read_log, read_report
+from chivesaddle.tools.worth.summary import Loss, losses
+
+# Prices below this change nothing that is worth a look; a score's noise is 0.03.
+LEAST_PRICE = 0.002
+
+
+app = typer.Typer(add_completion=False)
+
+
+@app.command()
+def main(
+    log: Annotated[Path, typer.Argument(help="Output of a day with --log all")],
+    report: Annotated[Path | None, typer.Option(help="Its --report file")] = None,
+    plot: Annotated[Path | None, typer.Option(help="PNG file to draw")] = None,
+) -> None:
+    """Show where a day's worth was lost."""
+    console = Console()
+    try:
+        with log.open(errors="replace") as lines:
+            found = losses(read_log(lines))
+        day = None if report is None else read_report(report)
+    except (OSError, InvalidValue) as error:
+        console.print(f"worth: {error}", style="red", markup=False)
+        raise typer.Exit(2) from error
+    console.print(_losses_table(found))
+    if day is not None:
+        console.print(_prices_table(day))
+    if plot is not None:
+        # Drawing takes half a second to import, which tables do not need.
+        from chivesaddle.tools.worth.plot import draw
+
+        draw(found, day, plot)
+        console.print(f"plot: {plot}", markup=False)
+
+
+def _losses_table(found: list[Loss]) -> Table:
+    table = Table("cause", "requests", "share", "beyond target, ms", "first id")
+    for loss in found:
+        excess = f"{loss.excess_ms:.0f}" if loss.excess_ms else ""
+        table.add_row(
+            loss.cause.value,
+            str(loss.count),
+            f"{loss.share:.3f}",
+            excess,
+            loss.example,
+        )
+    return table
+
+
+def _prices_table(day: Day) -> Table:
+    table = Table("part or price", "value", "effect on worth")
+    for name, weight, value in day.parts:
+        table.add_row(name, f"{value:.3f}", f"{weight * value:+.3f}")
+    for name, amount, loss in sorted(day.prices, key=lambda price: -price[2]):
+        if loss >= LEAST_PRICE:
+            table.add_row(name, f"{amount:.1f}", f"{-loss:+.3f}")
+    table.add_section()
+    table.add_row("worth", "", f"{day.worth:.3f}")
+    return table
+
+
+if __name__ == "__main__":
+    app()
