--- a/src/chivesaddle/core/serving_model.py
+++ b/src/chivesaddle/core/serving_model.py
@@ -110,8 +110,6 @@
     """A group of backend servers that serve the same requests."""
 
     id: ServiceId
-    health_path: str
-    connection_limit: int
     engine: EngineFigures | None
 
 
@@ -163,7 +161,7 @@
     ----------
     version_by_model : mapping
         Weight version of each loaded model; empty for servers without models.
-    born_ms : int
+    started_ms : int
         When this run of the server started, in Unix milliseconds; 0 if it is not told.
     """
 
@@ -174,8 +172,7 @@
     slots: int
     state: ServerState
     version_by_model: Mapping[ModelId, int]
-    cold_remaining_s: float = 0.0
-    born_ms: int = 0
+    started_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chivesaddle/http1/server.py
+++ b/src/chivesaddle/http1/server.py
@@ -33,11 +33,6 @@
                 return value.decode("latin-1")
         return None
 
-    def count(self, name: str) -> int:
-        """Return how often a header occurs."""
-        wanted = name.lower().encode()
-        return sum(key == wanted for key, _ in self.items)
-
 
 @dataclass(slots=True)
 class Request:
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -200,7 +200,7 @@
         if (
             known is None
             or known.entry.address != entry.address
-            or known.entry.born_ms != entry.born_ms
+            or known.entry.started_ms != entry.started_ms
         ):
             if known is not None:
                 self.on_down(entry.id)
--- a/src/chivesaddle/platform/documents.py
+++ b/src/chivesaddle/platform/documents.py
@@ -70,8 +70,6 @@
 
 class _Service(msgspec.Struct):
     name: str
-    health_path: str = "/health"
-    connection_limit: int = 100
     engine: _Engine | None = None
     # Set for a store of KV cache, which has no servers in the list.
     kv_store_address: str | None = None
@@ -117,7 +115,6 @@
     zone: str
     slots: int
     state: str
-    cold_remaining_ms: float = 0.0
     models: list[_LoadedModel] = field(default_factory=list)
     # Start of this run of the server, in Unix milliseconds.
     born: int = 0
@@ -200,9 +197,7 @@
             engine.link_mbps,
             engine.max_concurrent,
         )
-    return Service(
-        ServiceId(found.name), found.health_path, found.connection_limit, figures
-    )
+    return Service(ServiceId(found.name), figures)
 
 
 def _store(found: _Service, address: str) -> KvStore:
@@ -237,8 +232,7 @@
         slots=found.slots,
         state=state,
         version_by_model={ModelId(m.name): m.version for m in found.models},
-        cold_remaining_s=found.cold_remaining_ms / 1_000,
-        born_ms=found.born,
+        started_ms=found.born,
     )
 
 
