Stop looking for reservations once no more may be made

Requests that are late come last in the line and may reserve the smaller share, so the first that gets none ends the search. The result is the same; on fleets of 70 servers each look cost a choice per waiting request.

--- a/src/chivesaddle/placement/waiting.py
+++ b/src/chivesaddle/placement/waiting.py
@@ -192,8 +192,10 @@
                 continue
             is_late = entry.claim.is_late(now)
             share = RESERVED_LATE_SHARE if is_late else RESERVED_SHARE
-            if len(reserved) + 1 <= share * wanted.alternatives:
-                reserved[entry] = wanted.server.entry.id
+            if len(reserved) + 1 > share * wanted.alternatives:
+                # Late requests come last, and their share is the smaller one.
+                break
+            reserved[entry] = wanted.server.entry.id
         return reserved
 
     def _note_sent(self, claim: Claim) -> None:
