--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint format settings-reference demo fleet slopes faults bench soak worth
+.PHONY: setup test lint format settings-reference demo fleet slopes faults bench soak worth model
 
 setup: $(VENV)/.installed
 
@@ -51,3 +51,6 @@
 worth: setup
 	$(BIN)/python -m chivesaddle.tools.worth $(LOG) \
 		$(if $(REPORT),--report $(REPORT)) $(if $(PLOT),--plot $(PLOT))
+
+model: setup
+	$(BIN)/python -m chivesaddle.tools.platform_model
