--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -21,7 +21,7 @@
 # An entry that lapsed while the store was away is written again within 2 s of the
 # store's return. Half a second of the drain bound is left for the news to arrive.
 LAPSED_S = 1.5
-# Parts remembered for a server; a runner of the sheets holds about 60 large ones.
+# Parts remembered for a server; an engine holds about 60 large ones.
 MAX_PARTS = 512
 # A load report says little after this; requests of the sheets last about 0.5 s.
 LOAD_USEFUL_S = 2.0
