--- a/src/chivesaddle/tools/worth/plot.py
+++ b/src/chivesaddle/tools/worth/plot.py
@@ -50,7 +50,7 @@
         earned.set_ylim(0.0, 1.05)
         earned.set_ylabel("share of the worth owed that was earned")
     if found:
-        axis.legend(fontsize="small", loc="upper left")
+        figure.legend(fontsize="small", loc="outside lower center", ncols=3)
     figure.savefig(path, dpi=110)
     pyplot.close(figure)
 
