--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -50,7 +50,8 @@
 FIRST_ATTEMPT_SHARE = 0.5
 # A server under load answers a repeatable request within a few times its target.
 PATIENCE_TARGETS = 4.0
-# Callers leave a stream without events no sooner than after this.
+# Callers leave a stream without events no sooner than after this, by the platform's
+# protocol.
 LEAST_PATIENCE_S = 2.0
 # Times after which a refused caller may come back are spread over this range, so that
 # callers refused together do not return together.
