Keep one header type, one header lookup and one wrapper of calls to holders

HeaderList was defined in http1 and in forwarding; the first value of a header was looked up by three copies of one loop; three calls of platform/calls.py caught the same errors of an exchange, two decoded answers alike. A server without slots was provided for twice: the adapter passes on none.

Change: http1/fields.py has the type and the lookup; ServerApi has one _exchange, and one function decodes answers. Behaviour is the same but for the wording of two log causes (the status of a report or list that is not 200).

--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -24,14 +24,19 @@
 from chivesaddle.forwarding.knowledge import Knowledge
 from chivesaddle.forwarding.messages import (
     CallerRequest,
-    HeaderList,
     SendOptions,
     ServerAnswer,
 )
 from chivesaddle.forwarding.prompts import Prompts, cache_scope
 from chivesaddle.forwarding.relay import Relay
 from chivesaddle.forwarding.send import Exchange, ServerBroke, ServerDidNotRun
-from chivesaddle.http1 import ConnectionPool, Request, Responder, ResponseHead
+from chivesaddle.http1 import (
+    ConnectionPool,
+    HeaderList,
+    Request,
+    Responder,
+    ResponseHead,
+)
 from chivesaddle.placement import (
     Candidate,
     Claim,
--- a/src/chivesaddle/forwarding/messages.py
+++ b/src/chivesaddle/forwarding/messages.py
@@ -4,8 +4,7 @@
 
 from chivesaddle.core.ids import AccountId, BackendServerId, ModelId, RequestId
 from chivesaddle.core.serving_model import CallerKey, PartId
-
-HeaderList = list[tuple[bytes, bytes]]
+from chivesaddle.http1 import HeaderList
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chivesaddle/forwarding/relay.py
+++ b/src/chivesaddle/forwarding/relay.py
@@ -4,9 +4,9 @@
 
 from chivesaddle.core.aio import Clock
 from chivesaddle.forwarding.events import EventCutter
-from chivesaddle.forwarding.messages import HeaderList, ServerAnswer
+from chivesaddle.forwarding.messages import ServerAnswer
 from chivesaddle.forwarding.send import ServerBroke
-from chivesaddle.http1 import Responder
+from chivesaddle.http1 import HeaderList, Responder
 
 ReadChunk = Callable[[], Awaitable[bytes | None]]
 
--- a/src/chivesaddle/forwarding/send.py
+++ b/src/chivesaddle/forwarding/send.py
@@ -6,9 +6,10 @@
 from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded
 from chivesaddle.core.ids import BackendServerId
 from chivesaddle.core.serving_model import ServerEntry
-from chivesaddle.forwarding.messages import CallerRequest, HeaderList, ServerAnswer
+from chivesaddle.forwarding.messages import CallerRequest, ServerAnswer
 from chivesaddle.http1 import (
     ConnectionPool,
+    HeaderList,
     NotSent,
     ResponseBroken,
     ResponseHead,
--- a/src/chivesaddle/http1/__init__.py
+++ b/src/chivesaddle/http1/__init__.py
@@ -14,6 +14,7 @@
     ServerConnection,
 )
 from chivesaddle.http1.exchange import exchange
+from chivesaddle.http1.fields import HeaderList, header_value
 from chivesaddle.http1.pool import ConnectionPool
 from chivesaddle.http1.server import (
     CallerConnection,
@@ -29,6 +30,7 @@
     "CallerLimits",
     "ConnectionPool",
     "Connector",
+    "HeaderList",
     "Headers",
     "NotSent",
     "Request",
@@ -38,5 +40,6 @@
     "ResponseLate",
     "ServerConnection",
     "exchange",
+    "header_value",
     "listen",
 ]
--- a/src/chivesaddle/http1/client.py
+++ b/src/chivesaddle/http1/client.py
@@ -13,13 +13,12 @@
 
 from chivesaddle.core.aio import Clock, with_deadline
 from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded
+from chivesaddle.http1.fields import HeaderList, header_value
 from chivesaddle.http1.sockets import detect_silence
 
 # Response bytes held for a slow reader before the server is asked to pause.
 READ_AHEAD_BYTES = 65_536
 
-HeaderList = list[tuple[bytes, bytes]]
-
 
 class NotSent(ChivesaddleError):
     """The connection could not be opened; no byte of the request was written."""
@@ -51,10 +50,7 @@
 
     def get(self, name: bytes) -> str | None:
         """Return the first value of a header, or None."""
-        for key, value in self.headers:
-            if key == name:
-                return value.decode("latin-1")
-        return None
+        return header_value(self.headers, name)
 
 
 @dataclass(frozen=True, slots=True)
@@ -351,7 +347,6 @@
 
 __all__ = [
     "Connector",
-    "HeaderList",
     "NotSent",
     "ResponseBroken",
     "ResponseHead",
--- a/src/chivesaddle/http1/exchange.py
+++ b/src/chivesaddle/http1/exchange.py
@@ -2,12 +2,8 @@
 
 from chivesaddle.core.aio import Clock, start, with_deadline
 from chivesaddle.core.errors import DeadlineExceeded
-from chivesaddle.http1.client import (
-    HeaderList,
-    ResponseHead,
-    ResponseLate,
-    ServerConnection,
-)
+from chivesaddle.http1.client import ResponseHead, ResponseLate, ServerConnection
+from chivesaddle.http1.fields import HeaderList
 from chivesaddle.http1.pool import ConnectionPool
 
 # A new connection takes a round trip; a lost opening packet comes again after 1 s.
--- a/src/chivesaddle/http1/server.py
+++ b/src/chivesaddle/http1/server.py
@@ -12,7 +12,7 @@
 
 from chivesaddle.core.aio import Clock, DelayedCall
 from chivesaddle.core.errors import ListenFailed
-from chivesaddle.http1.client import HeaderList
+from chivesaddle.http1.fields import HeaderList, header_value
 from chivesaddle.http1.sockets import detect_silence
 
 # Bytes of further requests that a caller may send before its answer is complete.
@@ -27,11 +27,7 @@
 
     def get(self, name: str) -> str | None:
         """Return the first value of a header, or None."""
-        wanted = name.lower().encode()
-        for key, value in self.items:
-            if key == wanted:
-                return value.decode("latin-1")
-        return None
+        return header_value(self.items, name.lower().encode())
 
 
 @dataclass(slots=True)
--- a/src/chivesaddle/placement/choice.py
+++ b/src/chivesaddle/placement/choice.py
@@ -175,8 +175,8 @@
         work += MEMORY_WAIT_MS * over / need.server_tokens
         # A request that no empty server would have room for is sent to an empty one.
         has_room = load.memory_tokens == 0
-    has_slot = load.requests < server.entry.slots or not server.entry.slots
-    has_room = has_room and has_slot and server.busy_until <= now
+    has_room = has_room and load.requests < server.entry.slots
+    has_room = has_room and server.busy_until <= now
     return Candidate(server, version, work + penalty, plan, load, has_room)
 
 
--- a/src/chivesaddle/platform/calls.py
+++ b/src/chivesaddle/platform/calls.py
@@ -1,6 +1,7 @@
-"""Calls to backend servers beside requests: their report, and orders."""
+"""Calls to servers and KV stores beside requests: reports, orders, cache events."""
 
 from collections.abc import Sequence
+from typing import TypeVar
 
 import msgspec
 
@@ -12,16 +13,17 @@
 from chivesaddle.core.serving_model import PartId
 from chivesaddle.http1 import (
     ConnectionPool,
+    HeaderList,
     NotSent,
     ResponseBroken,
     ResponseHead,
     exchange,
 )
-from chivesaddle.http1.client import HeaderList
 
 # Servers close idle connections after seconds at the least.
 POOLED_IDLE_S = 1.0
 
+T = TypeVar("T")
 _SERVER_HEADER = b"x-chivesaddle-expected-instance"
 
 
@@ -61,7 +63,7 @@
 
 
 class ServerApi:
-    """Report and orders of backend servers.
+    """Reports and orders of backend servers; events and frees of cache holders.
 
     Parameters
     ----------
@@ -82,15 +84,11 @@
 
         The report is some 0.1 s old. Raises `ServerCallFailed`.
         """
-        head, body = await self._call(server, address, "GET", "/report", b"", deadline)
-        if head.status != 200:
-            raise ServerCallFailed(f"Server {server} answered its report {head.status}")
-        try:
-            found = msgspec.json.decode(body, type=_Report)
-        except msgspec.MsgspecError as error:
-            raise ServerCallFailed(
-                f"Report of server {server} is malformed: {error}"
-            ) from None
+        holder = f"server {server}"
+        head, body = await self._call_server(
+            server, address, "GET", "/report", deadline
+        )
+        found = _decoded(head, body, _Report, holder)
         versions = {m.name: m.version for m in found.models}
         return found.sequence, versions.get(model, 0), found.busy
 
@@ -132,7 +130,9 @@
                 "precondition": orders_accepted,
             }
         )
-        head, _ = await self._call(server, address, "POST", "/order", body, deadline)
+        head, _ = await self._call_server(
+            server, address, "POST", "/order", deadline, body
+        )
         return head.status in (200, 202)
 
     async def read_events(
@@ -164,75 +164,83 @@
     ) -> None:
         """Free parts of a store; raises `ServerCallFailed`."""
         body = msgspec.json.encode({"parts": keys, "boot_epoch": epoch})
-        try:
-            head, _ = await exchange(
-                self._pool,
-                self._clock,
-                address,
-                "POST",
-                "/kv-free",
-                deadline=deadline,
-                body=body,
-            )
-        except (NotSent, ResponseBroken) as error:
-            raise ServerCallFailed(
-                f"No answer of store {address}: {error.message}"
-            ) from error
+        head, _ = await self._exchange(
+            f"store {address}", address, "POST", "/kv-free", deadline, body=body
+        )
         if head.status != 200:
             raise ServerCallFailed(f"Store {address} answered {head.status}")
 
     async def _read_cache(
         self, address: str, target: str, headers: HeaderList, deadline: float
     ) -> _CacheEvents:
-        try:
-            head, body = await exchange(
-                self._pool,
-                self._clock,
-                address,
-                "GET",
-                target,
-                deadline=deadline,
-                headers=headers,
-                max_idle_s=POOLED_IDLE_S,
-            )
-        except (NotSent, ResponseBroken) as error:
-            raise ServerCallFailed(
-                f"No answer of cache holder {address}: {error.message}"
-            ) from error
-        if head.status != 200:
-            raise ServerCallFailed(f"Cache holder {address} answered {head.status}")
-        try:
-            return msgspec.json.decode(body, type=_CacheEvents)
-        except msgspec.MsgspecError as error:
-            raise ServerCallFailed(
-                f"Answer of cache holder {address} is malformed: {error}"
-            ) from None
+        holder = f"cache holder {address}"
+        head, body = await self._exchange(
+            holder,
+            address,
+            "GET",
+            target,
+            deadline,
+            headers=headers,
+            max_idle_s=POOLED_IDLE_S,
+        )
+        return _decoded(head, body, _CacheEvents, holder)
 
-    async def _call(
+    async def _call_server(
         self,
         server: BackendServerId,
         address: str,
         method: str,
-        path: str,
-        body: bytes,
+        target: str,
         deadline: float,
+        body: bytes = b"",
     ) -> tuple[ResponseHead, bytes]:
+        return await self._exchange(
+            f"server {server}",
+            address,
+            method,
+            target,
+            deadline,
+            headers=[(_SERVER_HEADER, server.encode())],
+            body=body,
+            max_idle_s=POOLED_IDLE_S if method == "GET" else 0.0,
+        )
+
+    async def _exchange(
+        self,
+        holder: str,
+        address: str,
+        method: str,
+        target: str,
+        deadline: float,
+        *,
+        headers: HeaderList | None = None,
+        body: bytes = b"",
+        max_idle_s: float = 0.0,
+    ) -> tuple[ResponseHead, bytes]:
+        """Call ``holder``, as error messages name it; raises `ServerCallFailed`."""
         try:
             return await exchange(
                 self._pool,
                 self._clock,
                 address,
                 method,
-                path,
+                target,
                 deadline=deadline,
-                headers=[(_SERVER_HEADER, server.encode())],
+                headers=headers,
                 body=body,
-                max_idle_s=POOLED_IDLE_S if method == "GET" else 0.0,
+                max_idle_s=max_idle_s,
             )
         except (NotSent, ResponseBroken) as error:
-            raise ServerCallFailed(
-                f"No answer of server {server}: {error.message}"
-            ) from error
+            raise ServerCallFailed(f"No answer of {holder}: {error.message}") from error
+
+
+def _decoded(head: ResponseHead, body: bytes, shape: type[T], holder: str) -> T:
+    if head.status != 200:
+        raise ServerCallFailed(f"Answer of {holder} has status {head.status}")
+    try:
+        return msgspec.json.decode(body, type=shape)
+    except msgspec.MsgspecError as error:
+        raise ServerCallFailed(f"Answer of {holder} is malformed: {error}") from None
 
 
 __all__ = ["ServerApi", "ServerCallFailed"]
--- a/src/chivesaddle/platform/headers.py
+++ b/src/chivesaddle/platform/headers.py
@@ -6,13 +6,12 @@
 from chivesaddle.core.serving_model import CallerKey, PartId
 from chivesaddle.forwarding.messages import (
     CallerRequest,
-    HeaderList,
     PromptPart,
     SendOptions,
     ServerAnswer,
     ServerLoad,
 )
-from chivesaddle.http1 import Request, ResponseHead
+from chivesaddle.http1 import HeaderList, Request, ResponseHead, header_value
 
 _P = b"x-chivesaddle-"
 # Each client attempt has an id of its own.
@@ -84,11 +83,11 @@
     dropped = _ONE_CONNECTION_ONLY | _DAEMON_SETS | _named_by_connection(headers.items)
     host = (headers.get("host") or "").rpartition(":")
     host_name = (host[0] if host[1] and host[2].isdigit() else "".join(host)).lower()
-    time_limit_ms = _number(_get(headers.items, TIME_LIMIT))
-    prompt_tokens, output_tokens = _token_counts(_get(headers.items, TOKENS))
-    model = _get(headers.items, MODEL)
+    time_limit_ms = _number(header_value(headers.items, TIME_LIMIT))
+    prompt_tokens, output_tokens = _token_counts(header_value(headers.items, TOKENS))
+    model = header_value(headers.items, MODEL)
     return CallerRequest(
-        id=RequestId(_get(headers.items, REQUEST_ID) or ""),
+        id=RequestId(header_value(headers.items, REQUEST_ID) or ""),
         method=request.method,
         target=request.target,
         host=host_name,
@@ -99,8 +98,8 @@
         model=None if model is None else ModelId(model),
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
-        parts=_parts(_get(headers.items, PARTS)),
-        resume_after=_get(headers.items, LAST_EVENT),
+        parts=_parts(header_value(headers.items, PARTS)),
+        resume_after=header_value(headers.items, LAST_EVENT),
     )
 
 
@@ -153,13 +152,6 @@
     )
 
 
-def _get(items: HeaderList, name: bytes) -> str | None:
-    for key, value in items:
-        if key == name:
-            return value.decode("latin-1")
-    return None
-
-
 def _named_by_connection(items: HeaderList) -> set[bytes]:
     """Return the headers that ``Connection`` declares to be of one connection only.
 
