Let the model use the daemon's own constants; correct comments

The model had copies of three figures of the daemon (reading speed, delay of events, mean time to come back) and two counters that nothing read. Comments on loading weights still said that runs finish first.

--- a/src/chivesaddle/objects/__init__.py
+++ b/src/chivesaddle/objects/__init__.py
@@ -1,4 +1,4 @@
-"""Access to the platform's object API."""
+"""Lease over the object API, and an object API in memory."""
 
 from chivesaddle.objects.lease import Lease, LeaseState
 from chivesaddle.objects.memory import Faults, MemoryObjectApi, WriteFault
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -26,7 +26,7 @@
 # A load report says little after this; requests of the sheets last about 0.5 s.
 LOAD_USEFUL_S = 2.0
 # An engine that refuses for an order in progress is passed over for this long; loading
-# takes 0.4 s after its runs have finished.
+# takes 0.4 s.
 BUSY_S = 0.3
 
 log = PartLogger("servers")
--- a/src/chivesaddle/tools/platform_model/engine.py
+++ b/src/chivesaddle/tools/platform_model/engine.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from chivesaddle.cachemap.transfers import PREFILL_TOKENS_PER_MS
 from chivesaddle.core.aio import Clock
 from chivesaddle.core.serving_model import PartId
 
@@ -17,7 +18,7 @@
     step_ms: float = 3.37
     step_ms_per_run: float = 0.0109
     step_ms_per_1000_tokens: float = 0.0034
-    read_tokens_per_ms: float = 61.2
+    read_tokens_per_ms: float = PREFILL_TOKENS_PER_MS
     # Attention over pairs of prompt tokens, for each million.
     pairs_ms: float = 0.324
     chunk_tokens: int = 2_048
--- a/src/chivesaddle/tools/platform_model/fleet.py
+++ b/src/chivesaddle/tools/platform_model/fleet.py
@@ -1,9 +1,8 @@
 """Daemons with their own decisions before model engines, on one virtual clock."""
 
 import random
-from collections import Counter
 from collections.abc import Callable, Collection
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
 from chivesaddle.cachemap import CacheIndex, PromptPlan, Transfers
@@ -16,6 +15,8 @@
     ServerEntry,
     ServerState,
 )
+from chivesaddle.forwarding.forwarder import RETRY_FIRST_S, RETRY_LAST_S
+from chivesaddle.forwarding.prompts import EVENT_DELAY_S
 from chivesaddle.placement import (
     Candidate,
     Claim,
@@ -47,6 +48,8 @@
 SILENCE_S = 3.2
 # Refused callers come back once, after the time that they are told.
 RETRIES = 1
+# Mean of what a daemon adds to the predicted wait.
+RETURN_S = (RETRY_FIRST_S + RETRY_LAST_S) / 2
 
 
 class Placing(Enum):
@@ -94,8 +97,6 @@
     owed: float = 0.0
     read_tokens: int = 0
     read_again_tokens: int = 0
-    on_time_by_kind: Counter[str] = field(default_factory=Counter)
-    asked_by_kind: Counter[str] = field(default_factory=Counter)
 
     @property
     def worth(self) -> float:
@@ -210,7 +211,6 @@
 
     def _arrive(self, prompt: Prompt, daemon: _Daemon) -> None:
         self.result.asked += 1
-        self.result.asked_by_kind[prompt.kind.name] += 1
         self.result.owed += prompt.kind.worth
         start(_Request(self, prompt, daemon).serve())
 
@@ -220,7 +220,7 @@
         parts = [(prompt.shared_part, prompt.shared_tokens), (own, prompt.own_tokens)]
 
         def plan(server: TrackedServer) -> PromptPlan:
-            since = self.clock.seconds() - 1.2
+            since = self.clock.seconds() - EVENT_DELAY_S
             is_sent = server.was_sent(SCOPE, prompt.shared_part, since)
             return self._transfers.plan(
                 parts,
@@ -329,10 +329,8 @@
                 found = chosen(())
         except NoRoom as error:
             if retries:
-                pause = (error.retry_after_s or 0.0) + 0.4
-                fleet.clock.callLater(
-                    pause, lambda: start(self.serve(retries - 1)) and None
-                )
+                pause_s = (error.retry_after_s or 0.0) + RETURN_S
+                fleet.clock.callLater(pause_s, start, self.serve(retries - 1))
             else:
                 fleet.result.refused += 1
             return
@@ -367,7 +365,6 @@
         result, kind = self._fleet.result, self._prompt.kind
         if self._first_at - self._arrived_at <= kind.target_s:
             result.on_time += 1
-            result.on_time_by_kind[kind.name] += 1
             result.earned += kind.worth
         else:
             result.late += 1
--- a/src/chivesaddle/weights/rollout.py
+++ b/src/chivesaddle/weights/rollout.py
@@ -34,7 +34,7 @@
 LATE_S = 3.0
 LATE_SHARE = 0.6
 CALL_S = 0.8
-# Report lag is 0.1 s; loading takes 0.4 s after the runs have finished.
+# Report lag is 0.1 s; loading takes 0.4 s.
 REPORT_INTERVAL_S = 0.25
 # A server that does not come up in this time is tried again from its report.
 BRING_UP_S = 6.0
