Let a few daemons of a large fleet take the callers

Cause: a backend server accepts the cache event readers of 12 daemons. Ruled out: all daemons reading by relays (the events of 45 engines to 78 daemons cross zones, which is billed); a coordinator (no second coordination service). Change: every daemon derives the same working set from the members' list: the largest instances of each zone, more where the demand needs them. Only these are in the address lists, read cache events, watch the store and give orders; the others get changes by datagram and take over within 3 s. Exchanges keep daemons without callers up to date.

--- a/src/chivesaddle/fleet/__init__.py
+++ b/src/chivesaddle/fleet/__init__.py
@@ -1,20 +1,32 @@
 """State that all daemons share: replicas of stored documents, and fleet membership."""
 
-from chivesaddle.fleet.beacons import BeaconProtocol, ServerLoadShare
+from chivesaddle.fleet.beacons import Beacon, Beacons, ServerLoadShare
+from chivesaddle.fleet.datagrams import PeerDatagrams
+from chivesaddle.fleet.demand import ProcessorDemand
 from chivesaddle.fleet.exchange import ExchangeMessage, GossipExchange
 from chivesaddle.fleet.members import Member, Members
 from chivesaddle.fleet.replica import Entry, Replica
+from chivesaddle.fleet.updates import Update, UpdateRelay
+from chivesaddle.fleet.watch_role import WatchRole
 from chivesaddle.fleet.watcher import StoreReachability, Watcher
+from chivesaddle.fleet.working_set import WorkingSet
 
 __all__ = [
-    "BeaconProtocol",
+    "Beacon",
+    "Beacons",
     "Entry",
     "ExchangeMessage",
     "GossipExchange",
     "Member",
     "Members",
+    "PeerDatagrams",
+    "ProcessorDemand",
     "Replica",
     "ServerLoadShare",
     "StoreReachability",
+    "Update",
+    "UpdateRelay",
+    "WatchRole",
     "Watcher",
+    "WorkingSet",
 ]
--- a/src/chivesaddle/fleet/beacons.py
+++ b/src/chivesaddle/fleet/beacons.py
@@ -4,27 +4,32 @@
 answers. The sum of the requests that all daemons have in flight is current. Its cost
 per daemon does not grow with the fleet, because each daemon limits the number of
 datagrams that it sends per second.
+
+Working daemons exchange beacons with their load. To the rest of the fleet they send one
+without load each second, as a sign of life.
 """
 
 import functools
-from collections.abc import Callable, Sequence
-from typing import Any
+from collections.abc import Sequence
+from typing import Any, Protocol
 
 import msgspec
 import xxhash
-from twisted.internet.protocol import DatagramProtocol
 
 from chivesaddle.core.aio import Clock
-from chivesaddle.core.logs import ComponentLogger
-from chivesaddle.fleet.members import Members
+from chivesaddle.fleet.datagrams import PeerDatagrams
+from chivesaddle.fleet.members import Member, Members
+from chivesaddle.fleet.working_set import WorkingSet
 
 # In a fleet of 9 daemons, 10 datagrams per second to each of the 8 peers.
 MAX_DATAGRAMS_PER_S = 80.0
 MIN_PERIOD_S = 0.1
 # Unchanged contents are sent again at this interval, since datagrams can be lost.
 RESEND_INTERVAL_S = 0.5
-
-log = ComponentLogger("beacons")
+# Interval of beacons from a working daemon to the daemons without callers.
+SIGN_OF_LIFE_INTERVAL_S = 1.0
+# A daemon that left the working set reports so for this long, since datagrams are lost.
+REPORT_IDLE_S = 5.0
 
 
 class ServerLoadShare(msgspec.Struct, array_like=True):
@@ -48,7 +53,7 @@
     memory_tokens: int
 
 
-class Beacon(msgspec.Struct, array_like=True):
+class Beacon(msgspec.Struct, array_like=True, tag="beacon"):
     """Content of one datagram; a higher sequence number replaces a lower one.
 
     Attributes
@@ -58,6 +63,14 @@
     lease : (int, int)
         Version of the lease for weight orders, and milliseconds since its last renewal;
         version 0 if this daemon does not hold the lease.
+    is_working : bool
+        Whether the sender is in the working set and sends beacons regularly.
+    is_leaving : bool
+        Whether the sender is shutting down.
+    demand : float
+        Processor time that the sender uses, in cores.
+    reaches_store : bool
+        Whether the sender's watches of the platform's store are answered.
     """
 
     daemon: str
@@ -66,6 +79,10 @@
     shares: list[ServerLoadShare]
     loading: list[int] = []
     lease: tuple[int, int] = (0, 0)
+    is_working: bool = True
+    is_leaving: bool = False
+    demand: float = 0.0
+    reaches_store: bool = True
 
 
 @functools.lru_cache(maxsize=4_096)
@@ -74,8 +91,46 @@
     return xxhash.xxh32_intdigest(server.encode())
 
 
-class BeaconProtocol(DatagramProtocol):
-    """Sends and receives beacons on the UDP port for peers.
+class BeaconSource(Protocol):
+    """What a daemon reports in its beacons."""
+
+    def load_shares(self) -> tuple[list[ServerLoadShare], list[int]]:
+        """Return load shares, and hashes of servers loading weights on its order."""
+
+    def lease(self) -> tuple[int, int]:
+        """Return the lease's version and the milliseconds since its renewal.
+
+        The version is 0 if this daemon does not hold the lease.
+        """
+
+    def demand(self) -> float:
+        """Return the processor time that this daemon uses, in cores."""
+
+    def reaches_store(self) -> bool:
+        """Return whether this daemon's watches of the store are answered."""
+
+
+class BeaconReceiver(Protocol):
+    """What a daemon does with the beacons of others."""
+
+    def apply_shares(
+        self,
+        peer: str,
+        shares: Sequence[ServerLoadShare],
+        loading: Sequence[int],
+        valid_s: float,
+    ) -> None:
+        """Replace a peer's load shares, which are valid for ``valid_s`` seconds."""
+
+    def observe_lease(self, version: int, age_s: float) -> None:
+        """Record that the sender renewed the lease ``age_s`` seconds ago."""
+
+    def observe_store(self, peer: str, reaches_store: bool) -> None:
+        """Record whether a working daemon reaches the store."""
+
+
+class Beacons:
+    """Sends this daemon's beacons and applies those of its peers.
 
     Parameters
     ----------
@@ -83,65 +138,55 @@
         Clock that schedules the datagrams.
     members : Members
         The daemons to send to.
-    collect_shares : callable
-        Returns this daemon's load shares and the hashes of servers that are loading
-        weights on its order.
-    apply_shares : callable
-        Called with a peer's id, its load shares, the hashes of servers that are loading
-        weights on its order, and the seconds for which these are valid.
-    lease : callable
-        Returns the lease's version and the milliseconds since its renewal; version 0
-        if this daemon does not hold the lease.
-    observe_lease : callable
-        Called with the lease's version and the seconds since its renewal, as received
-        from the holder.
+    working_set : WorkingSet
+        The daemons that receive load shares.
+    datagrams : PeerDatagrams
+        Carries the beacons.
+    source : BeaconSource
+        Content of this daemon's beacons.
+    receiver : BeaconReceiver
+        Applies the content of received beacons.
     """
 
     def __init__(
         self,
         clock: Clock,
         members: Members,
-        collect_shares: Callable[[], tuple[list[ServerLoadShare], list[int]]],
-        apply_shares: Callable[
-            [str, Sequence[ServerLoadShare], Sequence[int], float], None
-        ],
-        lease: Callable[[], tuple[int, int]],
-        observe_lease: Callable[[int, float], None],
+        working_set: WorkingSet,
+        datagrams: PeerDatagrams,
+        source: BeaconSource,
+        receiver: BeaconReceiver,
     ) -> None:
         self._clock = clock
         self._members = members
-        self._collect_shares = collect_shares
-        self._apply_shares = apply_shares
-        self._read_lease = lease
-        self._observe_lease = observe_lease
-        self._decoder = msgspec.msgpack.Decoder(Beacon)
+        self._working_set = working_set
+        self._datagrams = datagrams
+        self._source = source
+        self._receiver = receiver
         self._sequence = 0
         self._last_sent: tuple[list[ServerLoadShare], list[int]] = ([], [])
         self._last_sent_at = 0.0
+        self._sign_of_life_at = 0.0
+        self._report_idle_until = 0.0
         self._last_received_by_daemon: dict[str, tuple[str, int]] = {}
         self._timer: Any = None
-        self._port: Any = None
+        datagrams.add_handler(Beacon, self.handle)
 
-    def listen(self, reactor: Any, address: str) -> None:
-        """Bind to ``ip:port`` and start sending."""
-        host, _, port = address.rpartition(":")
-        self._port = reactor.listenUDP(int(port), self, interface=host)
-        self._send_when_changed()
+    def start(self) -> None:
+        """Start sending."""
+        self._send_when_due()
 
     def stop(self) -> None:
-        """Stop sending and receiving."""
+        """Stop sending."""
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
-        if self._port is not None:
-            self._port.stopListening()
 
-    def datagramReceived(self, data: bytes, addr: Any) -> None:  # noqa: N802
+    def announce_leaving(self) -> None:
+        """Tell all daemons that this one accepts no callers any more."""
+        self._datagrams.send(self._build([], []), self._members.peers())
+
+    def handle(self, beacon: Beacon) -> None:
         """Apply a peer's beacon, unless a newer one was received before."""
-        try:
-            beacon = self._decoder.decode(data)
-        except msgspec.MsgspecError as error:
-            log.info("malformed beacon", extra={"sender": addr[0], "cause": str(error)})
-            return
         incarnation, sequence = self._last_received_by_daemon.get(
             beacon.daemon, ("", 0)
         )
@@ -151,37 +196,89 @@
             beacon.incarnation,
             beacon.sequence,
         )
+        self._members.record_beacon(
+            beacon.daemon,
+            beacon.incarnation,
+            is_working=beacon.is_working and not self._working_set.is_whole_fleet,
+            is_leaving=beacon.is_leaving,
+            demand=beacon.demand,
+        )
         valid_s = 3 * max(self._send_period_s(), RESEND_INTERVAL_S)
-        self._apply_shares(beacon.daemon, beacon.shares, beacon.loading, valid_s)
+        self._receiver.apply_shares(
+            beacon.daemon, beacon.shares, beacon.loading, valid_s
+        )
+        if beacon.is_working:
+            self._receiver.observe_store(beacon.daemon, beacon.reaches_store)
         version, age_ms = beacon.lease
         if version:
-            self._observe_lease(version, age_ms / 1_000)
+            self._receiver.observe_lease(version, age_ms / 1_000)
+
+    def _receivers_of_load(self) -> list[Member]:
+        if self._working_set.is_whole_fleet:
+            return self._members.serving_peers()
+        own = self._members.own.id
+        return [member for member in self._working_set.daemons() if member.id != own]
 
     def _send_period_s(self) -> float:
-        peers = max(1, self._members.fleet_size() - 1)
+        if self._working_set.is_whole_fleet:
+            peers = self._members.fleet_size() - 1
+        else:
+            peers = len(self._working_set.daemons()) - 1
         return max(MIN_PERIOD_S, peers / MAX_DATAGRAMS_PER_S)
 
-    def _send_when_changed(self) -> None:
-        self._timer = self._clock.callLater(
-            self._send_period_s(), self._send_when_changed
-        )
-        shares, loading = current = self._collect_shares()
+    def _send_when_due(self) -> None:
+        self._timer = self._clock.callLater(self._send_period_s(), self._send_when_due)
+        shares, loading = current = self._source.load_shares()
         now = self._clock.seconds()
-        lease = self._read_lease()
-        is_empty = not shares and not loading and not lease[0]
-        if current == self._last_sent and (
+        is_empty = not shares and not loading and not self._source.lease()[0]
+        is_repeat = current == self._last_sent and (
             is_empty or now - self._last_sent_at < RESEND_INTERVAL_S
-        ):
+        )
+        if not is_repeat:
+            self._last_sent, self._last_sent_at = current, now
+            self._datagrams.send(
+                self._build(shares, loading), self._receivers_of_load()
+            )
+        if self._working_set.is_whole_fleet or now < self._sign_of_life_at:
             return
-        self._last_sent, self._last_sent_at = current, now
+        if self._working_set.includes_own:
+            self._report_idle_until = now + REPORT_IDLE_S
+        if now < self._report_idle_until:
+            self._sign_of_life_at = now + SIGN_OF_LIFE_INTERVAL_S
+            self._send_sign_of_life(is_empty)
+
+    def _send_sign_of_life(self, includes_working: bool) -> None:
+        """Send a beacon without load to the daemons that get no other one."""
+        working = {member.id for member in self._working_set.daemons()}
+        receivers = [
+            member
+            for member in self._members.peers()
+            if includes_working or member.id not in working
+        ]
+        self._datagrams.send(self._build([], []), receivers)
+
+    def _build(self, shares: list[ServerLoadShare], loading: list[int]) -> Beacon:
         self._sequence += 1
         own = self._members.own
-        data = msgspec.msgpack.encode(
-            Beacon(own.id, own.incarnation, self._sequence, shares, loading, lease)
+        return Beacon(
+            own.id,
+            own.incarnation,
+            self._sequence,
+            shares,
+            loading,
+            self._source.lease(),
+            self._working_set.includes_own,
+            self._members.is_leaving,
+            self._source.demand(),
+            self._source.reaches_store(),
         )
-        for member in self._members.serving_peers():
-            host, _, port = member.peers.rpartition(":")
-            self._port.write(data, (host, int(port)))
 
 
-__all__ = ["Beacon", "BeaconProtocol", "ServerLoadShare", "server_hash"]
+__all__ = [
+    "Beacon",
+    "BeaconReceiver",
+    "BeaconSource",
+    "Beacons",
+    "ServerLoadShare",
+    "server_hash",
+]
--- a/src/chivesaddle/fleet/exchange.py
+++ b/src/chivesaddle/fleet/exchange.py
@@ -18,11 +18,15 @@
 from chivesaddle.fleet.replica import Entry, Replica
 from chivesaddle.fleet.rpc import PeerClient, PeerUnreachable
 from chivesaddle.fleet.watcher import StoreReachability
+from chivesaddle.fleet.working_set import WorkingSet
 
 INTERVAL_S = 0.7
 # While the store is unreachable, peers are the only source of changes, and each change
 # must reach every daemon within 2 s.
 INTERVAL_WITHOUT_STORE_S = 0.25
+# Interval of a daemon without callers, which gets changes by datagram and learns here
+# only what was lost.
+IDLE_INTERVAL_S = 2.0
 CALL_TIMEOUT_S = 0.5
 # A peer that did not answer is tried only after all others for this long.
 PEER_BACKOFF_S = 3.0
@@ -78,6 +82,8 @@
         Clock of intervals and deadlines.
     members : Members
         Registered daemons and their liveness.
+    working_set : WorkingSet
+        The daemons whose state is newest.
     replicas : sequence of Replica
         Replicas that receive missing objects from peers.
     reachability : StoreReachability
@@ -94,6 +100,7 @@
         self,
         clock: Clock,
         members: Members,
+        working_set: WorkingSet,
         replicas: Sequence[Replica],
         reachability: StoreReachability,
         client: PeerClient,
@@ -102,6 +109,7 @@
     ) -> None:
         self._clock = clock
         self._members = members
+        self._working_set = working_set
         self._replicas_by_kind = {replica.kind: replica for replica in replicas}
         self._reachability = reachability
         self._client = client
@@ -111,7 +119,7 @@
         self._revisions_by_address: dict[str, dict[str, int]] = {}
         self._backoff_until: dict[str, float] = {}
         self._loop: Deferred[None] | None = None
-        self.is_leaving = False
+        self._pulls_by_address: dict[str, Deferred[None]] = {}
 
     def start(self) -> None:
         """Start exchanging messages."""
@@ -122,6 +130,8 @@
         """Stop exchanging messages and close the channels."""
         if self._loop is not None:
             self._loop.cancel()
+        for pull in list(self._pulls_by_address.values()):
+            pull.cancel()
         self._client.close()
 
     def handle(self, message: ExchangeMessage) -> ExchangeMessage:
@@ -131,44 +141,71 @@
 
     async def announce_leaving(self) -> None:
         """Notify up to two peers without delay that this daemon accepts no callers."""
-        self.is_leaving = True
+        self._members.is_leaving = True
         for _ in range(2):
             await self._exchange_once()
 
+    def pull_from(self, address: str, delay_s: float) -> None:
+        """Exchange with one peer after a delay, unless that is planned already."""
+        if address in self._pulls_by_address:
+            return
+
+        async def pull() -> None:
+            await sleep_until(self._clock, self._clock.seconds() + delay_s)
+            if not await self._exchange_with(address):
+                # Any other peer may have the same objects.
+                await self._exchange_once()
+
+        pulling = self._pulls_by_address[address] = start(pull())
+        pulling.addErrback(log_failure(log, f"exchange with {address} failed"))
+        pulling.addBoth(lambda _: self._pulls_by_address.pop(address, None))
+
     async def _run(self) -> None:
         while True:
             await self._exchange_once()
-            is_unreachable = self._reachability.unreachable_since is not None
-            interval = INTERVAL_WITHOUT_STORE_S if is_unreachable else INTERVAL_S
-            pause = interval * self._random.uniform(0.7, 1.3)
+            pause = self._interval_s() * self._random.uniform(0.7, 1.3)
             await sleep_until(self._clock, self._clock.seconds() + pause)
 
+    def _interval_s(self) -> float:
+        if self._reachability.unreachable_since is not None:
+            return INTERVAL_WITHOUT_STORE_S
+        return INTERVAL_S if self._working_set.includes_own else IDLE_INTERVAL_S
+
     async def _exchange_once(self) -> None:
         for address in self._peer_candidates()[:ATTEMPTS_PER_ROUND]:
-            peer_revisions = self._revisions_by_address.get(address)
-            # The first message to a peer contains no objects; the response contains
-            # the revisions that the peer has applied.
-            message = self._build_message(peer_revisions)
-            deadline = self._clock.seconds() + CALL_TIMEOUT_S
-            try:
-                answer = await self._client.call(address, message, deadline)
-            except PeerUnreachable as error:
-                self._revisions_by_address.pop(address, None)
-                if address not in self._backoff_until:
-                    log.info("peer lost", extra={"peer": address, "cause": str(error)})
-                self._backoff_until[address] = self._clock.seconds() + PEER_BACKOFF_S
-                continue
-            if self._backoff_until.pop(address, None) is not None:
-                log.info("peer regained", extra={"peer": address})
-            self._revisions_by_address[address] = answer.through
-            self._apply_message(answer)
-            return
+            if await self._exchange_with(address):
+                return
+
+    async def _exchange_with(self, address: str) -> bool:
+        """Exchange messages with a peer; return whether it answered."""
+        # The first message to a peer contains no objects; the response contains
+        # the revisions that the peer has applied.
+        message = self._build_message(self._revisions_by_address.get(address))
+        deadline = self._clock.seconds() + CALL_TIMEOUT_S
+        try:
+            answer = await self._client.call(address, message, deadline)
+        except PeerUnreachable as error:
+            self._revisions_by_address.pop(address, None)
+            if address not in self._backoff_until:
+                log.info("peer lost", extra={"peer": address, "cause": str(error)})
+            self._backoff_until[address] = self._clock.seconds() + PEER_BACKOFF_S
+            return False
+        if self._backoff_until.pop(address, None) is not None:
+            log.info("peer regained", extra={"peer": address})
+        self._revisions_by_address[address] = answer.through
+        self._apply_message(answer)
+        return True
 
     def _peer_candidates(self) -> list[str]:
         now = self._clock.seconds()
         peer_addresses = [member.peers for member in self._members.peers()]
         addresses = peer_addresses or list(self._seeds)
         self._random.shuffle(addresses)
+        if not self._working_set.is_whole_fleet and self._random.random() < 0.5:
+            # The working daemons have the newest state, but the others must hear of
+            # each other as well.
+            working = {member.peers for member in self._working_set.daemons()}
+            addresses.sort(key=lambda address: address not in working)
         # Peers in backoff come last rather than being left out, so that a daemon that
         # reached no peer keeps trying.
         addresses.sort(key=lambda address: self._backoff_until.get(address, 0.0) > now)
@@ -190,7 +227,7 @@
         return ExchangeMessage(
             daemon=self._members.own.id,
             incarnation=self._members.own.incarnation,
-            is_leaving=self.is_leaving,
+            is_leaving=self._members.is_leaving,
             heard={daemon: ages[daemon] for daemon in latest},
             through={
                 kind: r.applied_revision for kind, r in self._replicas_by_kind.items()
--- a/src/chivesaddle/fleet/members.py
+++ b/src/chivesaddle/fleet/members.py
@@ -15,28 +15,55 @@
 # doubling of the fleet delays it by about half a second.
 LIVENESS_TIMEOUT_BASE_S = 2.0
 LIVENESS_TIMEOUT_PER_DOUBLING_S = 0.5
+# A working daemon sends a beacon to every daemon each second; three are missed.
+WORKING_TIMEOUT_S = 3.0
+# News of a daemon without callers travels by exchanges alone, a few entries in each.
+IDLE_TIMEOUT_S = 30.0
+# A daemon that has just started takes registered daemons for running until it has heard
+# from them.
+ASSUME_RUNNING_S = 4.0
 # Callers in a zone with fewer serving daemons than this get addresses of all zones.
 MIN_ZONE_MEMBERS = 2
 MAX_ADDRESSES = 64
 
 
 class Member(msgspec.Struct, frozen=True):
-    """Registration of a daemon in the store."""
+    """Registration of a daemon in the store.
+
+    Attributes
+    ----------
+    capacity : float
+        Work that the instance can take, in cores; see `InstanceCapacity`.
+    """
 
     id: str
     incarnation: str
     zone: str
     callers: str
     peers: str
+    capacity: float = 1.0
 
 
 @dataclass(slots=True)
 class _LastSeen:
-    """When a daemon was last known to be running, in seconds on the local clock."""
+    """When a daemon was last known to be running, in seconds on the local clock.
+
+    Attributes
+    ----------
+    beacon_at : float
+        When its last beacon arrived.
+    is_working : bool
+        Whether it sends beacons regularly, according to its last beacon.
+    demand : float
+        Processor time that it uses for requests, in cores, as of ``beacon_at``.
+    """
 
     incarnation: str
     at: float
     is_leaving: bool = False
+    beacon_at: float = -math.inf
+    is_working: bool = False
+    demand: float = 0.0
 
 
 class Members:
@@ -57,6 +84,8 @@
         self.own = own
         self._replica = replica
         self._last_seen_by_id: dict[str, _LastSeen] = {}
+        self._started_at = clock.seconds()
+        self.is_leaving = False
         # Decoded registration (None if malformed) and the revision it was decoded from.
         self._decoded_by_name: dict[str, tuple[int, Member | None]] = {}
 
@@ -94,6 +123,39 @@
         previous.at = max(previous.at, at)
         previous.is_leaving = previous.is_leaving or is_leaving
 
+    def record_beacon(
+        self,
+        daemon: str,
+        incarnation: str,
+        *,
+        is_working: bool,
+        is_leaving: bool,
+        demand: float,
+    ) -> None:
+        """Record a beacon that has just arrived."""
+        self.record_seen(daemon, incarnation, 0.0, is_leaving)
+        last_seen = self._last_seen_by_id[daemon]
+        if last_seen.incarnation == incarnation:
+            last_seen.beacon_at = self._clock.seconds()
+            last_seen.is_working = is_working
+            last_seen.demand = demand
+
+    def last_beacon_at(self, daemon: str) -> float:
+        """Return when a daemon's last beacon arrived; minus infinity without any."""
+        last_seen = self._last_seen_by_id.get(daemon)
+        return -math.inf if last_seen is None else last_seen.beacon_at
+
+    def demand_by_zone(self) -> dict[str, float]:
+        """Return the processor demand in cores that working daemons report, by zone."""
+        oldest = self._clock.seconds() - WORKING_TIMEOUT_S
+        demand_by_zone: dict[str, float] = {}
+        for member in self.registered():
+            last_seen = self._last_seen_by_id.get(member.id)
+            if last_seen is not None and last_seen.beacon_at >= oldest:
+                demand = demand_by_zone.get(member.zone, 0.0) + last_seen.demand
+                demand_by_zone[member.zone] = demand
+        return demand_by_zone
+
     def last_seen_ages(self) -> dict[str, tuple[str, int, bool]]:
         """Return incarnation, age in ms and leaving state by running daemon."""
         now = self._clock.seconds()
@@ -113,7 +175,7 @@
         if last_seen is None:
             return False
         age = self._clock.seconds() - last_seen.at
-        return age <= self._liveness_timeout_s() and not last_seen.is_leaving
+        return age <= self._timeout_s(last_seen) and not last_seen.is_leaving
 
     def _is_leaving(self, daemon: str) -> bool:
         last_seen = self._last_seen_by_id.get(daemon)
@@ -123,6 +185,28 @@
         """Return the other daemons that accept callers."""
         return [member for member in self.peers() if self.is_serving(member.id)]
 
+    def running_peers(self) -> list[Member]:
+        """Return the other daemons that are not known to have stopped.
+
+        A daemon that was never heard of is included for a while after this one started.
+        """
+        now = self._clock.seconds()
+        is_starting = now - self._started_at <= ASSUME_RUNNING_S
+        running = []
+        for member in self.peers():
+            last_seen = self._last_seen_by_id.get(member.id)
+            if last_seen is None:
+                is_running = is_starting
+            else:
+                age = now - last_seen.at
+                is_running = age <= (
+                    WORKING_TIMEOUT_S if last_seen.is_working else IDLE_TIMEOUT_S
+                )
+                is_running = is_running and not last_seen.is_leaving
+            if is_running:
+                running.append(member)
+        return running
+
     def fleet_size(self) -> int:
         """Return the number of registrations in the replica, at least 1."""
         return len(self._replica.live()) or 1
@@ -145,6 +229,10 @@
         chosen = in_zone if len(in_zone) >= MIN_ZONE_MEMBERS else candidates
         return [member.callers for member in chosen[:MAX_ADDRESSES]]
 
+    def _timeout_s(self, last_seen: _LastSeen) -> float:
+        timeout_s = self._liveness_timeout_s()
+        return min(timeout_s, WORKING_TIMEOUT_S) if last_seen.is_working else timeout_s
+
     def _liveness_timeout_s(self) -> float:
         doublings = math.log2(max(1, self.fleet_size()))
         return LIVENESS_TIMEOUT_BASE_S + LIVENESS_TIMEOUT_PER_DOUBLING_S * doublings
--- a/src/chivesaddle/fleet/replica.py
+++ b/src/chivesaddle/fleet/replica.py
@@ -92,6 +92,16 @@
                 self._put(Entry(item.name, item.version, item.value))
         self.applied_revision = max(self.applied_revision, revision)
 
+    def revision_of(self, name: str) -> int:
+        """Return the newest known revision of an object, 0 if it is unknown."""
+        entry = self._entries_by_name.get(name)
+        return 0 if entry is None else entry.revision
+
+    def put_entries(self, entries: Iterable[Entry]) -> None:
+        """Apply some entries, which need not be all up to their revisions."""
+        for entry in entries:
+            self._put(entry)
+
     def entries_after(self, applied_revision: int) -> list[Entry]:
         """Return the entries that a peer lacks, tombstones included.
 
@@ -116,8 +126,7 @@
         entries : iterable of Entry
             Result of the peer's `entries_after`.
         """
-        for entry in entries:
-            self._put(entry)
+        self.put_entries(entries)
         self.applied_revision = max(self.applied_revision, applied_revision)
 
     def _put(self, entry: Entry) -> None:
--- a/src/chivesaddle/fleet/watcher.py
+++ b/src/chivesaddle/fleet/watcher.py
@@ -24,6 +24,8 @@
 # recovers.
 RETRY_BASE_S = 0.1
 RETRY_MAX_S = 1.0
+# Interval at which a daemon that does not watch checks whether it has to.
+ROLE_CHECK_INTERVAL_S = 0.25
 # Delay before the next watch after a change, per daemon of the fleet, so that one call
 # returns several changes: when 80 daemons register within 2 s, each of them makes at
 # most 10 calls instead of 80. The maximum is a quarter of the 2 s within which a change
@@ -60,6 +62,10 @@
             self.unreachable_since = None
             self.reachable_since = now
 
+    def stop_observing(self) -> None:
+        """Record that this daemon makes no calls to the store any more."""
+        self.unreachable_since = None
+
     def record_failure(self, error: Exception) -> None:
         """Record that a call failed."""
         if self.unreachable_since is None:
@@ -80,8 +86,11 @@
         Replica to update.
     reachability : StoreReachability
         Records whether each call was answered.
-    fleet_size : callable
-        Returns the number of daemons, each of which watches the store.
+    watchers : callable
+        Returns the number of daemons that watch the store.
+    may_watch : callable
+        Returns whether this daemon watches the store. Otherwise it only lists the kind
+        once, and peers send it the changes.
     """
 
     def __init__(
@@ -90,13 +99,15 @@
         clock: Clock,
         replica: Replica,
         reachability: StoreReachability,
-        fleet_size: Callable[[], int],
+        watchers: Callable[[], int],
+        may_watch: Callable[[], bool] = lambda: True,
     ) -> None:
         self._api = api
         self._clock = clock
         self._replica = replica
         self._reachability = reachability
-        self._fleet_size = fleet_size
+        self._watchers = watchers
+        self._may_watch = may_watch
         self._jitter = random.Random()
         self._loop: Deferred[None] | None = None
         # Revision after which to watch; None if a listing is needed first.
@@ -115,6 +126,8 @@
 
     async def _run(self) -> None:
         while True:
+            if self._replica.applied_revision and not self._may_watch():
+                await self._wait_for_role()
             try:
                 await self._list_or_watch()
                 self._failures = 0
@@ -139,6 +152,16 @@
                 )
                 await sleep_until(self._clock, self._clock.seconds() + RETRY_MAX_S)
 
+    async def _wait_for_role(self) -> None:
+        self._reachability.stop_observing()
+        while not self._may_watch():
+            await sleep_until(
+                self._clock, self._clock.seconds() + ROLE_CHECK_INTERVAL_S
+            )
+        # Peers sent the changes since the last call, if not all of them: continue from
+        # where the replica is complete.
+        self._watch_after = self._replica.applied_revision or None
+
     async def _list_or_watch(self) -> None:
         now = self._clock.seconds()
         kind = self._replica.kind
@@ -154,7 +177,7 @@
         self._watch_after = max(self._watch_after, changes.revision)
         if changes.changes:
             delay_s = min(
-                MAX_CHANGE_DELAY_S, CHANGE_DELAY_PER_DAEMON_S * self._fleet_size()
+                MAX_CHANGE_DELAY_S, CHANGE_DELAY_PER_DAEMON_S * self._watchers()
             )
             await sleep_until(self._clock, self._clock.seconds() + delay_s)
 
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -16,15 +16,22 @@
 from chivesaddle.core.ids import BackendServerId, ZoneId
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.fleet import (
-    BeaconProtocol,
+    Beacon,
+    Beacons,
     Entry,
     ExchangeMessage,
     GossipExchange,
     Member,
     Members,
+    PeerDatagrams,
+    ProcessorDemand,
     Replica,
     StoreReachability,
+    Update,
+    UpdateRelay,
     Watcher,
+    WatchRole,
+    WorkingSet,
 )
 from chivesaddle.fleet.members import MEMBERS_KIND
 from chivesaddle.fleet.rpc import PeerClient, PeerServer
@@ -63,6 +70,7 @@
     encode_addresses,
     encode_server_headers,
 )
+from chivesaddle.serving.beacon_content import BeaconContent
 from chivesaddle.serving.hints import LoadHints, ServerLoadShares
 from chivesaddle.serving.metrics import ServingMetrics
 from chivesaddle.serving.registration import Registration
@@ -117,6 +125,7 @@
             settings.zone,
             settings.listen.callers,
             settings.listen.peers,
+            settings.capacity.cores,
         )
         self._reachability = StoreReachability(reactor)
         self._replicas = {
@@ -131,13 +140,20 @@
         self._replicas[SERVERS_KIND].add_listener(self._apply_server_entry)
         self._replicas[VERSIONS_KIND].add_listener(self._apply_weight_version)
         self._members = Members(reactor, own, self._replicas[MEMBERS_KIND])
+        self._working_set = WorkingSet(reactor, self._members)
+        watch_role = WatchRole(reactor, self._members, self._working_set)
         self._watchers = [
             Watcher(
                 self.store,
                 reactor,
                 replica,
                 self._reachability,
-                self._members.fleet_size,
+                (
+                    self._members.fleet_size
+                    if replica.kind == MEMBERS_KIND
+                    else watch_role.watchers
+                ),
+                watch_role.may_watch,
             )
             for replica in self._replicas.values()
         ]
@@ -146,6 +162,7 @@
         self._exchange = GossipExchange(
             reactor,
             self._members,
+            self._working_set,
             list(self._replicas.values()),
             self._reachability,
             PeerClient(reactor, ExchangeMessage),
@@ -173,18 +190,29 @@
             self._servers,
             self._serving_state,
             backend_client,
-            self._members.rank,
+            self._order_rank,
         )
         shares = ServerLoadShares(
             reactor, self._servers, lambda: self._rollout.excluded_servers
         )
-        self._beacons = BeaconProtocol(
+        self._datagrams = PeerDatagrams(Beacon | Update)
+        content = BeaconContent(
+            shares,
+            self._rollout,
+            ProcessorDemand(reactor, settings.capacity.cpu_speed),
+            self._reachability,
+            watch_role,
+        )
+        self._beacons = Beacons(
+            reactor, self._members, self._working_set, self._datagrams, content, content
+        )
+        self._updates = UpdateRelay(
             reactor,
             self._members,
-            shares.collect,
-            shares.apply_remote,
-            self._rollout.lease_to_relay,
-            self._rollout.observe_lease,
+            self._working_set,
+            self._replicas,
+            self._datagrams,
+            self._exchange,
         )
         self._cache_index = CacheIndex(reactor)
         self._feeds = CacheEventFeeds(reactor, backend_client, self._cache_index)
@@ -204,7 +232,7 @@
                 bounds.retry_ratio,
                 bounds.retry_slack,
                 bounds.retry_window_s,
-                self._members.fleet_size,
+                self._retry_sharers,
             ),
             crashes,
             PromptPlanner(reactor, self._serving_state, self._servers, self._transfers),
@@ -231,7 +259,8 @@
         await self._peer_listener.start()
         for watcher in self._watchers:
             watcher.start()
-        self._beacons.listen(self._reactor, addresses.peers)
+        self._datagrams.listen(self._reactor, addresses.peers)
+        self._beacons.start()
         self._exchange.start()
         self._registration.start()
         self._rollout.start()
@@ -253,6 +282,7 @@
         start(self._exchange.announce_leaving()).addErrback(
             log_failure(log, "leaving could not be announced to peers")
         )
+        self._beacons.announce_leaving()
         await sleep_until(
             self._reactor,
             min(leaving_since + ACCEPT_AFTER_SIGTERM_S, shutdown_deadline),
@@ -267,6 +297,8 @@
         self._exchange.stop()
         self._feeds.stop()
         self._beacons.stop()
+        self._updates.stop()
+        self._datagrams.stop()
         for watcher in self._watchers:
             watcher.stop()
         log.info("stopped", extra={"in_flight": self._caller_listener.in_flight})
@@ -314,7 +346,7 @@
             name, _, value = pair.partition("=")
             if name == "zone":
                 zone = value
-        addresses = self._members.caller_addresses(zone, self.is_ready)
+        addresses = self._working_set.caller_addresses(zone, self.is_ready)
         if not addresses:
             responder.answer(503)
             return
@@ -373,26 +405,42 @@
             weight_version.model, weight_version.version
         )
 
-    def _update_cache_feeds(self) -> None:
-        """Read cache events of all holders if they accept enough concurrent readers.
+    def _order_rank(self) -> int:
+        """Return this daemon's position among those that may give weight orders."""
+        if self._working_set.is_whole_fleet:
+            return self._members.rank()
+        rank = self._working_set.own_rank_if_settled
+        return self._members.fleet_size() if rank is None else rank
 
-        Every daemon reads from every holder, so each backend server must accept as many
-        readers as the fleet has daemons. If one does not, this daemon reads no cache
-        events, not even those of KV stores.
-        """
+    def _retry_sharers(self) -> int:
+        """Return the number of daemons that share the slack of the retry budget."""
+        if self._working_set.includes_own:
+            return max(1, len(self._working_set.daemons()))
+        return self._members.fleet_size()
+
+    def _update_cache_feeds(self) -> None:
+        """Read the cache events of all holders that accept this daemon as a reader."""
         configuration = self._serving_state.configuration
         if configuration is None:
             return
         stores = {s.address: s for s in configuration.stores_by_id.values()}
         self._transfers.set_stores(stores)
+        engines = [
+            service.engine
+            for service in configuration.services_by_id.values()
+            if service.engine is not None
+        ]
+        self._working_set.set_event_readers(
+            min((engine.max_event_readers for engine in engines), default=None)
+        )
+        rank = self._working_set.rank(self._members.own.id)
+        if rank is None or rank >= self._working_set.event_readers:
+            self._feeds.set_holders({})
+            return
         is_store_by_address = dict.fromkeys(stores, True)
-        fleet_size = self._members.fleet_size()
         for tracked in self._servers.all():
             service = configuration.services_by_id.get(tracked.entry.service)
             if service is not None and service.engine is not None:
-                if fleet_size > service.engine.max_event_readers:
-                    is_store_by_address.clear()
-                    break
                 is_store_by_address[tracked.entry.address] = False
         self._feeds.set_holders(is_store_by_address)
 
@@ -415,6 +463,7 @@
             self.metrics.set_value(
                 "connections_opened", self._server_pool.connections_opened
             )
+            self.metrics.set_value("working_set", len(self._working_set.daemons()))
             self.metrics.set_value("in_flight", self._caller_listener.in_flight)
             self.metrics.set_value("callers", len(self._caller_listener.connections))
 
--- /dev/null
+++ b/src/chivesaddle/serving/beacon_content.py
@@ -0,0 +1,81 @@
+"""What the serving daemon sends in its beacons and does with those of its peers."""
+
+from collections.abc import Sequence
+
+from chivesaddle.fleet import (
+    ProcessorDemand,
+    ServerLoadShare,
+    StoreReachability,
+    WatchRole,
+)
+from chivesaddle.serving.hints import ServerLoadShares
+from chivesaddle.weights import Rollout
+
+
+class BeaconContent:
+    """Source and receiver of the beacons' content.
+
+    Parameters
+    ----------
+    shares : ServerLoadShares
+        Load on backend servers.
+    rollout : Rollout
+        Holder of the lease for weight orders.
+    demand : ProcessorDemand
+        This daemon's own processor use.
+    reachability : StoreReachability
+        Whether this daemon reaches the store.
+    watch_role : WatchRole
+        Receives the same of others.
+    """
+
+    def __init__(
+        self,
+        shares: ServerLoadShares,
+        rollout: Rollout,
+        demand: ProcessorDemand,
+        reachability: StoreReachability,
+        watch_role: WatchRole,
+    ) -> None:
+        self._shares = shares
+        self._rollout = rollout
+        self._demand = demand
+        self._reachability = reachability
+        self._watch_role = watch_role
+
+    def load_shares(self) -> tuple[list[ServerLoadShare], list[int]]:
+        """Return load shares, and hashes of servers loading weights on its order."""
+        return self._shares.collect()
+
+    def lease(self) -> tuple[int, int]:
+        """Return the lease's version and renewal age in ms; zeros if not held."""
+        return self._rollout.lease_to_relay()
+
+    def demand(self) -> float:
+        """Return the processor time that this daemon uses, in cores."""
+        return self._demand.cores()
+
+    def reaches_store(self) -> bool:
+        """Return whether this daemon's watches of the store are answered."""
+        return self._reachability.unreachable_since is None
+
+    def apply_shares(
+        self,
+        peer: str,
+        shares: Sequence[ServerLoadShare],
+        loading: Sequence[int],
+        valid_s: float,
+    ) -> None:
+        """Replace a peer's load shares."""
+        self._shares.apply_remote(peer, shares, loading, valid_s)
+
+    def observe_lease(self, version: int, age_s: float) -> None:
+        """Record that another daemon holds the lease."""
+        self._rollout.observe_lease(version, age_s)
+
+    def observe_store(self, peer: str, reaches_store: bool) -> None:
+        """Record whether a working daemon reaches the store."""
+        self._watch_role.observe_store(peer, reaches_store)
+
+
+__all__ = ["BeaconContent"]
--- a/src/chivesaddle/serving/registration.py
+++ b/src/chivesaddle/serving/registration.py
@@ -1,5 +1,6 @@
 """Registers this daemon in the store, so that other daemons can find it."""
 
+import msgspec
 from twisted.internet.defer import Deferred
 
 from chivesaddle.core.aio import Clock, log_failure, sleep_until, start
@@ -38,13 +39,7 @@
         self._api = api
         self._clock = clock
         self._own = own
-        self._registration = {
-            "id": own.id,
-            "incarnation": own.incarnation,
-            "zone": own.zone,
-            "callers": own.callers,
-            "peers": own.peers,
-        }
+        self._registration = msgspec.to_builtins(own)
         self._replica = replica
         self._loop: Deferred[None] | None = None
 
--- a/src/chivesaddle/serving/settings.py
+++ b/src/chivesaddle/serving/settings.py
@@ -11,6 +11,8 @@
 Address = Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 Name = Annotated[str, Meta(min_length=1)]
 Positive = Annotated[float, Meta(gt=0)]
+# Traffic that keeps one core busy: 160 requests per second of 8 KB, in and out.
+LINK_MBIT_S_PER_CORE = 20.0
 
 
 class SettingsError(ChivesaddleError):
@@ -86,6 +88,34 @@
     address_valid_most_s: Positive
 
 
+class InstanceCapacity(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Size of this daemon's instance, by which callers are spread over the fleet.
+
+    Attributes
+    ----------
+    cpu_share : float
+        Share of one core that the daemon may use.
+    cpu_speed : float
+        Speed of that core, relative to a standard one.
+    link_mbit_s : float
+        Rate of the instance's network link, in Mbit/s.
+    """
+
+    cpu_share: Positive = 1.0
+    cpu_speed: Positive = 1.0
+    link_mbit_s: Positive = 1_000.0
+
+    @property
+    def cores(self) -> float:
+        """Work that the instance can take, in cores, as its link also allows.
+
+        A core forwards about `LINK_MBIT_S_PER_CORE` of requests with long prompts.
+        """
+        return min(
+            self.cpu_share * self.cpu_speed, self.link_mbit_s / LINK_MBIT_S_PER_CORE
+        )
+
+
 class ServingSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All settings of one daemon.
 
@@ -97,6 +127,8 @@
         Availability zone of this instance.
     seeds : list of str
         Peer addresses to call while no other daemon is known.
+    capacity : InstanceCapacity
+        Size of this instance.
     log_lines_per_s : float
         Average limit of log lines per second; short bursts may exceed it.
     """
@@ -107,6 +139,7 @@
     store: Store
     bounds: Bounds
     seeds: list[Address] = []
+    capacity: InstanceCapacity = InstanceCapacity()
     log_level: str = "INFO"
     log_lines_per_s: Positive = 100.0
 
@@ -136,4 +169,11 @@
             ) from None
 
 
-__all__ = ["Bounds", "Listen", "ServingSettings", "SettingsError", "Store"]
+__all__ = [
+    "Bounds",
+    "InstanceCapacity",
+    "Listen",
+    "ServingSettings",
+    "SettingsError",
+    "Store",
+]
--- a/src/chivesaddle/weights/rollout.py
+++ b/src/chivesaddle/weights/rollout.py
@@ -51,6 +51,9 @@
 # Only daemons of the lowest ranks try to acquire the lease; further candidates would
 # only add reads of it.
 MAX_LEASE_CANDIDATES = 3
+# A candidate whose rank has risen gives up at this rank. Ranks change by a few places
+# when other daemons restart.
+WITHDRAWAL_RANK = 2 * MAX_LEASE_CANDIDATES
 
 log = ComponentLogger("weights")
 
@@ -192,16 +195,21 @@
 
     async def _run(self) -> None:
         while True:
-            self._start_lease_if_candidate()
+            self._start_or_stop_lease()
             now = self._clock.seconds()
             if self._may_order(now):
                 self._start_loads(now)
             await sleep_until(self._clock, now + POLL_INTERVAL_S)
 
-    def _start_lease_if_candidate(self) -> None:
-        if not self._lease_started and self._rank() < MAX_LEASE_CANDIDATES:
+    def _start_or_stop_lease(self) -> None:
+        rank = self._rank()
+        if not self._lease_started and rank < MAX_LEASE_CANDIDATES:
             self._lease_started = True
             self._lease.start()
+        elif self._lease_started and rank >= WITHDRAWAL_RANK and not self.holds_lease:
+            self._lease_started = False
+            stopping = start(self._lease.stop(release=False))
+            stopping.addErrback(log_failure(log, "lease not stopped"))
 
     def _may_order(self, now: float) -> bool:
         if not self._lease.is_held_at(now):
--- /dev/null
+++ b/tests/fleet/conftest.py
@@ -0,0 +1,150 @@
+import msgspec
+import pytest
+
+from chivesaddle.fleet import (
+    Beacons,
+    Entry,
+    Member,
+    Members,
+    Replica,
+    UpdateRelay,
+    WatchRole,
+    WorkingSet,
+)
+
+LARGE, SMALL = 2.15, 0.25
+
+
+class Datagrams:
+    """Fake of the UDP port that delivers to the other daemons at once."""
+
+    def __init__(self, network):
+        self._network = network
+        self.handlers = {}
+        self.sent = 0
+
+    def add_handler(self, message_type, handle):
+        self.handlers[message_type] = handle
+
+    def send(self, message, receivers):
+        for member in receivers:
+            self.sent += 1
+            self._network.deliver(self, member.id, message)
+
+
+class Daemon:
+    """The fleet components of one daemon; also the content of its beacons."""
+
+    def __init__(self, clock, own, network):
+        self.own = own
+        self.replica = Replica("config")
+        self.registrations = Replica("daemons")
+        self.members = Members(clock, own, self.registrations)
+        self.working_set = WorkingSet(clock, self.members)
+        self.watch_role = WatchRole(clock, self.members, self.working_set)
+        self.datagrams = Datagrams(network)
+        self.beacons = Beacons(
+            clock, self.members, self.working_set, self.datagrams, self, self
+        )
+        self.updates = UpdateRelay(
+            clock,
+            self.members,
+            self.working_set,
+            {"config": self.replica},
+            self.datagrams,
+            self,
+        )
+        self.cores = 0.0
+        self.has_store = True
+        self.shares_by_peer = {}
+        self.pulls = []
+
+    def load_shares(self):
+        return [], []
+
+    def lease(self):
+        return 0, 0
+
+    def demand(self):
+        return self.cores
+
+    def reaches_store(self):
+        return self.has_store
+
+    def apply_shares(self, peer, shares, loading, valid_s):
+        self.shares_by_peer[peer] = shares
+
+    def observe_lease(self, version, age_s):
+        pass
+
+    def observe_store(self, peer, reaches_store):
+        self.watch_role.observe_store(peer, reaches_store)
+
+    def pull_from(self, address, delay_s):
+        self.pulls.append(address)
+
+
+class Network:
+    """Daemons of several zones, two large ones in each, and their datagrams."""
+
+    def __init__(self, clock, zones, per_zone):
+        self.clock = clock
+        self.down = set()
+        self.daemons = {}
+        for zone in range(zones):
+            for number in range(per_zone):
+                name = f"z{zone}-{number:02}"
+                capacity = LARGE if number < 2 else SMALL
+                own = Member(
+                    name, "1", f"z{zone}", f"{name}:80", f"{name}:81", capacity
+                )
+                self.daemons[name] = Daemon(clock, own, self)
+        for daemon in self.daemons.values():
+            self.register_all(daemon)
+
+    def register_all(self, daemon):
+        entries = [
+            Entry(name, number + 1, msgspec.to_builtins(other.own))
+            for number, (name, other) in enumerate(self.daemons.items())
+        ]
+        daemon.registrations.merge(len(entries), entries)
+
+    def deliver(self, sender, receiver, message):
+        daemon = self.daemons.get(receiver)
+        senders = [n for n in self.down if self.daemons[n].datagrams is sender]
+        if daemon is not None and receiver not in self.down and not senders:
+            daemon.datagrams.handlers[type(message)](message)
+
+    def start(self):
+        for daemon in self.daemons.values():
+            daemon.beacons.start()
+
+    def hear_of_all(self):
+        """Stand in for the exchanges, by which running daemons hear of each other."""
+        running = [name for name in self.daemons if name not in self.down]
+        for name in running:
+            for other in running:
+                if other != name:
+                    self.daemons[name].members.record_seen(other, "1", 0.5, False)
+
+    def advance(self, seconds):
+        for step in range(round(seconds / 0.1)):
+            if step % 10 == 0:
+                self.hear_of_all()
+            self.clock.advance(0.1)
+
+    def working_sets(self):
+        """Return the distinct working sets of the running daemons."""
+        return {
+            tuple(member.id for member in daemon.working_set.daemons())
+            for name, daemon in self.daemons.items()
+            if name not in self.down
+        }
+
+
+@pytest.fixture
+def network(clock):
+    network = Network(clock, zones=3, per_zone=26)
+    network.start()
+    network.advance(5)
+    return network
--- a/tests/fleet/test_exchange.py
+++ b/tests/fleet/test_exchange.py
@@ -9,6 +9,7 @@
     Members,
     Replica,
     StoreReachability,
+    WorkingSet,
 )
 from chivesaddle.fleet.rpc import PeerUnreachable
 
@@ -33,7 +34,14 @@
             reachability = StoreReachability(clock)
             reachability.record_success()
             exchange = GossipExchange(
-                clock, members, [replica, daemons], reachability, self, [], {}
+                clock,
+                members,
+                WorkingSet(clock, members),
+                [replica, daemons],
+                reachability,
+                self,
+                [],
+                {},
             )
             self.exchanges[own.id] = exchange
             self.replicas[own.id] = replica
