--- a/src/chivesaddle/core/objects.py
+++ b/src/chivesaddle/core/objects.py
@@ -6,6 +6,30 @@
 
 from chivesaddle.core.errors import ChivesaddleError
 
+# Revisions below this are those that the store gives out within one era.
+_REVISIONS_PER_ERA = 1 << 40
+
+
+def make_revision(era: int, store_revision: int) -> int:
+    """Return a revision that is higher than all of earlier eras.
+
+    Examples
+    --------
+    >>> make_revision(0, 7), make_revision(1, 7) > make_revision(0, 9_000)
+    (7, True)
+    """
+    return era * _REVISIONS_PER_ERA + store_revision
+
+
+def era_of(revision: int) -> int:
+    """Return the era of the store in which a revision was given out."""
+    return revision // _REVISIONS_PER_ERA
+
+
+def store_revision(revision: int) -> int:
+    """Return a revision as the store itself names it."""
+    return revision % _REVISIONS_PER_ERA
+
 
 class PlatformUnavailable(ChivesaddleError):
     """The platform refused or was unreachable; a write certainly had no effect."""
@@ -87,7 +111,9 @@
     """Versioned objects with conditional writes and long-polling watches.
 
     Deadlines are in seconds on the clock of the implementation. Every method raises
-    `PlatformUnavailable` if the call failed and certainly had no effect.
+    `PlatformUnavailable` if the call failed and certainly had no effect. Versions and
+    revisions of a store that returned from a copy are higher than all before; those of
+    earlier eras are in conflict with, or compacted by, the store.
     """
 
     async def get(self, kind: str, name: str, *, deadline: float) -> StoredObject:
@@ -140,4 +166,7 @@
     "StoredObject",
     "VersionConflict",
     "WriteOutcomeUnknown",
+    "era_of",
+    "make_revision",
+    "store_revision",
 ]
--- a/src/chivesaddle/fleet/exchange.py
+++ b/src/chivesaddle/fleet/exchange.py
@@ -52,6 +52,8 @@
         Objects that the receiver lacks, by kind.
     hints : mapping
         Observations of the sender's components, by hint source name.
+    versions : mapping
+        Versions of the sender's documents by kind and name, for kinds that have them.
     """
 
     daemon: str
@@ -61,6 +63,7 @@
     through: dict[str, int]
     entries: dict[str, list[Entry]]
     hints: dict[str, Any]
+    versions: dict[str, dict[str, int]] = {}
 
 
 class HintSource(Protocol):
@@ -116,7 +119,7 @@
         self._seeds = [seed for seed in seeds if seed != members.own.peers]
         self._hints_by_name = hints_by_name
         self._random = random.Random()
-        self._revisions_by_address: dict[str, dict[str, int]] = {}
+        self._answers_by_address: dict[str, ExchangeMessage] = {}
         self._backoff_until: dict[str, float] = {}
         self._loop: Deferred[None] | None = None
         self._pulls_by_address: dict[str, Deferred[None]] = {}
@@ -137,7 +140,7 @@
     def handle(self, message: ExchangeMessage) -> ExchangeMessage:
         """Apply a peer's message and return the response."""
         self._apply_message(message)
-        return self._build_message(message.through)
+        return self._build_message(message)
 
     async def announce_leaving(self) -> None:
         """Notify up to two peers without delay that this daemon accepts no callers."""
@@ -180,20 +183,22 @@
         """Exchange messages with a peer; return whether it answered."""
         # The first message to a peer contains no objects; the response contains
         # the revisions that the peer has applied.
-        message = self._build_message(self._revisions_by_address.get(address))
+        message = self._build_message(self._answers_by_address.get(address))
         deadline = self._clock.seconds() + CALL_TIMEOUT_S
         try:
             answer = await self._client.call(address, message, deadline)
         except PeerUnreachable as error:
-            self._revisions_by_address.pop(address, None)
+            self._answers_by_address.pop(address, None)
             if address not in self._backoff_until:
                 log.info("peer lost", extra={"peer": address, "cause": str(error)})
             self._backoff_until[address] = self._clock.seconds() + PEER_BACKOFF_S
             return False
         if self._backoff_until.pop(address, None) is not None:
             log.info("peer regained", extra={"peer": address})
-        self._revisions_by_address[address] = answer.through
         self._apply_message(answer)
+        # Only what the peer has is needed for the next message to it.
+        answer.entries, answer.hints, answer.heard = {}, {}, {}
+        self._answers_by_address[address] = answer
         return True
 
     def _peer_candidates(self) -> list[str]:
@@ -213,27 +218,33 @@
             self._client.keep_only(set(peer_addresses) | set(self._seeds))
         return addresses
 
-    def _build_message(
-        self, peer_revisions: Mapping[str, int] | None
-    ) -> ExchangeMessage:
+    def _build_message(self, latest: ExchangeMessage | None) -> ExchangeMessage:
+        """Return a message with what the peer lacked at its latest message."""
         entries = {}
-        if peer_revisions is not None:
+        if latest is not None:
             for kind, replica in self._replicas_by_kind.items():
-                newer = replica.entries_after(peer_revisions.get(kind, 0))
+                newer = replica.entries_after(
+                    latest.through.get(kind, 0), latest.versions.get(kind)
+                )
                 if newer:
                     entries[kind] = newer
         ages = self._members.last_seen_ages()
-        latest = sorted(ages, key=lambda daemon: ages[daemon][1])[:MAX_LIVENESS_ENTRIES]
+        newest = sorted(ages, key=lambda daemon: ages[daemon][1])[:MAX_LIVENESS_ENTRIES]
         return ExchangeMessage(
             daemon=self._members.own.id,
             incarnation=self._members.own.incarnation,
             is_leaving=self._members.is_leaving,
-            heard={daemon: ages[daemon] for daemon in latest},
+            heard={daemon: ages[daemon] for daemon in newest},
             through={
                 kind: r.applied_revision for kind, r in self._replicas_by_kind.items()
             },
             entries=entries,
             hints={name: s.collect() for name, s in self._hints_by_name.items()},
+            versions={
+                kind: versions
+                for kind, replica in self._replicas_by_kind.items()
+                if (versions := replica.document_versions())
+            },
         )
 
     def _apply_message(self, message: ExchangeMessage) -> None:
--- a/src/chivesaddle/fleet/members.py
+++ b/src/chivesaddle/fleet/members.py
@@ -15,6 +15,8 @@
 # doubling of the fleet delays it by about half a second.
 LIVENESS_TIMEOUT_BASE_S = 2.0
 LIVENESS_TIMEOUT_PER_DOUBLING_S = 0.5
+# The list of registrations is derived again after this time without a change.
+REGISTERED_CACHE_S = 1.0
 # A working daemon sends a beacon to every daemon each second; three are missed.
 WORKING_TIMEOUT_S = 3.0
 # News of a daemon without callers travels by exchanges alone, a few entries in each.
@@ -85,17 +87,47 @@
         self._replica = replica
         self._last_seen_by_id: dict[str, _LastSeen] = {}
         self._started_at = clock.seconds()
+        # All well-formed registrations, and the newest known one of each daemon.
+        self._registered: list[Member] | None = None
+        self._registered_until = 0.0
+        self._latest_by_id: dict[str, Member] = {}
+        self._missing_since: dict[str, float] = {}
+        replica.add_listener(self._forget_registered)
         self.is_leaving = False
         # Decoded registration (None if malformed) and the revision it was decoded from.
         self._decoded_by_name: dict[str, tuple[int, Member | None]] = {}
 
     def registered(self) -> list[Member]:
-        """Return all well-formed registrations, this daemon's included."""
+        """Return all well-formed registrations, this daemon's included.
+
+        A daemon whose registration the store has lost is included for a while, since
+        daemons do not remove their registrations.
+        """
+        now = self._clock.seconds()
+        if self._registered is None or now >= self._registered_until:
+            self._registered = self._find_registered(now)
+            self._registered_until = now + REGISTERED_CACHE_S
+        return list(self._registered)
+
+    def _forget_registered(self, entry: Entry) -> None:
+        self._registered = None
+
+    def _find_registered(self, now: float) -> list[Member]:
         members = {self.own.id: self.own}
         for entry in self._replica.live():
             member = self._decode_entry(entry)
             if member is not None and member.id == entry.name != self.own.id:
                 members[member.id] = member
+        missing = {d: m for d, m in self._latest_by_id.items() if d not in members}
+        self._missing_since = {d: self._missing_since.get(d, now) for d in missing}
+        for daemon, member in missing.items():
+            last_seen = self._last_seen_by_id.get(daemon)
+            since = self._missing_since[daemon]
+            if last_seen is not None:
+                since = -math.inf if last_seen.is_leaving else max(since, last_seen.at)
+            if now - since <= IDLE_TIMEOUT_S:
+                members[daemon] = member
+        self._latest_by_id = members
         return list(members.values())
 
     def _decode_entry(self, entry: Entry) -> Member | None:
@@ -208,8 +240,8 @@
         return running
 
     def fleet_size(self) -> int:
-        """Return the number of registrations in the replica, at least 1."""
-        return len(self._replica.live()) or 1
+        """Return the number of registrations, this daemon's own included."""
+        return len(self.registered())
 
     def caller_addresses(self, zone: str, include_own: bool) -> list[str]:
         """Return addresses for a caller in ``zone``, of its own zone if it has enough.
--- a/src/chivesaddle/fleet/replica.py
+++ b/src/chivesaddle/fleet/replica.py
@@ -1,10 +1,11 @@
 """Local replica of the store's objects of one kind, updated by watches and peers."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any
 
 import msgspec
 
+from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.core.objects import ChangeType, ObjectChange, ObjectList
 
 # Deletions kept for peers that have not seen them. A peer that was disconnected for
@@ -27,18 +28,38 @@
 
 Listener = Callable[[Entry], None]
 
+# Returns the version of a document, which its writer only raises; None if it has none.
+DocumentVersion = Callable[[Any], int | None]
+
+log = ComponentLogger("replica")
+
 
 class Replica:
     """Objects of one kind by name, each at the newest known revision.
 
+    Documents of some kinds contain a version. Such a document is only replaced by one
+    with a higher version, and never deleted: a store that returned from a copy may hold
+    an older one until its writer writes again.
+
+    Parameters
+    ----------
+    kind : str
+        Kind of the objects.
+    document_version : callable or None
+        Returns the version in a document's value; None if documents of this kind have
+        no version.
+
     Attributes
     ----------
     applied_revision : int
         Revision of the store up to which every change has been applied.
     """
 
-    def __init__(self, kind: str) -> None:
+    def __init__(
+        self, kind: str, document_version: DocumentVersion | None = None
+    ) -> None:
         self.kind = kind
+        self._document_version = document_version
         self.applied_revision = 0
         self._entries_by_name: dict[str, Entry] = {}
         self._live_entries: list[Entry] | None = None
@@ -102,14 +123,32 @@
         for entry in entries:
             self._put(entry)
 
-    def entries_after(self, applied_revision: int) -> list[Entry]:
+    def document_versions(self) -> dict[str, int]:
+        """Return the version of each document by name; empty if they have none."""
+        if self._document_version is None:
+            return {}
+        return {entry.name: self._version_of(entry) for entry in self.live()}
+
+    def entries_after(
+        self, applied_revision: int, document_versions: Mapping[str, int] | None = None
+    ) -> list[Entry]:
         """Return the entries that a peer lacks, tombstones included.
 
         Parameters
         ----------
         applied_revision : int
             Revision up to which the peer has applied all changes.
+        document_versions : mapping or None
+            The peer's `document_versions`, which decide instead for a kind that has
+            them.
         """
+        if self._document_version is not None:
+            known = document_versions or {}
+            return [
+                entry
+                for entry in self.live()
+                if self._version_of(entry) > known.get(entry.name, -1)
+            ]
         return [
             entry
             for entry in self._entries_by_name.values()
@@ -131,7 +170,7 @@
 
     def _put(self, entry: Entry) -> None:
         current = self._entries_by_name.get(entry.name)
-        if current is not None and current.revision >= entry.revision:
+        if current is not None and not self._replaces(entry, current):
             return
         self._entries_by_name[entry.name] = entry
         self._live_entries = None
@@ -144,6 +183,30 @@
         for listener in list(self._listeners):
             listener(entry)
 
+    def _replaces(self, entry: Entry, current: Entry) -> bool:
+        if self._document_version is None:
+            return entry.revision > current.revision
+        if entry.is_deleted:
+            return False
+        version, known = self._version_of(entry), self._version_of(current)
+        if version < known and entry.revision > current.revision:
+            log.info(
+                "older document ignored",
+                extra={
+                    "kind": self.kind,
+                    "object": entry.name,
+                    "version": version,
+                    "known": known,
+                },
+            )
+        return (version, entry.revision) > (known, current.revision)
+
+    def _version_of(self, entry: Entry) -> int:
+        if self._document_version is None or entry.is_deleted:
+            return -1
+        version = self._document_version(entry.value)
+        return -1 if version is None else version
+
     def _drop_old_tombstones(self) -> None:
         deleted = [
             entry for entry in self._entries_by_name.values() if entry.is_deleted
--- a/src/chivesaddle/fleet/working_set.py
+++ b/src/chivesaddle/fleet/working_set.py
@@ -182,7 +182,7 @@
 
     @property
     def own_rank_if_settled(self) -> int | None:
-        """This daemon's rank, None unless it has been in the set for `SETTLING_S`."""
+        """Rank of this daemon, None unless it was in the set for `SETTLING_S`."""
         own = self._members.own.id
         rank = self.rank(own)
         joined_at = self._chosen_since.get(own)
--- a/src/chivesaddle/objects/lease.py
+++ b/src/chivesaddle/objects/lease.py
@@ -5,6 +5,10 @@
 the TTL minus the margin. Every other process counts the TTL from when it saw the
 written version, which is after the write took effect, and then replaces exactly that
 version by a conditional update. The margin covers drift between clocks.
+
+If the store returns from an older copy, the record may be gone or name an earlier
+holder. Then no process takes the lease as held, and each waits for one TTL after it
+learned of the new era, during which a holder that has not learned of it may still act.
 """
 
 import uuid
@@ -26,7 +30,9 @@
     StoredObject,
     VersionConflict,
     WriteOutcomeUnknown,
+    era_of,
 )
+from chivesaddle.objects.era import StoreEra
 
 LEASES_KIND = "leases"
 TTL_S = 3.0
@@ -133,6 +139,8 @@
         Distinguishes processes with the same name; random by default.
     renew_s : float
         Seconds between renewals.
+    era : StoreEra or None
+        Era of the store behind ``api``; None if the store never loses writes.
     """
 
     def __init__(
@@ -143,12 +151,16 @@
         holder: str,
         incarnation: str | None = None,
         renew_s: float = RENEW_INTERVAL_S,
+        era: StoreEra | None = None,
     ) -> None:
         self._renew_s = renew_s
+        self._era = era or StoreEra(clock)
+        self._era.add_listener(self._handle_new_era)
         self._api = api
         self._clock = clock
         self.name = name
-        self.holder = f"{holder}/{incarnation or uuid.uuid4().hex[:12]}"
+        self._process = f"{holder}/{incarnation or uuid.uuid4().hex[:12]}"
+        self.holder = self._process
         self._core = _MachineCore()
         self._machine = _machine(self._core)
         self._loop: Deferred[None] | None = None
@@ -157,6 +169,9 @@
         self._expiry_timer: DelayedCall | None = None
         self._held_until = 0.0
         self._term = 0
+        self._highest_term = 0
+        # Before this time the lease is not acquired, whatever the record says.
+        self._acquire_not_before = 0.0
         self._write_count = 0
         self._own_record: StoredObject | None = None
         # Version that a write without a response replaces, and when it was first sent.
@@ -175,6 +190,15 @@
         """Term in which the lease was last held; 0 before the first."""
         return FencingToken(self._term)
 
+    @property
+    def highest_term(self) -> int:
+        """Highest term known of any holder, which no later holder goes back behind."""
+        return self._highest_term
+
+    def observe_term(self, term: int) -> None:
+        """Record a term that another process knows of."""
+        self._highest_term = max(self._highest_term, term)
+
     @property
     def renewed_at(self) -> float:
         """When the last write that took effect was sent, in seconds of the clock."""
@@ -212,6 +236,21 @@
             expires_at = self._clock.seconds() - age_s + TTL_S
             self._other_expires_at = max(self._other_expires_at, expires_at)
 
+    def _handle_new_era(self) -> None:
+        """Give up the lease and wait until any other holder has stopped acting."""
+        self._held_until = 0.0
+        self._cancel_expiry_timer()
+        self._own_record = None
+        self._other_record = None
+        self._unconfirmed_write = None
+        self._last_seen_version = 0
+        self._acquire_not_before = self._clock.seconds() + TTL_S
+        self._other_expires_at = max(self._other_expires_at, self._acquire_not_before)
+        # A record of an earlier era that names this process is not its own any more.
+        self.holder = f"{self._process}.{self._era.current}"
+        self._machine.on_expiry()
+        self._machine.on_other_holder()
+
     def start(self) -> None:
         """Start to acquire and then renew the lease.
 
@@ -292,6 +331,7 @@
         except ObjectNotFound:
             self._reset_record()
             return
+        self._check_era(item)
         if item.value["holder"] == self.holder:
             self._handle_own_record(item)
         else:
@@ -304,6 +344,7 @@
             self._extend_held_period(item, unconfirmed[1])
         self._own_record = item
         self._term = int(item.value["term"])
+        self.observe_term(self._term)
 
     def _handle_other_record(self, item: StoredObject) -> None:
         if (
@@ -312,12 +353,13 @@
         ):
             self._unconfirmed_write = None
         self._own_record = None
+        self.observe_term(int(item.value["term"]))
         self._machine.on_other_holder()
         now = self._clock.seconds()
         if item.version != self._last_seen_version:
             self._other_expires_at = now + int(item.value["ttl_ms"]) / 1_000
         if not item.value["holder"]:
-            self._other_expires_at = now
+            self._other_expires_at = max(now, self._acquire_not_before)
         self._last_seen_version = item.version
         self._other_record = item
 
@@ -325,24 +367,22 @@
         self._own_record = None
         self._other_record = None
         self._last_seen_version = 0
-        self._other_expires_at = 0.0
+        self._other_expires_at = self._acquire_not_before
         self._machine.on_other_holder()
 
     async def _renew_or_acquire(self) -> None:
         """Renew the lease if held, or acquire it if it is free or expired."""
         if self._own_record is not None:
             await self._write_own_record(self._own_record.version, self._term)
-        elif self._other_record is None:
-            await self._write_own_record(0, 1)
         elif self._clock.seconds() >= self._other_expires_at:
-            await self._write_own_record(
-                self._other_record.version, int(self._other_record.value["term"]) + 1
-            )
+            version = self._other_record.version if self._other_record else 0
+            await self._write_own_record(version, self._highest_term + 1)
 
     async def _write_own_record(self, version: int, term: int) -> None:
         """Write this holder if the record has ``version``; 0 creates the record."""
         sent_at = self._clock.seconds()
         previous_write = self._unconfirmed_write
+        era = self._era.current
         if previous_write is None or previous_write[0] != version:
             self._unconfirmed_write = (version, sent_at)
         try:
@@ -350,11 +390,15 @@
                 version, self.holder, term, sent_at + CALL_TIMEOUT_S
             )
         except (PlatformUnavailable, VersionConflict, ObjectNotFound):
-            self._unconfirmed_write = previous_write
+            if self._era.current == era:
+                self._unconfirmed_write = previous_write
             raise
+        if self._era.current != era:
+            raise VersionConflict("The store returned from a copy during the write")
         self._unconfirmed_write = None
         self._own_record = item
         self._term = term
+        self.observe_term(term)
         self._extend_held_period(item, sent_at)
 
     async def _put_record(
@@ -377,6 +421,11 @@
             LEASES_KIND, self.name, value, version=version, deadline=deadline
         )
 
+    def _check_era(self, item: StoredObject) -> None:
+        """Refuse a response that was sent before the store returned from a copy."""
+        if era_of(item.version) < self._era.current:
+            raise PlatformUnavailable("The lease was read before the store returned")
+
     def _extend_held_period(self, item: StoredObject, sent_at: float) -> None:
         """Extend the held period; it counts from ``sent_at``, before the write."""
         self._last_seen_version = item.version
--- a/src/chivesaddle/objects/memory.py
+++ b/src/chivesaddle/objects/memory.py
@@ -4,13 +4,13 @@
 import copy
 import json
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Coroutine
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
 
 from chivesaddle.core.aio import Clock, Signal, sleep_until, with_deadline
-from chivesaddle.core.errors import DeadlineExceeded, InvalidValue
+from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded, InvalidValue
 from chivesaddle.core.objects import (
     ChangeType,
     ObjectChange,
@@ -22,7 +22,9 @@
     StoredObject,
     VersionConflict,
     WriteOutcomeUnknown,
+    make_revision,
 )
+from chivesaddle.objects.era import StoreEra
 
 MAX_VALUE_BYTES = 1_000_000
 MAX_HISTORY_CHANGES = 4_096
@@ -60,6 +62,14 @@
     late_effect_s: float = 1.0
 
 
+@dataclass(frozen=True)
+class ObjectCopy:
+    """Objects and revision of a store at one moment."""
+
+    objects: dict[tuple[str, str], StoredObject]
+    revision: int
+
+
 class MemoryObjectApi:
     """In-memory implementation of `chivesaddle.core.objects.ObjectApi`.
 
@@ -74,6 +84,8 @@
         Faults to inject; may be changed at any time.
     calls : collections.Counter
         Number of calls by method name; a watch counts once.
+    era : int
+        How often the store has returned from a copy.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -81,6 +93,7 @@
         self._objects: dict[tuple[str, str], StoredObject] = {}
         self._history: deque[ObjectChange] = deque(maxlen=MAX_HISTORY_CHANGES)
         self._revision = 0
+        self.era = 0
         self._changed_signal = Signal()
         self.faults = ObjectFaults()
         self.calls: Counter[str] = Counter()
@@ -93,7 +106,7 @@
     async def get(self, kind: str, name: str, *, deadline: float) -> StoredObject:
         """Read one object."""
         await self._begin_call("get", deadline)
-        return copy.deepcopy(self._get_existing(kind, name))
+        return self._as_read(self._get_existing(kind, name))
 
     async def list_objects(
         self, kind: str, *, prefix: str = "", deadline: float
@@ -101,11 +114,11 @@
         """Read all objects of a kind whose names start with ``prefix``."""
         await self._begin_call("list", deadline)
         items = {
-            name: copy.deepcopy(item)
+            name: self._as_read(item)
             for (item_kind, name), item in sorted(self._objects.items())
             if item_kind == kind and name.startswith(prefix)
         }
-        return ObjectList(self._revision, items)
+        return ObjectList(make_revision(self.era, self._revision), items)
 
     async def create(
         self, kind: str, name: str, value: dict[str, Any], *, deadline: float
@@ -157,14 +170,15 @@
         await self._begin_call("watch", deadline)
         while True:
             changes = self._changes_after(kind, after)
+            at = make_revision(self.era, self._revision)
             if changes or self._clock.seconds() >= deadline:
-                return ObjectChanges(self._revision, tuple(changes))
+                return ObjectChanges(at, tuple(changes))
             try:
                 await with_deadline(
                     self._clock, deadline, self._changed_signal.wait(), "watch"
                 )
             except DeadlineExceeded:
-                return ObjectChanges(self._revision, ())
+                return ObjectChanges(at, ())
             if self.faults.outage:
                 raise PlatformUnavailable("The platform is down")
 
@@ -172,17 +186,49 @@
         """Delete the history, so that watches after older revisions fail."""
         self._history.clear()
 
+    def take_copy(self) -> ObjectCopy:
+        """Return a copy of all objects, for `restore`."""
+        return ObjectCopy(dict(self._objects), self._revision)
+
+    def restore(
+        self, old_copy: ObjectCopy, without_kinds: Collection[str] = ()
+    ) -> None:
+        """Go back to a copy, as the platform's store does after a failure.
+
+        Later writes are lost, and their revisions are given out again. Objects of some
+        kinds may be missing from the copy.
+        """
+        self._objects = {
+            key: item
+            for key, item in old_copy.objects.items()
+            if key[0] not in without_kinds
+        }
+        self._revision = old_copy.revision
+        self._history.clear()
+        self.era += 1
+        self._changed_signal.set()
+
+    def _as_read(self, item: StoredObject) -> StoredObject:
+        version = make_revision(self.era, item.version)
+        return StoredObject(item.kind, item.name, version, copy.deepcopy(item.value))
+
     def _changes_after(self, kind: str, after: int) -> list[ObjectChange]:
-        oldest = self._revision - len(self._history)
+        oldest = make_revision(self.era, self._revision - len(self._history))
+        if after > make_revision(self.era, self._revision):
+            raise RevisionCompacted(
+                f"Revision {after} is not of this store",
+                remedy="List the kind again and watch from its revision",
+            )
         if after < oldest:
             raise RevisionCompacted(
                 f"Changes after revision {after} were compacted; oldest is {oldest}",
                 remedy="List the kind again and watch from its revision",
             )
         return [
-            copy.deepcopy(change)
+            ObjectChange(change.type, self._as_read(change.item))
             for change in self._history
-            if change.item.version > after and change.item.kind == kind
+            if make_revision(self.era, change.item.version) > after
+            and change.item.kind == kind
         ]
 
     async def _begin_call(self, method: str, deadline: float) -> None:
@@ -229,7 +275,9 @@
             raise ObjectNotFound(f"Object {kind}/{name} does not exist") from None
 
     def _check_version(self, kind: str, name: str, version: int) -> None:
-        current_version = self._get_existing(kind, name).version
+        current_version = make_revision(
+            self.era, self._get_existing(kind, name).version
+        )
         if current_version != version:
             raise VersionConflict(
                 f"Object {kind}/{name} has version {current_version}, not {version}",
@@ -246,21 +294,114 @@
         current = self._objects.get((kind, name))
         if current is not None and current.value == value:
             # As on the platform, a write with an unchanged value keeps the revision.
-            return copy.deepcopy(current)
+            return self._as_read(current)
         self._revision += 1
         item = StoredObject(kind, name, self._revision, copy.deepcopy(value))
         self._objects[kind, name] = item
         self._append_change(ObjectChange(ChangeType.PUT, item))
-        return copy.deepcopy(item)
+        return self._as_read(item)
 
     def _append_change(self, change: ObjectChange) -> None:
         self._history.append(change)
         self._changed_signal.set()
 
 
+class MemoryClient:
+    """Calls of one process to a `MemoryObjectApi`.
+
+    Parameters
+    ----------
+    api : MemoryObjectApi
+        The store.
+    era : StoreEra
+        Receives the era of each response.
+
+    Attributes
+    ----------
+    is_cut : bool
+        Whether the process does not reach the store.
+    """
+
+    def __init__(self, api: MemoryObjectApi, era: StoreEra) -> None:
+        self._api = api
+        self.era = era
+        self.is_cut = False
+
+    async def get(self, kind: str, name: str, *, deadline: float) -> StoredObject:
+        """Read one object."""
+        return await self._call(self._api.get(kind, name, deadline=deadline))
+
+    async def list_objects(
+        self, kind: str, *, prefix: str = "", deadline: float
+    ) -> ObjectList:
+        """Read all objects of a kind whose names start with ``prefix``."""
+        return await self._call(
+            self._api.list_objects(kind, prefix=prefix, deadline=deadline)
+        )
+
+    async def create(
+        self, kind: str, name: str, value: dict[str, Any], *, deadline: float
+    ) -> StoredObject:
+        """Create an object that does not exist."""
+        return await self._call(self._api.create(kind, name, value, deadline=deadline))
+
+    async def update(
+        self,
+        kind: str,
+        name: str,
+        value: dict[str, Any],
+        *,
+        version: int,
+        deadline: float,
+    ) -> StoredObject:
+        """Replace an object that still has ``version``."""
+        return await self._call(
+            self._api.update(kind, name, value, version=version, deadline=deadline)
+        )
+
+    async def delete(
+        self, kind: str, name: str, *, version: int, deadline: float
+    ) -> None:
+        """Delete an object that still has ``version``."""
+        await self._call(
+            self._api.delete(kind, name, version=version, deadline=deadline)
+        )
+
+    async def wait_for_changes(
+        self, kind: str, *, after: int, deadline: float
+    ) -> ObjectChanges:
+        """Wait for changes of a kind after a revision, at most until ``deadline``."""
+        return await self._call(
+            self._api.wait_for_changes(kind, after=after, deadline=deadline)
+        )
+
+    async def _call(self, call: Coroutine[Any, Any, Any]) -> Any:
+        if self.is_cut:
+            call.close()
+            raise PlatformUnavailable("The platform refused the connection")
+        try:
+            result = await call
+        except PlatformUnavailable:
+            raise
+        except ChivesaddleError:
+            if not self.is_cut:
+                self.era.observe(self._api.era)
+            raise
+        if self.is_cut:
+            raise WriteOutcomeUnknown("The response was lost")
+        self.era.observe(self._api.era)
+        return result
+
+
 def _apply_ignoring_conflict(apply: Callable[[], Any]) -> None:
     with contextlib.suppress(VersionConflict, ObjectNotFound):
         apply()
 
 
-__all__ = ["MemoryObjectApi", "ObjectFaults", "WriteFault"]
+__all__ = [
+    "MemoryClient",
+    "MemoryObjectApi",
+    "ObjectCopy",
+    "ObjectFaults",
+    "WriteFault",
+]
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -3,7 +3,7 @@
 import math
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import Any
 
@@ -23,6 +23,8 @@
 # 2 s of the store's return. The grace period is 0.5 s shorter than the time limit for
 # draining, because the notification of a removal also takes time.
 REMOVAL_GRACE_S = 1.5
+# Servers that are remembered after they left the list.
+MAX_DEPARTED = 1_024
 # Prompt parts recorded per server; an engine caches about 60 large ones.
 MAX_SENT_PARTS = 512
 # The weight of a load report falls to 0 over this time; requests last about 0.5 s.
@@ -172,6 +174,8 @@
         # Called when a server of the service may have free capacity.
         self.on_capacity_freed: Callable[[ServiceId], None] = lambda service: None
         self._by_id: dict[BackendServerId, TrackedServer] = {}
+        # Start times of servers that left the list.
+        self._departed: OrderedDict[BackendServerId, int] = OrderedDict()
         self._serial = 0
 
     def get(self, server: BackendServerId) -> TrackedServer | None:
@@ -200,10 +204,31 @@
         ]
         return min(versions, default=None)
 
-    def put(self, entry: ServerEntry) -> None:
-        """Add or update a server; a restarted server starts with clean state."""
+    def has_departed(self, entry: ServerEntry) -> bool:
+        """Return whether this start of the server was listed and then removed."""
+        return (
+            entry.id not in self._by_id
+            and self._departed.get(entry.id) == entry.started_ms
+        )
+
+    def put(self, entry: ServerEntry, *, may_be_outdated: bool = False) -> None:
+        """Add or update a server; a restarted server starts with clean state.
+
+        Parameters
+        ----------
+        may_be_outdated : bool
+            Whether the entry may be older than the known one, because the store has
+            returned from a copy. It then does not end a server's draining.
+        """
         known = self._by_id.get(entry.id)
         versions = dict(entry.version_by_model)
+        if (
+            may_be_outdated
+            and known is not None
+            and known.entry.started_ms == entry.started_ms
+            and known.entry.state is ServerState.DRAINING
+        ):
+            entry = replace(entry, state=ServerState.DRAINING)
         if (
             known is None
             or known.entry.address != entry.address
@@ -250,6 +275,10 @@
         if known.entry.state is ServerState.READY:
             self.on_down(server)
         del self._by_id[server]
+        self._departed[server] = known.entry.started_ms
+        self._departed.move_to_end(server)
+        while len(self._departed) > MAX_DEPARTED:
+            self._departed.popitem(last=False)
 
     def record_send(
         self, server: BackendServerId, unread_tokens: int = 0, memory_tokens: int = 0
--- a/src/chivesaddle/platform/__init__.py
+++ b/src/chivesaddle/platform/__init__.py
@@ -13,6 +13,7 @@
     decode_configuration,
     decode_server,
     decode_weight_version,
+    document_version,
 )
 from chivesaddle.platform.entry import (
     READINESS_PATH,
@@ -41,6 +42,7 @@
     "decode_response",
     "decode_server",
     "decode_weight_version",
+    "document_version",
     "encode_addresses",
     "encode_server_headers",
 ]
--- a/src/chivesaddle/platform/documents.py
+++ b/src/chivesaddle/platform/documents.py
@@ -245,6 +245,12 @@
     return TargetWeightVersion(ModelId(decoded.model), decoded.version)
 
 
+def document_version(value: Any) -> int | None:
+    """Return the version in a configuration or weight version, None if malformed."""
+    version = value.get("version") if isinstance(value, dict) else None
+    return version if type(version) is int and version >= 0 else None
+
+
 __all__ = [
     "CONFIG_KIND",
     "CONFIG_NAME",
@@ -253,4 +259,5 @@
     "decode_configuration",
     "decode_server",
     "decode_weight_version",
+    "document_version",
 ]
--- a/src/chivesaddle/platform/store.py
+++ b/src/chivesaddle/platform/store.py
@@ -1,5 +1,6 @@
 """Client of the platform's store; implements `chivesaddle.core.objects.ObjectApi`."""
 
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -7,6 +8,7 @@
 
 from chivesaddle.core.aio import Clock
 from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded, InvalidValue
+from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.core.objects import (
     ChangeType,
     ObjectChange,
@@ -18,6 +20,9 @@
     StoredObject,
     VersionConflict,
     WriteOutcomeUnknown,
+    era_of,
+    make_revision,
+    store_revision,
 )
 from chivesaddle.http1 import (
     ConnectionPool,
@@ -28,7 +33,12 @@
     ResponseLate,
     exchange,
 )
+from chivesaddle.objects.era import StoreEra
 
+log = ComponentLogger("store")
+
+# Rises by one each time that the store returns from a copy that is some seconds old.
+_ERA_HEADER = b"store-era"
 # Time reserved at the end of a watch's deadline for the response to arrive.
 WATCH_RESPONSE_RESERVE_S = 1.0
 MAX_WATCH_S = 30.0
@@ -85,15 +95,23 @@
         Clock on which deadlines are expressed.
     max_value_bytes : int
         Size limit of one object in the store.
+    era : StoreEra or None
+        Receives the eras that the store names; a new one by default.
     """
 
     def __init__(
-        self, address: str, pool: ConnectionPool, clock: Clock, max_value_bytes: int
+        self,
+        address: str,
+        pool: ConnectionPool,
+        clock: Clock,
+        max_value_bytes: int,
+        era: StoreEra | None = None,
     ) -> None:
         self._address = address
         self._pool = pool
         self._clock = clock
         self._max_value_bytes = max_value_bytes
+        self.era = era or StoreEra(clock)
         self.calls = 0
 
     @classmethod
@@ -107,8 +125,9 @@
 
     async def get(self, kind: str, name: str, *, deadline: float) -> StoredObject:
         """Read one object."""
-        content = await self._read(_object_path(kind, name), deadline)
-        return _to_stored_object(kind, _decode_body(content, _Object))
+        reply = await self._read(_object_path(kind, name), deadline)
+        decoded = _decode_body(reply.content, _Object)
+        return _to_stored_object(kind, decoded, reply.era)
 
     async def list_objects(
         self, kind: str, *, prefix: str = "", deadline: float
@@ -123,12 +142,17 @@
         after = ""
         while True:
             query = f"?{urlencode({'after': after})}" if after else ""
-            content = await self._read(_object_path(kind) + query, deadline)
-            page = _decode_body(content, _Page)
-            revision = page.at if revision is None else revision
+            reply = await self._read(_object_path(kind) + query, deadline)
+            page = _decode_body(reply.content, _Page)
+            if revision is None:
+                revision = make_revision(reply.era, page.at)
+            elif era_of(revision) != reply.era:
+                raise PlatformUnavailable(
+                    f"The store returned from a copy while {kind} was listed"
+                )
             for item in page.items:
                 if item.metadata.name.startswith(prefix):
-                    items[item.metadata.name] = _to_stored_object(kind, item)
+                    items[item.metadata.name] = _to_stored_object(kind, item, reply.era)
             if not page.more or not page.items:
                 return ObjectList(revision, items)
             after = page.items[-1].metadata.name
@@ -138,24 +162,29 @@
     ) -> StoredObject:
         """Create an object; raises `VersionConflict` if it exists."""
         body = self._encode_body({"metadata": {"name": name}, "specification": value})
-        content = await self._write("POST", _object_path(kind), body, deadline)
-        return _decode_written(kind, content)
+        reply = await self._write("POST", _object_path(kind), body, deadline)
+        return _decode_written(kind, reply)
 
     async def update(
         self, kind: str, name: str, value: Any, *, version: int, deadline: float
     ) -> StoredObject:
         """Replace an object if it still has ``version``."""
-        metadata = {"name": name, "revision": version}
+        self._check_era(version, f"{kind}/{name}")
+        metadata = {"name": name, "revision": store_revision(version)}
         body = self._encode_body({"metadata": metadata, "specification": value})
-        content = await self._write("PUT", _object_path(kind, name), body, deadline)
-        return _decode_written(kind, content)
+        reply = await self._write("PUT", _object_path(kind, name), body, deadline)
+        _check_written_in_era(version, reply)
+        return _decode_written(kind, reply)
 
     async def delete(
         self, kind: str, name: str, *, version: int, deadline: float
     ) -> None:
         """Delete an object if it still has ``version``."""
-        path = f"{_object_path(kind, name)}?{urlencode({'revision': version})}"
-        await self._write("DELETE", path, b"", deadline)
+        self._check_era(version, f"{kind}/{name}")
+        query = urlencode({"revision": store_revision(version)})
+        path = f"{_object_path(kind, name)}?{query}"
+        reply = await self._write("DELETE", path, b"", deadline)
+        _check_written_in_era(version, reply)
 
     async def wait_for_changes(
         self, kind: str, *, after: int, deadline: float
@@ -163,17 +192,48 @@
         """Wait for changes of a kind after a revision, at most until ``deadline``."""
         wait_s = deadline - self._clock.seconds() - WATCH_RESPONSE_RESERVE_S
         wait_ms = int(min(max(wait_s, 0.0), MAX_WATCH_S) * 1_000)
-        query = urlencode({"watch": after, "wait_ms": wait_ms})
+        self._check_watchable(after)
+        query = urlencode({"watch": store_revision(after), "wait_ms": wait_ms})
         call_deadline = min(
             deadline, self._clock.seconds() + wait_ms / 1_000 + WATCH_RESPONSE_RESERVE_S
         )
         target = f"{_object_path(kind)}?{query}"
-        content = await self._call("GET", target, b"", call_deadline, MAX_POOLED_IDLE_S)
-        decoded = _decode_body(content, _Events)
+        reply = await self._call("GET", target, b"", call_deadline, MAX_POOLED_IDLE_S)
+        self._check_watchable(after)
+        decoded = _decode_body(reply.content, _Events)
         return ObjectChanges(
-            decoded.at, tuple(_to_change(kind, event) for event in decoded.events)
+            make_revision(reply.era, decoded.at),
+            tuple(_to_change(kind, event, reply.era) for event in decoded.events),
         )
 
+    def _observe_era(self, head: ResponseHead) -> int:
+        """Return the era that a response names, 0 if it names none."""
+        text = head.get(_ERA_HEADER)
+        if text is None:
+            return 0
+        if not text.isascii() or not text.isdigit():
+            log.warning("malformed era of the store", extra={"era": text[:40]})
+            return self.era.current
+        era = int(text)
+        self.era.observe(era)
+        return era
+
+    def _check_era(self, version: int, name: str) -> None:
+        """Refuse a condition whose revision the store may have given out again."""
+        if era_of(version) < self.era.current:
+            raise VersionConflict(
+                f"Version of {name} is of era {era_of(version)}, before the store "
+                f"returned from a copy in era {self.era.current}",
+                remedy="Read the object again and retry with its version",
+            )
+
+    def _check_watchable(self, after: int) -> None:
+        if era_of(after) < self.era.current:
+            raise RevisionCompacted(
+                f"The store returned from a copy in era {self.era.current}",
+                remedy="List the kind again and watch from its revision",
+            )
+
     def _encode_body(self, data: Any) -> bytes:
         body = msgspec.json.encode(data)
         if len(body) > self._max_value_bytes:
@@ -183,7 +243,7 @@
             )
         return body
 
-    async def _read(self, target: str, deadline: float) -> bytes:
+    async def _read(self, target: str, deadline: float) -> "_Reply":
         """Read over a pooled connection; if there is no response, over a new one."""
         first_deadline = min(deadline, self._clock.seconds() + POOLED_READ_TIMEOUT_S)
         try:
@@ -197,7 +257,7 @@
 
     async def _write(
         self, method: str, target: str, body: bytes, deadline: float
-    ) -> bytes:
+    ) -> "_Reply":
         # A write that gets no response may have taken effect, so writes never use a
         # pooled connection, which may be dead.
         try:
@@ -209,7 +269,7 @@
 
     async def _call(
         self, method: str, target: str, body: bytes, deadline: float, max_idle_s: float
-    ) -> bytes:
+    ) -> "_Reply":
         operation = f"{method} {target}"
         if self._clock.seconds() >= deadline:
             raise PlatformUnavailable(
@@ -235,11 +295,20 @@
             raise DeadlineExceeded(error.message) from error
         except ResponseBroken as error:
             raise _ResponseMissing(f"{operation}: {error.message}") from error
+        era = self._observe_era(head)
         if 200 <= head.status < 300:
-            return content
+            return _Reply(content, era)
         raise _error_for_status(head, operation)
 
 
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    """Body of a successful response, and the era of the store that sent it."""
+
+    content: bytes
+    era: int
+
+
 class _ResponseMissing(PlatformUnavailable):
     """A call was sent but got no response; if it is a write, it may take effect."""
 
@@ -258,23 +327,36 @@
         ) from None
 
 
-def _decode_written(kind: str, content: bytes) -> StoredObject:
+def _check_written_in_era(version: int, reply: _Reply) -> None:
+    """Refuse the result of a conditional write that a store of a later era did.
+
+    Its revision may have been given out again, to another state of the object.
+    """
+    if reply.era != era_of(version):
+        raise WriteOutcomeUnknown(
+            f"The store returned from a copy, in era {reply.era}, before the write"
+        )
+
+
+def _decode_written(kind: str, reply: _Reply) -> StoredObject:
     try:
-        return _to_stored_object(kind, msgspec.json.decode(content, type=_Object))
+        decoded = msgspec.json.decode(reply.content, type=_Object)
+        return _to_stored_object(kind, decoded, reply.era)
     except msgspec.MsgspecError as error:
         raise WriteOutcomeUnknown(
             f"Response to a write is malformed: {error}"
         ) from None
 
 
-def _to_stored_object(kind: str, decoded: _Object) -> StoredObject:
+def _to_stored_object(kind: str, decoded: _Object, era: int) -> StoredObject:
     metadata = decoded.metadata
-    return StoredObject(kind, metadata.name, metadata.revision, decoded.specification)
+    revision = make_revision(era, metadata.revision)
+    return StoredObject(kind, metadata.name, revision, decoded.specification)
 
 
-def _to_change(kind: str, event: _Event) -> ObjectChange:
+def _to_change(kind: str, event: _Event, era: int) -> ObjectChange:
     change = ChangeType.DELETE if event.deleted else ChangeType.PUT
-    return ObjectChange(change, _to_stored_object(kind, event.object))
+    return ObjectChange(change, _to_stored_object(kind, event.object, era))
 
 
 def _error_for_status(head: ResponseHead, operation: str) -> ChivesaddleError:
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -12,13 +12,11 @@
     TransferPlanner,
 )
 from chivesaddle.core.aio import log_failure, sleep_until, start
-from chivesaddle.core.errors import InvalidValue
-from chivesaddle.core.ids import BackendServerId, ZoneId
+from chivesaddle.core.ids import ZoneId
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.fleet import (
     Beacon,
     Beacons,
-    Entry,
     ExchangeMessage,
     GossipExchange,
     Member,
@@ -51,30 +49,29 @@
     Responder,
     listen,
 )
-from chivesaddle.objects import Lease
+from chivesaddle.objects import Lease, StoreEra
 from chivesaddle.placement import ServerTable
 from chivesaddle.platform import (
     CONFIG_KIND,
-    CONFIG_NAME,
     READINESS_PATH,
     RESOLVE_PATH,
     SERVERS_KIND,
     VERSIONS_KIND,
     BackendClient,
     StoreClient,
-    decode_configuration,
     decode_request,
     decode_response,
-    decode_server,
-    decode_weight_version,
+    document_version,
     encode_addresses,
     encode_server_headers,
 )
 from chivesaddle.serving.beacon_content import BeaconContent
+from chivesaddle.serving.documents import StoredDocuments
 from chivesaddle.serving.hints import LoadHints, ServerLoadShares
 from chivesaddle.serving.metrics import ServingMetrics
 from chivesaddle.serving.registration import Registration
 from chivesaddle.serving.settings import ServingSettings, SettingsError
+from chivesaddle.serving.store_hints import StoreHints
 from chivesaddle.weights import LEASE_NAME, RENEW_INTERVAL_S, Rollout
 
 # How long callers may cache an address response. Some cache it three times as long,
@@ -113,11 +110,13 @@
         connector = Connector(reactor)
         self._server_pool = ConnectionPool(connector, reactor)
         self._store_pool = ConnectionPool(connector, reactor)
+        self._era = StoreEra(reactor)
         self.store = StoreClient(
             settings.store.address,
             self._store_pool,
             reactor,
             settings.store.max_value_bytes,
+            self._era,
         )
         own = Member(
             settings.daemon_id,
@@ -129,16 +128,24 @@
         )
         self._reachability = StoreReachability(reactor)
         self._replicas = {
-            kind: Replica(kind)
-            for kind in (CONFIG_KIND, SERVERS_KIND, VERSIONS_KIND, MEMBERS_KIND)
+            CONFIG_KIND: Replica(CONFIG_KIND, document_version),
+            SERVERS_KIND: Replica(SERVERS_KIND),
+            VERSIONS_KIND: Replica(VERSIONS_KIND, document_version),
+            MEMBERS_KIND: Replica(MEMBERS_KIND),
         }
         self._serving_state = ServingState(
             reactor, bounds.older_weights_s - OLDER_WEIGHTS_RESERVE_S
         )
         self._servers = ServerTable(reactor)
-        self._replicas[CONFIG_KIND].add_listener(self._apply_configuration)
-        self._replicas[SERVERS_KIND].add_listener(self._apply_server_entry)
-        self._replicas[VERSIONS_KIND].add_listener(self._apply_weight_version)
+        StoredDocuments(
+            reactor,
+            self._replicas,
+            self._serving_state,
+            self._servers,
+            self._reachability,
+            self._era,
+            self._server_pool.close_address,
+        )
         self._members = Members(reactor, own, self._replicas[MEMBERS_KIND])
         self._working_set = WorkingSet(reactor, self._members)
         watch_role = WatchRole(reactor, self._members, self._working_set)
@@ -157,6 +164,15 @@
             )
             for replica in self._replicas.values()
         ]
+        lease = Lease(
+            self.store,
+            reactor,
+            LEASE_NAME,
+            settings.daemon_id,
+            own.incarnation,
+            renew_s=RENEW_INTERVAL_S,
+            era=self._era,
+        )
         crashes = CrashRecord(reactor)
         self._servers.on_down = crashes.confirm
         self._exchange = GossipExchange(
@@ -167,26 +183,23 @@
             self._reachability,
             PeerClient(reactor, ExchangeMessage),
             settings.seeds,
-            {"loads": LoadHints(self._servers), "crashes": crashes},
+            {
+                "loads": LoadHints(self._servers),
+                "crashes": crashes,
+                "store": StoreHints(self._era, lease),
+            },
         )
         self._peer_listener = PeerServer(
             settings.listen.peers, ExchangeMessage, self._exchange.handle
         )
         self._registration = Registration(
-            self.store, reactor, own, self._replicas[MEMBERS_KIND]
+            self.store, reactor, own, self._replicas[MEMBERS_KIND], self._era
         )
         backend_client = BackendClient(self._server_pool, reactor)
         self._rollout = Rollout(
             reactor,
             settings.daemon_id,
-            Lease(
-                self.store,
-                reactor,
-                LEASE_NAME,
-                settings.daemon_id,
-                own.incarnation,
-                renew_s=RENEW_INTERVAL_S,
-            ),
+            lease,
             self._servers,
             self._serving_state,
             backend_client,
@@ -366,45 +379,6 @@
             limits.idle_timeout_s,
         )
 
-    def _apply_configuration(self, entry: Entry) -> None:
-        if entry.name != CONFIG_NAME or entry.is_deleted:
-            return
-        try:
-            self._serving_state.put_configuration(decode_configuration(entry.value))
-        except InvalidValue as error:
-            log.error("configuration rejected", extra={"cause": str(error)})
-
-    def _apply_server_entry(self, entry: Entry) -> None:
-        name = BackendServerId(entry.name)
-        server = None if entry.is_deleted else decode_server(entry.name, entry.value)
-        if server is not None:
-            self._servers.put(server)
-            return
-        if not entry.is_deleted:
-            log.warning("malformed server entry", extra={"server": entry.name})
-        tracked_server = self._servers.get(name)
-        self._servers.remove(name, may_have_expired=self._was_store_unreachable())
-        if tracked_server is not None and self._servers.get(name) is None:
-            self._server_pool.close_address(tracked_server.entry.address)
-
-    def _was_store_unreachable(self) -> bool:
-        """Return whether entries may be missing only because of a store outage."""
-        reachability = self._reachability
-        if reachability.unreachable_since is not None:
-            return True
-        return self._reactor.seconds() - reachability.reachable_since < 1.0
-
-    def _apply_weight_version(self, entry: Entry) -> None:
-        if entry.is_deleted:
-            return
-        weight_version = decode_weight_version(entry.value)
-        if weight_version is None:
-            log.warning("malformed weight version", extra={"entry": entry.name})
-            return
-        self._serving_state.set_target_version(
-            weight_version.model, weight_version.version
-        )
-
     def _order_rank(self) -> int:
         """Return this daemon's position among those that may give weight orders."""
         if self._working_set.is_whole_fleet:
--- /dev/null
+++ b/src/chivesaddle/serving/documents.py
@@ -0,0 +1,144 @@
+"""Applies the platform's documents to the state by which requests are forwarded."""
+
+from collections.abc import Callable, Mapping
+
+from chivesaddle.core.aio import Clock
+from chivesaddle.core.errors import InvalidValue
+from chivesaddle.core.ids import BackendServerId
+from chivesaddle.core.logs import ComponentLogger
+from chivesaddle.core.objects import era_of
+from chivesaddle.fleet import Entry, Replica, StoreReachability
+from chivesaddle.forwarding import ServingState
+from chivesaddle.objects import StoreEra
+from chivesaddle.placement import ServerTable
+from chivesaddle.platform import (
+    CONFIG_KIND,
+    CONFIG_NAME,
+    SERVERS_KIND,
+    VERSIONS_KIND,
+    decode_configuration,
+    decode_server,
+    decode_weight_version,
+)
+
+# A store that returned from a copy lists servers that have ended since, until it has
+# not heard from them for three heartbeats of 1.2 s.
+RESTORED_ENTRY_S = 4.0
+# Servers whose entries are lost with the store's last writes write them again within
+# this time.
+REAPPEARANCE_S = 2.0
+
+log = ComponentLogger("documents")
+
+
+class StoredDocuments:
+    """Configuration, server entries and weight versions of the replicas.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of all delays.
+    replicas : mapping
+        Replicas by kind, whose changes are applied.
+    serving_state : ServingState
+        Receives configurations and weight versions.
+    servers : ServerTable
+        Receives server entries.
+    reachability : StoreReachability
+        Whether entries may be missing because of an outage.
+    era : StoreEra
+        Whether entries may be older than known ones.
+    close_address : callable
+        Called with the address of a server that has ended.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        replicas: Mapping[str, Replica],
+        serving_state: ServingState,
+        servers: ServerTable,
+        reachability: StoreReachability,
+        era: StoreEra,
+        close_address: Callable[[str], None],
+    ) -> None:
+        self._clock = clock
+        self._replicas = replicas
+        self._serving_state = serving_state
+        self._servers = servers
+        self._reachability = reachability
+        self._era = era
+        self._close_address = close_address
+        replicas[CONFIG_KIND].add_listener(self._apply_configuration)
+        replicas[SERVERS_KIND].add_listener(self._apply_server_entry)
+        replicas[VERSIONS_KIND].add_listener(self._apply_weight_version)
+
+    def _apply_configuration(self, entry: Entry) -> None:
+        if entry.name != CONFIG_NAME or entry.is_deleted:
+            return
+        try:
+            self._serving_state.put_configuration(decode_configuration(entry.value))
+        except InvalidValue as error:
+            log.error("configuration rejected", extra={"cause": str(error)})
+
+    def _apply_server_entry(self, entry: Entry) -> None:
+        # Peers relay changes to daemons that make no calls to the store themselves.
+        self._era.observe(max(self._era.current, era_of(entry.revision)))
+        name = BackendServerId(entry.name)
+        server = None if entry.is_deleted else decode_server(entry.name, entry.value)
+        if server is not None:
+            may_be_outdated = self._may_be_outdated(entry)
+            if may_be_outdated and self._servers.has_departed(server):
+                log.info(
+                    "restored server entry not used yet", extra={"server": entry.name}
+                )
+                self._clock.callLater(
+                    RESTORED_ENTRY_S, self._apply_if_still_listed, entry.name
+                )
+                return
+            self._servers.put(server, may_be_outdated=may_be_outdated)
+            return
+        if not entry.is_deleted:
+            log.warning("malformed server entry", extra={"server": entry.name})
+        tracked_server = self._servers.get(name)
+        self._servers.remove(name, may_have_expired=self._was_store_unreachable())
+        if tracked_server is not None and self._servers.get(name) is None:
+            self._close_address(tracked_server.entry.address)
+
+    def _may_be_outdated(self, entry: Entry) -> bool:
+        """Return whether an entry may be older than what was known before it.
+
+        That is possible after the store returned from a copy, until servers that no
+        longer run have expired there.
+        """
+        return era_of(entry.revision) == self._era.current and self._era.rose_within(
+            RESTORED_ENTRY_S
+        )
+
+    def _apply_if_still_listed(self, name: str) -> None:
+        entry = self._replicas[SERVERS_KIND].get(name)
+        if entry is not None:
+            self._apply_server_entry(entry)
+
+    def _was_store_unreachable(self) -> bool:
+        """Return whether entries may be missing only because of a store outage."""
+        if self._era.rose_within(REAPPEARANCE_S):
+            return True
+        reachability = self._reachability
+        if reachability.unreachable_since is not None:
+            return True
+        return self._clock.seconds() - reachability.reachable_since < 1.0
+
+    def _apply_weight_version(self, entry: Entry) -> None:
+        if entry.is_deleted:
+            return
+        weight_version = decode_weight_version(entry.value)
+        if weight_version is None:
+            log.warning("malformed weight version", extra={"entry": entry.name})
+            return
+        self._serving_state.set_target_version(
+            weight_version.model, weight_version.version
+        )
+
+
+__all__ = ["StoredDocuments"]
--- a/src/chivesaddle/standins/object_api.py
+++ b/src/chivesaddle/standins/object_api.py
@@ -19,8 +19,15 @@
     StoredObject,
     VersionConflict,
     WriteOutcomeUnknown,
+    make_revision,
+    store_revision,
+)
+from chivesaddle.objects.memory import (
+    MemoryObjectApi,
+    ObjectCopy,
+    ObjectFaults,
+    WriteFault,
 )
-from chivesaddle.objects.memory import MemoryObjectApi, ObjectFaults, WriteFault
 from chivesaddle.standins.errors import NoResponse, Rejected
 from chivesaddle.standins.faults import ObjectApiFaults
 from chivesaddle.standins.http_server import (
@@ -155,7 +162,10 @@
         self.add_route("/objects/<kind>/<path:name>", "GET", self._get)
         self.add_route("/objects/<kind>/<path:name>", "PUT", self._replace)
         self.add_route("/objects/<kind>/<path:name>", "DELETE", self._delete)
+        self._copy: ObjectCopy | None = None
         self._add_control_route("/control/compact", "POST", self._compact)
+        self._add_control_route("/control/copy", "POST", self._take_copy)
+        self._add_control_route("/control/restore", "POST", self._restore)
 
     def apply_faults(self) -> None:
         """Pass the fault switches to the in-memory object API."""
@@ -171,7 +181,11 @@
 
     def extra_counters(self) -> dict[str, int]:
         """Return the in-memory object API's calls by method and its revision."""
-        return {**self.api.calls, "revision": self.api.revision}
+        return {
+            **self.api.calls,
+            "revision": self.api.revision,
+            "era": self.api.era,
+        }
 
     async def _list_or_watch(self, request: Request, kind: str) -> HttpResponse:
         self._check_rate_limit(self._read_bucket)
@@ -182,11 +196,11 @@
         after = query_parameter(request, "after")
         items = [item for item in found.items_by_name.values() if item.name > after]
         page = [_object_json(item) for item in items[:MAX_OBJECTS_PER_PAGE]]
-        return HttpResponse(
+        return self._response(
             {
                 "items": page,
                 "more": len(items) > MAX_OBJECTS_PER_PAGE,
-                "at": found.revision,
+                "at": store_revision(found.revision),
             }
         )
 
@@ -195,27 +209,27 @@
         with _translate_errors():
             found = await self.api.wait_for_changes(
                 kind,
-                after=query_integer(request, "watch", 0),
+                after=self._revision_in_era(query_integer(request, "watch", 0)),
                 deadline=self.clock.seconds() + self.faults.delay_s + wait_ms / 1_000,
             )
         events = [
             {"object": _object_json(c.item), "deleted": c.type is ChangeType.DELETE}
             for c in found.changes
         ]
-        return HttpResponse({"events": events, "at": found.revision})
+        return self._response({"events": events, "at": store_revision(found.revision)})
 
     async def _get(self, request: Request, kind: str, name: str) -> HttpResponse:
         self._check_rate_limit(self._read_bucket)
         with _translate_errors():
             item = await self.api.get(kind, name, deadline=self._deadline())
-        return HttpResponse(_object_json(item))
+        return self._response(_object_json(item))
 
     async def _create(self, request: Request, kind: str) -> HttpResponse:
         self._check_rate_limit(self._write_bucket)
         name, value, _ = _parse_object(request)
         with _translate_errors():
             item = await self.api.create(kind, name, value, deadline=self._deadline())
-        return HttpResponse(_object_json(item), 201)
+        return self._response(_object_json(item), 201)
 
     async def _replace(self, request: Request, kind: str, name: str) -> HttpResponse:
         self._check_rate_limit(self._write_bucket)
@@ -225,10 +239,10 @@
                 kind,
                 name,
                 value,
-                version=revision or await self._latest_revision(kind, name),
+                version=await self._expected_revision(kind, name, revision),
                 deadline=self._deadline(),
             )
-        return HttpResponse(_object_json(item))
+        return self._response(_object_json(item))
 
     async def _delete(self, request: Request, kind: str, name: str) -> HttpResponse:
         self._check_rate_limit(self._write_bucket)
@@ -237,14 +251,37 @@
             await self.api.delete(
                 kind,
                 name,
-                version=revision or await self._latest_revision(kind, name),
+                version=await self._expected_revision(kind, name, revision),
                 deadline=self._deadline(),
             )
+        return self._response({})
+
+    async def _expected_revision(
+        self, kind: str, name: str, revision: int | None
+    ) -> int:
+        """Return the revision that a write expects; by default the current one."""
+        if revision:
+            return self._revision_in_era(revision)
+        return (await self.api.get(kind, name, deadline=self._deadline())).version
+
+    def _revision_in_era(self, revision: int) -> int:
+        return make_revision(self.api.era, revision)
+
+    def _response(self, body: Any, status: int = 200) -> HttpResponse:
+        return HttpResponse(body, status, {"Store-Era": str(self.api.era)})
+
+    async def _take_copy(self, request: Request) -> HttpResponse:
+        """Keep a copy of all objects for `_restore`."""
+        self._copy = self.api.take_copy()
         return HttpResponse({})
 
-    async def _latest_revision(self, kind: str, name: str) -> int:
-        """Return an object's current revision, for writes without an expected one."""
-        return (await self.api.get(kind, name, deadline=self._deadline())).version
+    async def _restore(self, request: Request) -> HttpResponse:
+        """Lose all writes since the copy, and the kinds in the query."""
+        if self._copy is None:
+            raise Rejected(409, "no_copy", "No copy was taken")
+        kinds = [k for k in query_parameter(request, "without").split(",") if k]
+        self.api.restore(self._copy, kinds)
+        return HttpResponse({})
 
     async def _compact(self, request: Request) -> HttpResponse:
         self.api.compact()
@@ -292,8 +329,8 @@
 def _object_json(item: StoredObject) -> dict[str, Any]:
     metadata = {
         "name": item.name,
-        "revision": item.version,
-        "created_rev": item.version,
+        "revision": store_revision(item.version),
+        "created_rev": store_revision(item.version),
         "finalizers": [],
         "deleting": False,
     }
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -222,3 +222,87 @@
         result = start(network.api.wait_for_changes("k", after=3, deadline=5))
         respond(network.open()[0], 410, {})
         expect_error(result, RevisionCompacted)
+
+
+def in_era(network, era, revision=7):
+    """Make the client read an object of an era; return the object's version."""
+    result = start(network.api.get("k", "a/b", deadline=network.reactor.seconds() + 2))
+    protocol, _ = network.open()
+    metadata = {**ITEM["metadata"], "revision": revision}
+    respond(protocol, 200, {**ITEM, "metadata": metadata}, f"Store-Era: {era}\r\n")
+    protocol.connectionLost(Failure(ConnectionLost()))
+    return result.result.version
+
+
+class TestEras:
+    """The store may return from a copy and give out revisions again."""
+
+    def test_store_without_eras_gives_its_own_revisions(self, network):
+        result = start(network.api.get("k", "a/b", deadline=2))
+        protocol, _ = network.open()
+        respond(protocol, 200, ITEM)
+        assert result.result.version == 7
+
+    def test_lower_revision_of_a_later_era_is_newer(self, network):
+        assert in_era(network, 3, revision=900) < in_era(network, 4, revision=7)
+
+    def test_conditional_write_of_an_earlier_era_is_not_sent(self, network):
+        version = in_era(network, 3)
+        in_era(network, 4)
+        opened = len(network.reactor.tcpClients)
+        result = start(network.api.update("k", "a/b", {}, version=version, deadline=9))
+        expect_error(result, VersionConflict)
+        assert len(network.reactor.tcpClients) == opened
+
+    def test_conditional_write_names_the_revision_as_the_store_knows_it(self, network):
+        version = in_era(network, 3)
+        start(network.api.update("k", "a/b", {}, version=version, deadline=9))
+        _, transport = network.open()
+        body = transport.value().partition(b"\r\n\r\n")[2]
+        assert json.loads(body)["metadata"]["revision"] == 7
+
+    def test_write_that_a_later_era_did_is_no_success(self, network):
+        """Its condition may have held for another state of the object."""
+        version = in_era(network, 3)
+        result = start(network.api.update("k", "a/b", {}, version=version, deadline=9))
+        protocol, _ = network.open()
+        respond(protocol, 200, ITEM, "Store-Era: 4\r\n")
+        expect_error(result, WriteOutcomeUnknown)
+
+    def test_watch_of_an_earlier_era_asks_for_a_new_listing(self, network):
+        version = in_era(network, 3)
+        in_era(network, 4)
+        result = start(network.api.wait_for_changes("k", after=version, deadline=9))
+        expect_error(result, RevisionCompacted)
+
+    def test_watch_that_a_later_era_answers_asks_for_a_new_listing(self, network):
+        version = in_era(network, 3)
+        result = start(network.api.wait_for_changes("k", after=version, deadline=9))
+        protocol, _ = network.open()
+        respond(protocol, 200, {"events": [], "at": 9}, "Store-Era: 4\r\n")
+        expect_error(result, RevisionCompacted)
+
+    def test_refused_calls_name_the_era_as_well(self, network):
+        in_era(network, 3)
+        result = start(network.api.get("k", "a/b", deadline=9))
+        protocol, _ = network.open()
+        respond(protocol, 503, None, "Store-Era: 4\r\n")
+        expect_error(result, PlatformUnavailable)
+        assert network.api.era.current == 4
+
+    def test_listing_across_two_eras_is_refused(self, network):
+        result = start(network.api.list_objects("k", deadline=9))
+        protocol, _ = network.open()
+        respond(
+            protocol, 200, {"items": [ITEM], "at": 9, "more": True}, "Store-Era: 3\r\n"
+        )
+        last = network.reactor.tcpClients and network.connections[-1]
+        if len(network.reactor.tcpClients) > len(network.connections):
+            last = network.open()
+        respond(last[0], 200, {"items": [], "at": 4}, "Store-Era: 4\r\n")
+        expect_error(result, PlatformUnavailable)
+
+    def test_malformed_era_changes_nothing(self, network):
+        in_era(network, 3)
+        assert in_era(network, "x") > 0
+        assert network.api.era.current == 3
