--- a/src/chivesaddle/fleet/watch_role.py
+++ b/src/chivesaddle/fleet/watch_role.py
@@ -48,9 +48,5 @@
         others.sort(key=lambda daemon: xxhash.xxh32_intdigest(daemon.encode()))
         return self._members.own.id in others[:MAX_STAND_INS]
 
-    def watchers(self) -> int:
-        """Return the number of daemons that watch the store."""
-        return max(1, len(self._working_set.daemons()))
-
 
 __all__ = ["WatchRole"]
--- a/src/chivesaddle/fleet/watcher.py
+++ b/src/chivesaddle/fleet/watcher.py
@@ -86,8 +86,8 @@
         Replica to update.
     reachability : StoreReachability
         Records whether each call was answered.
-    watchers : callable
-        Returns the number of daemons that watch the store.
+    fleet_size : callable
+        Returns the number of daemons, whose registrations may all change at once.
     may_watch : callable
         Returns whether this daemon watches the store. Otherwise it only lists the kind
         once, and peers send it the changes.
@@ -99,14 +99,14 @@
         clock: Clock,
         replica: Replica,
         reachability: StoreReachability,
-        watchers: Callable[[], int],
+        fleet_size: Callable[[], int],
         may_watch: Callable[[], bool] = lambda: True,
     ) -> None:
         self._api = api
         self._clock = clock
         self._replica = replica
         self._reachability = reachability
-        self._watchers = watchers
+        self._fleet_size = fleet_size
         self._may_watch = may_watch
         self._jitter = random.Random()
         self._loop: Deferred[None] | None = None
@@ -177,7 +177,7 @@
         self._watch_after = max(self._watch_after, changes.revision)
         if changes.changes:
             delay_s = min(
-                MAX_CHANGE_DELAY_S, CHANGE_DELAY_PER_DAEMON_S * self._watchers()
+                MAX_CHANGE_DELAY_S, CHANGE_DELAY_PER_DAEMON_S * self._fleet_size()
             )
             await sleep_until(self._clock, self._clock.seconds() + delay_s)
 
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -155,11 +155,7 @@
                 reactor,
                 replica,
                 self._reachability,
-                (
-                    self._members.fleet_size
-                    if replica.kind == MEMBERS_KIND
-                    else watch_role.watchers
-                ),
+                self._members.fleet_size,
                 watch_role.may_watch,
             )
             for replica in self._replicas.values()
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -99,7 +99,7 @@
                 clock,
                 replica,
                 self.reachability,
-                self.watch_role.watchers,
+                self.members.fleet_size,
                 self.watch_role.may_watch,
             )
             for replica in self.replicas.values()
