Report bad input and failed announcements instead of failing on them

A limit of thousands of digits and a deeply nested body raised errors that the operator API answered with 500; an error other than PeerUnreachable in a send ended the announcement and its failure was added to a list of ids; KvService.load counted negative blocks when the server had more than the prefix. Change: all four are handled; the failed send is logged and the peer named as missed. Measured: the four tests failed before (limit, nesting, announcement to 6 daemons, counter of -2) and pass; tests of peers, operators and kv pass.

--- a/src/chivesaddle/kv/service.py
+++ b/src/chivesaddle/kv/service.py
@@ -326,9 +326,9 @@
         The blocks are imported in parts that fit the link's window. Each part is
         verified and committed separately, so that a failure keeps the earlier parts.
         """
-        loaded_blocks = min(cached_blocks, prefix.blocks)
+        first_block = loaded_blocks = min(cached_blocks, prefix.blocks)
         try:
-            for part in self._split_into_parts(prefix, loaded_blocks):
+            for part in self._split_into_parts(prefix, first_block):
                 await self._run_cancellable(
                     self._import_part(prefix, part, server, deadline, interactive)
                 )
@@ -339,7 +339,7 @@
             self._metrics.incr("kv.import.rejected")
             return LoadResult(loaded_blocks, error)
         self._record_event(EventKind.KV_IMPORTED, prefix, server)
-        self._metrics.incr("kv.import.blocks", loaded_blocks - cached_blocks)
+        self._metrics.incr("kv.import.blocks", loaded_blocks - first_block)
         return LoadResult(loaded_blocks)
 
     def _split_into_parts(
--- a/src/chivesaddle/operators/api.py
+++ b/src/chivesaddle/operators/api.py
@@ -39,6 +39,8 @@
 # Daemons that do not respond within this time are listed in missing_daemons.
 COLLECT_TIMEOUT_S = 2.0
 MAX_TIMELINE_EVENTS = 10_000
+# A longer number is over any limit.
+MAX_LIMIT_DIGITS = 20
 MAX_PLAN_ATTEMPTS = 3
 
 
@@ -349,13 +351,11 @@
 
 
 def _parse_limit(text: str) -> int:
-    if (
-        not text.isascii()
-        or not text.isdigit()
-        or not 1 <= int(text) <= MAX_TIMELINE_EVENTS
-    ):
+    # Python refuses to convert numbers of thousands of digits.
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_LIMIT_DIGITS
+    if not is_number or not 1 <= int(text) <= MAX_TIMELINE_EVENTS:
         raise InvalidValue(
-            f"Parameter limit={text!r} is not an integer from 1 to "
+            f"Parameter limit={text[:MAX_LIMIT_DIGITS]!r} is not an integer from 1 to "
             f"{MAX_TIMELINE_EVENTS}",
             field="limit",
         )
--- a/src/chivesaddle/operators/web.py
+++ b/src/chivesaddle/operators/web.py
@@ -127,7 +127,7 @@
         )
     try:
         return json.loads(content)
-    except ValueError:
+    except (ValueError, RecursionError):
         raise InvalidValue(
             "The request body is not valid JSON", remedy="Send a JSON body"
         ) from None
--- a/src/chivesaddle/peers/announcer.py
+++ b/src/chivesaddle/peers/announcer.py
@@ -8,6 +8,7 @@
 
 from chivesaddle.core.aio import Clock, start
 from chivesaddle.core.ids import DaemonId, ZoneId
+from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.peers.channels import Channels, PeerUnreachable
 from chivesaddle.peers.membership import Member, Membership, MemberState
 from chivesaddle.peers.proto import peer_pb2 as pb
@@ -20,6 +21,8 @@
 FORWARD_TIMEOUT_S = 0.3
 MAX_FORWARDER_ATTEMPTS = 3
 
+log = ComponentLogger("peers")
+
 
 @dataclass(frozen=True)
 class AnnouncementPlan:
@@ -100,9 +103,7 @@
         unacknowledged: list[DaemonId] = []
 
         async def send(peer: Member) -> None:
-            try:
-                await self._call(peer, message, now + timeout_s)
-            except PeerUnreachable:
+            if not await self._try_call(peer, message, now + timeout_s):
                 unacknowledged.append(peer.id)
 
         pending_calls = []
@@ -122,9 +123,7 @@
         message = pb.Announcement(reports=reports, forward=True)
         for peer in candidates[:MAX_FORWARDER_ATTEMPTS]:
             deadline = self._clock.seconds() + ANNOUNCE_TIMEOUT_S
-            try:
-                await self._call(peer, message, deadline)
-            except PeerUnreachable:
+            if not await self._try_call(peer, message, deadline):
                 continue
             # The response does not list the daemons of the zone that were reached.
             return [c.id for c in candidates if c is not peer]
@@ -135,6 +134,20 @@
         zone = zone_peers(self._membership, self._clock.seconds())
         await self._send_all(zone, reports, FORWARD_TIMEOUT_S)
 
+    async def _try_call(
+        self, peer: Member, message: pb.Announcement, deadline: float
+    ) -> bool:
+        """Send a message; return whether the peer acknowledged it."""
+        try:
+            await self._call(peer, message, deadline)
+        except PeerUnreachable:
+            return False
+        except Exception as error:
+            # The other peers must be informed all the same.
+            log.error("announcement to %s failed: %r", peer.id, error)
+            return False
+        return True
+
     def _call(
         self, peer: Member, message: pb.Announcement, deadline: float
     ) -> Coroutine[Any, Any, Any]:
--- a/tests/kv/test_service.py
+++ b/tests/kv/test_service.py
@@ -1,3 +1,5 @@
+from types import SimpleNamespace
+
 import pytest
 
 from chivesaddle.core.aio import start, with_deadline
@@ -152,6 +154,16 @@
         assert (result.blocks, result.error) == (10, None)
         assert env.engine.blocks == env.expected_blocks
 
+    def test_server_that_has_more_than_the_prefix_imports_no_blocks(self, env, server):
+        """Guards against a counter of imported blocks that goes back."""
+        prefix = env.saved_prefix()
+        imported = []
+        env.service._metrics = SimpleNamespace(
+            incr=lambda name, count=1: imported.append((name, count))
+        )
+        env.run(env.service.load(prefix, server, 1.0, cached_blocks=12))
+        assert imported == [("kv.import.blocks", 0)]
+
     @pytest.mark.parametrize("fault", IMPORT_FAULTS.values(), ids=IMPORT_FAULTS)
     @pytest.mark.fault("whole_answer", step="import", fault="{id}")
     def test_nothing_is_committed_after_a_fault(self, env, server, fault):
--- a/tests/operators/test_api.py
+++ b/tests/operators/test_api.py
@@ -177,6 +177,9 @@
     def test_body_that_is_not_json_is_rejected(self, server):
         assert server.call("POST", "/plans", b"{")[0] == 400
 
+    def test_deeply_nested_body_is_rejected(self, server):
+        assert server.call("POST", "/plans", b"[" * 200_000)[0] == 400
+
     def test_body_over_the_limit_is_rejected(self, server):
         assert server.call("POST", "/plans", b" " * 4_194_305)[0] == 413
 
@@ -303,7 +306,9 @@
         rest = server.call("GET", f"/timeline?after={at['wall_us']}.{at['counter']}")
         assert len(rest[1]["events"]) == 1
 
-    @pytest.mark.parametrize("query", ["after=x", "limit=0", "limit=x"])
+    @pytest.mark.parametrize(
+        "query", ["after=x", "limit=0", "limit=x", "limit=" + "9" * 5_000]
+    )
     def test_invalid_query_parameter_is_reported(self, server, query):
         status, data, _ = server.call("GET", f"/timeline?{query}")
         assert (status, data["error"]["field"]) == (400, query.partition("=")[0])
--- a/tests/peers/test_service.py
+++ b/tests/peers/test_service.py
@@ -118,6 +118,23 @@
         fleet.advance(1)
         assert announced.result == ["daemon-5"]
 
+    @pytest.mark.parametrize("size", [6, 60])
+    def test_a_peer_whose_call_fails_otherwise_is_returned(self, make_fleet, size):
+        """Guards against an error that ends the announcement to all others."""
+        fleet = make_fleet(size)
+        announcer = fleet.daemons[0].peers._announcer
+        call = announcer._call
+
+        def break_one(peer, message, deadline):
+            if peer.id == "daemon-5":
+                raise RuntimeError("a defect in the channel")
+            return call(peer, message, deadline)
+
+        announcer._call = break_one
+        announced = fleet.daemons[0].peers.announce_suspects([CRASHED])
+        fleet.advance(1)
+        assert "daemon-5" in announced.result
+
     def test_a_missed_report_arrives_by_exchange(self, fleet):
         fleet.cut_off(5)
         fleet.daemons[0].peers.announce_suspects([CRASHED])
