Answer 504 where the limits of caller and server end together

Change: a request that was sent and has no time left ends as timed out. Measured: the test sets the caller's timer a microsecond late and got 502 before; tests of forwarding pass.

--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -372,7 +372,7 @@
         """Send to one server and forward its response."""
         server = candidate.server
         now = self._clock.seconds()
-        if context.deadline - now < MIN_REMAINING_TIME_S:
+        if self._has_timed_out(context):
             raise DeadlineExceeded("no time left to send")
         version, plan = candidate.version, candidate.plan
         scope = None if version is None else cache_scope(version, context.account)
@@ -509,6 +509,8 @@
     def _final_error(
         self, context: RequestContext, relay: Relay, reason: str
     ) -> ChivesaddleError:
+        if context.runs and self._has_timed_out(context):
+            return TimedOut(f"No complete response in time: {reason}")
         if context.runs or relay.has_started:
             return MayHaveRun(f"Sent to {context.sends} servers: {reason}")
         return NotRun(
@@ -516,6 +518,9 @@
             retry_after_s=self._random_retry_after(),
         )
 
+    def _has_timed_out(self, context: RequestContext) -> bool:
+        return context.deadline - self._clock.seconds() < MIN_REMAINING_TIME_S
+
     def _random_retry_after(self) -> float:
         return self._random.uniform(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S)
 
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -116,6 +116,24 @@
         harness.advance(0.6)
         assert caller.status == 504
 
+    def test_limits_of_caller_and_server_that_end_together_time_out(
+        self, harness, caller
+    ):
+        """The server's timer fires first if the caller's was set a moment late."""
+        call_later = harness.reactor.callLater
+        delays = []
+
+        def set_late(delay, function, *args, **kw):
+            is_first_limit = delay == 0.5 and 0.5 not in delays
+            delays.append(delay)
+            return call_later(delay + 1e-6 * is_first_limit, function, *args, **kw)
+
+        harness.reactor.callLater = set_late
+        caller.request("/unsafe/x", headers="X-Chivesaddle-Deadline-Milliseconds: 500")
+        harness.reactor.callLater = call_later
+        harness.advance(0.6)
+        assert caller.status == 504
+
     def test_503_without_the_not_executed_header_is_forwarded_without_a_retry(
         self, harness, caller
     ):
