Keep exchanges of daemons without callers in their zone

Exchanges of 72 daemons carried load reports that none of them uses, mostly to others zones. Change: three rounds in four prefer the own zone; daemons without callers send no load reports.

--- a/src/chivesaddle/fleet/exchange.py
+++ b/src/chivesaddle/fleet/exchange.py
@@ -32,6 +32,9 @@
 PEER_BACKOFF_S = 3.0
 # Daemons in the liveness map of one message; the most recently seen are kept.
 MAX_LIVENESS_ENTRIES = 24
+# Share of the rounds in which a daemon without callers prefers peers of its own zone:
+# traffic between zones is billed.
+OWN_ZONE_SHARE = 0.75
 # Peers that are tried in one round until one answers.
 ATTEMPTS_PER_ROUND = 3
 
@@ -211,6 +214,12 @@
             # each other as well.
             working = {member.peers for member in self._working_set.daemons()}
             addresses.sort(key=lambda address: address not in working)
+        if (
+            not self._working_set.includes_own
+            and self._random.random() < OWN_ZONE_SHARE
+        ):
+            in_zone = self._members.addresses_in_own_zone()
+            addresses.sort(key=lambda address: address not in in_zone)
         # Peers in backoff come last rather than being left out, so that a daemon that
         # reached no peer keeps trying.
         addresses.sort(key=lambda address: self._backoff_until.get(address, 0.0) > now)
--- a/src/chivesaddle/fleet/members.py
+++ b/src/chivesaddle/fleet/members.py
@@ -141,6 +141,10 @@
         """Return the other registered daemons."""
         return [member for member in self.registered() if member.id != self.own.id]
 
+    def addresses_in_own_zone(self) -> set[str]:
+        """Return the addresses for exchanges of the daemons in this daemon's zone."""
+        return {member.peers for member in self.peers() if member.zone == self.own.zone}
+
     def record_seen(
         self, daemon: str, incarnation: str, age_s: float, is_leaving: bool
     ) -> None:
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -180,7 +180,9 @@
             PeerClient(reactor, ExchangeMessage),
             settings.seeds,
             {
-                "loads": LoadHints(self._servers),
+                "loads": LoadHints(
+                    self._servers, lambda: self._working_set.includes_own
+                ),
                 "crashes": crashes,
                 "store": StoreHints(self._era, lease),
             },
--- a/src/chivesaddle/serving/hints.py
+++ b/src/chivesaddle/serving/hints.py
@@ -20,14 +20,18 @@
     ----------
     servers : ServerTable
         Table that holds the reports.
+    is_working : callable
+        Returns whether this daemon takes callers. Otherwise it has only reports that
+        others sent it.
     """
 
-    def __init__(self, servers: ServerTable) -> None:
+    def __init__(self, servers: ServerTable, is_working: Callable[[], bool]) -> None:
         self._servers = servers
+        self._is_working = is_working
 
     def collect(self) -> Any:
         """Return the reports of the last `LOAD_MAX_AGE_S` seconds."""
-        return self._servers.loads(LOAD_MAX_AGE_S)
+        return self._servers.loads(LOAD_MAX_AGE_S) if self._is_working() else {}
 
     def apply_remote(self, hint: Any) -> None:
         """Apply a peer's reports."""
--- a/tests/fleet/test_exchange.py
+++ b/tests/fleet/test_exchange.py
@@ -129,3 +129,24 @@
         fleet.exchanges["a"].start()
         assert sent[0].entries == {}
         assert sent[0].through["config"] == 40
+
+
+class TestTrafficOfLargeFleets:
+    """78 daemons of 3 zones; traffic between zones is billed."""
+
+    def test_daemon_without_callers_mostly_exchanges_within_its_zone(self, network):
+        idle = network.daemons["z1-20"]
+        exchange = GossipExchange(
+            network.clock,
+            idle.members,
+            idle.working_set,
+            [idle.replica],
+            StoreReachability(network.clock),
+            network,
+            [],
+            {},
+        )
+        network.keep_only = lambda addresses: None
+        first = [exchange._peer_candidates()[0] for _ in range(200)]
+        assert sum(address.startswith("z1") for address in first) > 120
+        assert len({address[:2] for address in first}) == 3
