Weigh the size of a request against leaving its zone

Cause: a request of 34 KB went to another zone for a gain of 4 ms, and bytes between zones are billed. Change: leaving the zone counts one more millisecond per kilobyte of the request.

--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -350,7 +350,7 @@
     def _requirements(self, context: RequestContext) -> ServerRequirements:
         caller_request = context.request
         if caller_request.model is None:
-            return ServerRequirements()
+            return ServerRequirements(body_bytes=len(caller_request.body))
         shared_part_id = caller_request.shared_part
         return ServerRequirements(
             model=caller_request.model,
@@ -360,6 +360,7 @@
             ),
             affinity_key=None if shared_part_id is None else str(shared_part_id),
             memory_tokens=caller_request.memory_tokens,
+            body_bytes=len(caller_request.body),
             server_memory_tokens=self._server_memory_tokens(context.service),
             plan_prompt=self._prompts.planner(
                 caller_request, context.account, context.service
--- a/src/chivesaddle/placement/choice.py
+++ b/src/chivesaddle/placement/choice.py
@@ -29,6 +29,8 @@
 RUNNING_REQUEST_MS = 6.0
 # Traffic to another zone costs a round trip and is billed by the byte.
 OTHER_ZONE_PENALTY_MS = 4.0
+# Additional penalty for the bytes of a large request.
+OTHER_ZONE_PENALTY_MS_PER_KB = 1.0
 # Penalty for a failure rate of 1; proportionally less below.
 FAILURE_PENALTY_MS = 2_000.0
 # A server that has just refused a request is full or loads weights, which takes about
@@ -61,6 +63,8 @@
         Tokens of server memory that the request takes at most.
     server_memory_tokens : int
         Capacity of a server's memory in tokens; 0 if unknown.
+    body_bytes : int
+        Size of the request, which is sent to the server.
     """
 
     model: ModelId | None = None
@@ -70,6 +74,7 @@
     plan_prompt: PlanPrompt | None = None
     memory_tokens: int = 0
     server_memory_tokens: int = 0
+    body_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,7 +171,10 @@
     if server.busy_until > now:
         penalty_ms += BUSY_PENALTY_MS
     if server.entry.zone != zone:
-        penalty_ms += OTHER_ZONE_PENALTY_MS
+        penalty_ms += (
+            OTHER_ZONE_PENALTY_MS
+            + OTHER_ZONE_PENALTY_MS_PER_KB * requirements.body_bytes / 1_000
+        )
     if requirements.model is None or requirements.plan_prompt is None:
         queued = max(0, load.requests + 1 - server.entry.slots)
         work_ms = QUEUED_REQUEST_MS * queued + RUNNING_REQUEST_MS * load.requests
--- a/tests/placement/test_table.py
+++ b/tests/placement/test_table.py
@@ -44,6 +44,38 @@
     return None if found is None else found.server.entry.id
 
 
+class TestZones:
+    @pytest.mark.parametrize("body_bytes, expected", [(800, "s1"), (34_000, "s0")])
+    def test_large_request_stays_in_its_zone_at_a_moderate_load(
+        self, table, clock, body_bytes, expected
+    ):
+        """Traffic between zones is billed by the byte."""
+        table.put(entry(1, zone="y"))
+        table.remove("s2", may_have_expired=False)
+        for _ in range(2):
+            table.record_send("s0")
+        found = choose(
+            table.of_service("app"),
+            ServerRequirements(body_bytes=body_bytes),
+            ZoneId("z"),
+            clock.seconds(),
+        )
+        assert found.server.entry.id == expected
+
+    def test_large_request_leaves_a_full_zone(self, table, clock):
+        table.put(entry(1, zone="y"))
+        table.remove("s2", may_have_expired=False)
+        for _ in range(5):
+            table.record_send("s0")
+        found = choose(
+            table.of_service("app"),
+            ServerRequirements(body_bytes=34_000),
+            ZoneId("z"),
+            clock.seconds(),
+        )
+        assert found.server.entry.id == "s1"
+
+
 class TestEjection:
     def test_unreachable_server_is_ejected_until_it_responds_again(self, table, clock):
         table.record_end("s0", table.record_send("s0"), ExchangeOutcome.UNREACHABLE)
