Let the soak's store return from an older copy

Cause: the store may lose its last writes in a drill; the soak only stopped, paused and cut it off. Change: a fault that takes a copy, goes back to it without leases seconds later, and writes again what the operator and the servers wrote.

--- a/src/chivesaddle/tools/platform_fleet.py
+++ b/src/chivesaddle/tools/platform_fleet.py
@@ -64,6 +64,7 @@
             for n in range(daemons)
         }
         self._version = 0
+        self._routes: list[dict[str, Any]] = []
 
     def start(self) -> None:
         """Start all processes and write the first configuration."""
@@ -99,14 +100,36 @@
     def put_configuration(self, routes: list[dict[str, Any]]) -> int:
         """Write a new version of the configuration; return its number."""
         self._version += 1
+        self._routes = routes
+        self._write_configuration()
+        return self._version
+
+    def _write_configuration(self) -> None:
         value = {
             "version": self._version,
-            "routes": routes,
+            "routes": self._routes,
             "services": [{"name": SERVICE}],
             "tenants": [{"name": "acme", "keys": [API_KEY]}],
         }
         self._put_object("config", "main", value)
-        return self._version
+
+    def take_store_copy(self) -> None:
+        """Make the store keep a copy of its objects."""
+        self._control_store("copy")
+
+    def restore_store_copy(self) -> None:
+        """Make the store return from its copy, without leases.
+
+        The operator and the backend servers then write again what they wrote.
+        """
+        self._control_store("restore?without=leases")
+        self._write_configuration()
+        for name in self.servers:
+            self.put_server(name)
+
+    def _control_store(self, action: str) -> None:
+        url = f"http://{self.store_address}/control/{action}"
+        HTTP_CLIENT.post(url).raise_for_status()
 
     def put_server(self, name: str, state: str = "ready") -> None:
         """Write a backend server's entry in the object store."""
--- a/src/chivesaddle/tools/soak/run.py
+++ b/src/chivesaddle/tools/soak/run.py
@@ -65,6 +65,7 @@
         self.fault_log: list[str] = []
         self._recovered_by = 0.0
         self._restarting: set[str] = set()
+        self._is_store_in_use = asyncio.Lock()
 
     def _proxy_address(self, name: str, address: str) -> str:
         if name not in self._proxies:
@@ -123,6 +124,7 @@
                     self._terminate_daemon,
                     self._disturb_connections,
                     self._inject_server_faults,
+                    self._return_store_older,
                 )
             )
             await fault()
@@ -179,10 +181,15 @@
         name = self._random.choice([*self.fleet.listeners, "store"])
         if name not in self.fleet.processes.pids:
             return
-        with self._log_fault(f"pause {name}"):
-            self.fleet.processes.pause(name)
-            await asyncio.sleep(self._random.uniform(0.2, 3.0))
-            self.fleet.processes.resume(name)
+        if name == "store" and self._is_store_in_use.locked():
+            return
+        # The store's control calls cannot be answered while it is paused.
+        guard = self._is_store_in_use if name == "store" else contextlib.nullcontext()
+        async with guard:
+            with self._log_fault(f"pause {name}"):
+                self.fleet.processes.pause(name)
+                await asyncio.sleep(self._random.uniform(0.2, 3.0))
+                self.fleet.processes.resume(name)
 
     async def _terminate_daemon(self) -> None:
         name = self._running_daemon()
@@ -225,6 +232,17 @@
             await asyncio.sleep(self._random.uniform(0.3, 2.0))
             await loop.run_in_executor(None, self.fleet.set_faults, name)
 
+    async def _return_store_older(self) -> None:
+        """Make the store lose its last writes, unless it is disturbed already."""
+        if self._is_store_in_use.locked():
+            return
+        loop = asyncio.get_running_loop()
+        async with self._is_store_in_use:
+            with self._log_fault("store returns from a copy"):
+                await loop.run_in_executor(None, self.fleet.take_store_copy)
+                await asyncio.sleep(self._random.uniform(0.2, 4.0))
+                await loop.run_in_executor(None, self.fleet.restore_store_copy)
+
     def _clear_faults(self) -> None:
         for proxy in self._proxies.values():
             proxy.set_mode(ProxyMode.PASS)
