Remove the registrations of daemons that are gone for good

Cause: registrations stay when a daemon stops, so replaced instances stay in the list of members forever and count as peers, readers and sharers of the retry budget. Change: the holder of the lease for orders removes one that nobody has heard of for ten minutes, under a condition, one in ten seconds; a running daemon registers again.

--- a/src/chivesaddle/fleet/members.py
+++ b/src/chivesaddle/fleet/members.py
@@ -181,6 +181,12 @@
         last_seen = self._last_seen_by_id.get(daemon)
         return -math.inf if last_seen is None else last_seen.beacon_at
 
+    def unseen_s(self, daemon: str) -> float:
+        """Return the seconds since a daemon was seen, or since this one started."""
+        last_seen = self._last_seen_by_id.get(daemon)
+        seen_at = self._started_at if last_seen is None else last_seen.at
+        return self._clock.seconds() - max(seen_at, self._started_at)
+
     def demand_by_zone(self) -> dict[str, float]:
         """Return the processor demand in cores that working daemons report, by zone."""
         oldest = self._clock.seconds() - WORKING_TIMEOUT_S
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -66,6 +66,7 @@
     encode_server_headers,
 )
 from chivesaddle.serving.beacon_content import BeaconContent
+from chivesaddle.serving.departed import DepartedMembers
 from chivesaddle.serving.documents import StoredDocuments
 from chivesaddle.serving.hints import LoadHints, ServerLoadShares
 from chivesaddle.serving.metrics import ServingMetrics
@@ -194,6 +195,7 @@
             self.store, reactor, own, self._replicas[MEMBERS_KIND], self._era
         )
         backend_client = BackendClient(self._server_pool, reactor)
+        self._departed = DepartedMembers(self.store, reactor, self._members)
         self._rollout = Rollout(
             reactor,
             settings.daemon_id,
@@ -434,6 +436,7 @@
             )
             self._update_cache_feeds()
             await self._clean_stores()
+            await self._departed.step(self._rollout.holds_lease)
             self._server_pool.close_expired()
             self._store_pool.close_expired()
             self.metrics.set_value("store_calls", self.store.calls)
--- /dev/null
+++ b/src/chivesaddle/serving/departed.py
@@ -0,0 +1,77 @@
+"""Removes the registrations of daemons that are gone for good.
+
+Registrations stay in the store when a daemon stops, since most daemons return. Those of
+replaced instances would stay forever, and every daemon counts them as its peers.
+"""
+
+from chivesaddle.core.aio import Clock
+from chivesaddle.core.errors import ChivesaddleError
+from chivesaddle.core.logs import ComponentLogger
+from chivesaddle.core.objects import ObjectApi, ObjectNotFound
+from chivesaddle.fleet import Member, Members
+from chivesaddle.fleet.members import MEMBERS_KIND
+
+# In the largest fleets, a daemon without callers is heard of every few minutes only.
+# One that is removed by mistake registers again at once.
+DEPARTED_AFTER_S = 600.0
+CALL_TIMEOUT_S = 1.0
+# At most one registration is removed per step.
+STEP_INTERVAL_S = 10.0
+
+log = ComponentLogger("registration")
+
+
+class DepartedMembers:
+    """Removes old registrations, on the daemon that holds the lease for orders.
+
+    Parameters
+    ----------
+    api : ObjectApi
+        The platform's store.
+    clock : Clock
+        Clock of all times.
+    members : Members
+        Registrations, and when each daemon was last seen.
+    """
+
+    def __init__(self, api: ObjectApi, clock: Clock, members: Members) -> None:
+        self._api = api
+        self._clock = clock
+        self._members = members
+        self._next_step_at = 0.0
+
+    async def step(self, may_remove: bool) -> None:
+        """Remove one registration if one is due; call about once a second.
+
+        ``may_remove`` is false on a daemon that does not hold the lease.
+        """
+        now = self._clock.seconds()
+        if not may_remove or now < self._next_step_at:
+            return
+        self._next_step_at = now + STEP_INTERVAL_S
+        for member in self._members.peers():
+            if self._members.unseen_s(member.id) > DEPARTED_AFTER_S:
+                await self._remove(member)
+                return
+
+    async def _remove(self, member: Member) -> None:
+        deadline = self._clock.seconds() + CALL_TIMEOUT_S
+        try:
+            item = await self._api.get(MEMBERS_KIND, member.id, deadline=deadline)
+            if item.value.get("incarnation") != member.incarnation:
+                return
+            await self._api.delete(
+                MEMBERS_KIND, member.id, version=item.version, deadline=deadline
+            )
+        except ObjectNotFound:
+            return
+        except ChivesaddleError as error:
+            log.info(
+                "registration not removed",
+                extra={"peer": member.id, "cause": str(error)},
+            )
+            return
+        log.info("registration removed", extra={"peer": member.id})
+
+
+__all__ = ["DepartedMembers"]
