Find the sources of a prompt's parts once per request

Daemons without callers derived the working set five times a second and checked their load ten times. Change: the sources are found once per request and weight version; the load of a server is summed in one pass; daemons without callers do both twice a second.

--- a/src/chivesaddle/cachemap/transfers.py
+++ b/src/chivesaddle/cachemap/transfers.py
@@ -12,7 +12,7 @@
 
 import xxhash
 
-from chivesaddle.cachemap.index import CacheIndex
+from chivesaddle.cachemap.index import CacheIndex, PartKey
 from chivesaddle.core.aio import Clock
 from chivesaddle.core.ids import ZoneId
 from chivesaddle.core.serving_model import EngineSpec, KvStore, PromptPartId
@@ -52,6 +52,24 @@
     shared_read_tokens: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class PartSource:
+    """A holder from which servers can fetch a part.
+
+    Attributes
+    ----------
+    reference : str
+        How a server is told to fetch from it.
+    fetch_ms : float
+        Predicted time of the transfer to a server in the same zone.
+    """
+
+    address: str
+    reference: str
+    zone: ZoneId
+    fetch_ms: float
+
+
 class TransferPlanner:
     """Plans transfers of cached parts.
 
@@ -86,6 +104,7 @@
         engine: EngineSpec,
         zone_by_server_address: Mapping[str, ZoneId],
         assumed_parts: frozenset[PromptPartId] = frozenset(),
+        sources_by_key: dict[PartKey, tuple[PartSource, ...]] | None = None,
     ) -> PromptPlan:
         """Plan the transfers of a prompt for one server.
 
@@ -95,16 +114,22 @@
             The prompt in order; the last part is the request's own.
         assumed_parts : frozenset of PromptPartId
             Parts that the server is about to hold.
+        sources_by_key : dict or None
+            Sources found by earlier calls for the same prompt, which differ in the
+            server only; this call adds those that are missing.
         """
+        known_sources = {} if sources_by_key is None else sources_by_key
         fetch: list[str] = []
         save: list[str] = []
         read_tokens = 0
         transfer_ms = 0.0
         for part, tokens in parts[:-1]:
             key = (scope, part)
-            source, fetch_ms = self._choose_source(
-                key, tokens, address, zone, engine, zone_by_server_address
-            )
+            if key not in known_sources:
+                known_sources[key] = self._find_sources(
+                    key, tokens, engine, zone_by_server_address
+                )
+            source, fetch_ms = _choose_source(known_sources[key], tokens, address, zone)
             fetch.append(source)
             if part in assumed_parts or self._holds(address, key, tokens):
                 # Nothing is transferred while the server holds the part. The source is
@@ -141,48 +166,34 @@
         # Memory is allocated in blocks, so the last tokens of a part may not be cached.
         return self._index.tokens(address, key) > 0.9 * tokens
 
-    def _choose_source(
+    def _find_sources(
         self,
         key: tuple[str, PromptPartId],
         tokens: int,
-        address: str,
-        zone: ZoneId,
         engine: EngineSpec,
         zone_by_server_address: Mapping[str, ZoneId],
-    ) -> tuple[str, float]:
-        """Return the source of a part and the fetch time; empty if the server reads it.
-
-        A fetch may take up to twice the time of reading.
-        """
-        if tokens < MIN_TRANSFER_TOKENS:
-            return "", 0.0
-        prefill_ms = tokens / PREFILL_TOKENS_PER_MS
-        best = ("", 2.0 * prefill_ms)
+    ) -> tuple[PartSource, ...]:
+        """Return the holders from which a part can be fetched as a whole."""
+        sources = []
         for holder in self._index.holders(key):
             held_tokens = self._index.tokens(holder, key)
-            if holder == address or held_tokens < 0.9 * tokens:
+            if held_tokens < 0.9 * tokens:
                 continue
             store = self._stores_by_address.get(holder)
             if store is not None:
                 link_mbit_s = min(store.link_mbit_s, engine.link_mbit_s)
-                is_same_zone, first_ms = (
-                    store.zone == zone,
-                    store.initial_latency_s * 1_000,
-                )
-                source = f"{holder}/{held_tokens}"
+                zone, first_ms = store.zone, store.initial_latency_s * 1_000
+                reference = f"{holder}/{held_tokens}"
             elif holder in zone_by_server_address:
                 link_mbit_s, first_ms = engine.link_mbit_s, 0.0
-                is_same_zone = zone_by_server_address[holder] == zone
-                source = holder
+                zone, reference = zone_by_server_address[holder], holder
             else:
                 continue
             fetch_ms = first_ms + held_tokens * engine.token_bytes * 8 / (
                 link_mbit_s * 1_000.0
             )
-            fetch_ms *= 1.0 if is_same_zone else CROSS_ZONE_TIME_FACTOR
-            if fetch_ms < best[1]:
-                best = (source, fetch_ms)
-        return best if best[0] else ("", 0.0)
+            sources.append(PartSource(holder, reference, zone, fetch_ms))
+        return tuple(sources)
 
     def _choose_save_target(self, key: tuple[str, PromptPartId], tokens: int) -> str:
         """Return the store to save a part to, or empty; all daemons choose the same."""
@@ -204,6 +215,26 @@
         ).address
 
 
+def _choose_source(
+    sources: Sequence[PartSource], tokens: int, address: str, zone: ZoneId
+) -> tuple[str, float]:
+    """Return the fastest source and its time; empty if the server reads the part.
+
+    A fetch may take up to twice the time of reading.
+    """
+    if tokens < MIN_TRANSFER_TOKENS:
+        return "", 0.0
+    best = ("", 2.0 * tokens / PREFILL_TOKENS_PER_MS)
+    for source in sources:
+        if source.address == address:
+            continue
+        factor = 1.0 if source.zone == zone else CROSS_ZONE_TIME_FACTOR
+        fetch_ms = factor * source.fetch_ms
+        if fetch_ms < best[1]:
+            best = (source.reference, fetch_ms)
+    return best if best[0] else ("", 0.0)
+
+
 def _rendezvous_score(key: tuple[str, PromptPartId], store: KvStore) -> float:
     """Weighted rendezvous hashing: stores get parts in proportion to their size."""
     digest = xxhash.xxh3_64_intdigest(f"{key[0]}|{key[1]}|{store.address}".encode())
--- a/src/chivesaddle/fleet/beacons.py
+++ b/src/chivesaddle/fleet/beacons.py
@@ -26,6 +26,8 @@
 MIN_PERIOD_S = 0.1
 # Unchanged contents are sent again at this interval, since datagrams can be lost.
 RESEND_INTERVAL_S = 0.5
+# A daemon without callers has no load to report but that of stray requests.
+IDLE_PERIOD_S = 0.5
 # Interval of beacons from a working daemon to the daemons without callers.
 SIGN_OF_LIFE_INTERVAL_S = 1.0
 # A daemon that left the working set reports so for this long, since datagrams are lost.
@@ -222,8 +224,10 @@
     def _send_period_s(self) -> float:
         if self._working_set.is_whole_fleet:
             peers = self._members.fleet_size() - 1
-        else:
+        elif self._working_set.includes_own:
             peers = len(self._working_set.daemons()) - 1
+        else:
+            return IDLE_PERIOD_S
         return max(MIN_PERIOD_S, peers / MAX_DATAGRAMS_PER_S)
 
     def _send_when_due(self) -> None:
--- a/src/chivesaddle/fleet/working_set.py
+++ b/src/chivesaddle/fleet/working_set.py
@@ -34,8 +34,9 @@
 # Half-life of the highest demand seen in a zone, which outlasts the loss of the daemons
 # that reported it.
 DEMAND_HALF_LIFE_S = 10.0
-# The set is derived again after this time; members are seen and lost no faster.
+# The set is derived again after this time, by a daemon without callers less often.
 REFRESH_INTERVAL_S = 0.2
+IDLE_REFRESH_INTERVAL_S = 0.5
 # A daemon that just joined the set may have an incomplete list of members.
 SETTLING_S = 2.0
 # A daemon newly in the set that sends no beacon for this long is passed over.
@@ -164,8 +165,11 @@
             )
         now = self._clock.seconds()
         if now >= self._refresh_at:
-            self._refresh_at = now + REFRESH_INTERVAL_S
             self._refresh(now)
+            is_working = any(m.id == self._members.own.id for m in self._chosen)
+            self._refresh_at = now + (
+                REFRESH_INTERVAL_S if is_working else IDLE_REFRESH_INTERVAL_S
+            )
         return list(self._chosen)
 
     def rank(self, daemon: str) -> int | None:
--- a/src/chivesaddle/forwarding/prompts.py
+++ b/src/chivesaddle/forwarding/prompts.py
@@ -1,6 +1,8 @@
 """Cost of a request's prompt on each server, and records of the parts sent."""
 
 from chivesaddle.cachemap import PromptPlan, TransferPlanner
+from chivesaddle.cachemap.index import PartKey
+from chivesaddle.cachemap.transfers import PartSource
 from chivesaddle.core.aio import Clock
 from chivesaddle.core.ids import ServiceId
 from chivesaddle.core.serving_model import Account
@@ -69,6 +71,8 @@
         servers = self._servers.of_service(service_id)
         zones = {tracked.entry.address: tracked.entry.zone for tracked in servers}
 
+        sources_by_key: dict[PartKey, tuple[PartSource, ...]] = {}
+
         def plan(server: TrackedServer, version: int, is_preferred: bool) -> PromptPlan:
             scope = cache_scope(version, account)
             address = server.entry.address
@@ -79,7 +83,14 @@
                 if is_holder or server.was_sent(scope, part, since)
             )
             return self._transfers.plan(
-                parts, scope, address, server.entry.zone, engine, zones, assumed
+                parts,
+                scope,
+                address,
+                server.entry.zone,
+                engine,
+                zones,
+                assumed,
+                sources_by_key,
             )
 
         return plan
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -131,16 +131,20 @@
         The request count is the server's own report, weighted by age, where that is
         higher than the count over all known daemons.
         """
-        loads = [self.own_load()]
-        loads += [load for load, until in self.peer_loads.values() if until > now]
-        requests = sum(load.requests for load in loads)
+        own = self.own_load()
+        requests, unread_tokens, memory_tokens = (
+            own.requests,
+            own.unread_tokens,
+            own.memory_tokens,
+        )
+        for load, until in self.peer_loads.values():
+            if until > now:
+                requests += load.requests
+                unread_tokens += load.unread_tokens
+                memory_tokens += load.memory_tokens
         weight = max(0.0, 1.0 - (now - self.load_at) / LOAD_REPORT_LIFETIME_S)
         reported = int(weight * (self.running + self.waiting))
-        return Load(
-            max(requests, reported),
-            sum(load.unread_tokens for load in loads),
-            sum(load.memory_tokens for load in loads),
-        )
+        return Load(max(requests, reported), unread_tokens, memory_tokens)
 
     def was_sent(self, scope: str, part: PromptPartId, since: float) -> bool:
         """Return whether this daemon sent the server a part at or after ``since``."""
