--- a/src/chivesaddle/tools/platform_model/__main__.py
+++ b/src/chivesaddle/tools/platform_model/__main__.py
@@ -21,14 +21,18 @@
     Policy("no beacons", beacons=False),
     Policy("no KV stores", kv_stores=False),
     Policy("no cache events", cache_events=False),
+    Policy("daemons alone", cache_events=False, kv_stores=False, beacons=False),
     Policy("least loaded", queue=False, selection=ServerSelection.LEAST_LOADED),
     Policy("random", queue=False, selection=ServerSelection.RANDOM),
 )
 app = typer.Typer(add_completion=False)
 
 
-def _simulate(policy: Policy, load: float, seed: int, seconds: float) -> Result:
-    return SimulatedFleet(policy, seed).simulate(TrafficGenerator(load, seed), seconds)
+def _simulate(
+    policy: Policy, load: float, seed: int, seconds: float, daemons: int, engines: int
+) -> Result:
+    fleet = SimulatedFleet(policy, seed, daemons=daemons, engines=engines)
+    return fleet.simulate(TrafficGenerator(load, seed), seconds)
 
 
 @app.command()
@@ -38,6 +42,8 @@
     ] = "0.5,1,2,4",
     seeds: Annotated[str, typer.Option(help="Seeds of the traffic")] = "1,2,3",
     seconds: Annotated[float, typer.Option(help="Simulated seconds of traffic")] = 34.0,
+    daemons: Annotated[int, typer.Option(help="Daemons that take callers")] = 6,
+    engines: Annotated[int, typer.Option(help="Model engines")] = 5,
     jobs: Annotated[int, typer.Option(help="Simulations to run in parallel")] = 2,
 ) -> None:
     """Simulate each policy at each load; print means over the seeds."""
@@ -48,7 +54,7 @@
     with ProcessPoolExecutor(jobs) as pool:
         futures_by_case = {
             (load, policy.name): [
-                pool.submit(_simulate, policy, load, seed, seconds)
+                pool.submit(_simulate, policy, load, seed, seconds, daemons, engines)
                 for seed in chosen_seeds
             ]
             for load in chosen_loads
