--- a/tests/placement/test_waiting.py
+++ b/tests/placement/test_waiting.py
@@ -244,7 +244,8 @@
         for server in servers.used_tokens:
             servers.used_tokens[server] = MEMORY_TOKENS
         for number in range(200):
-            servers.submit(f"r{number}", 30, target_s=1.0, timeout_s=9.0)
+            waiting = servers.submit(f"r{number}", 30, target_s=1.0, timeout_s=9.0)
+            waiting.addErrback(lambda failure: failure.trap(NoCapacity))
         servers.choices = 0
         return servers
 
