Report the ends of requests in a module of their own

Change: these are forwarding/results.py; nothing else changes. Measured: tests of forwarding and of daemons as processes pass.

--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -33,6 +33,7 @@
 from chivesaddle.forwarding.prompts import PromptPlanner, cache_scope
 from chivesaddle.forwarding.relay import Relay
 from chivesaddle.forwarding.request_context import RequestContext
+from chivesaddle.forwarding.results import ResultReporter
 from chivesaddle.forwarding.serving_state import ServingState
 from chivesaddle.http1 import (
     ConnectionPool,
@@ -132,7 +133,7 @@
         self._budget = budget
         self._crashes = crashes
         self._prompts = prompts
-        self._observe = observe
+        self._reporter = ResultReporter(clock, observe)
         self._random = random.Random()
         self._queues_by_service: dict[ServiceId, AdmissionQueue] = {}
         servers.on_capacity_freed = self._dispatch_waiting
@@ -156,11 +157,13 @@
         try:
             context = self._create_context(caller_request, received_at)
             await self._send_before_deadline(context, responder)
-            self._log_result("answered", caller_request, context, received_at)
+            self._reporter.log_result("answered", caller_request, context, received_at)
         except CancelledError:
-            self._log_result("caller_left", caller_request, context, received_at)
+            self._reporter.log_result(
+                "caller_left", caller_request, context, received_at
+            )
         except ChivesaddleError as error:
-            self._respond_with_error(
+            self._reporter.respond_with_error(
                 error, caller_request, context, received_at, responder
             )
         except Exception as error:
@@ -169,7 +172,7 @@
             reported_error = (
                 MayHaveRun(cause) if context and context.runs else NotRun(cause)
             )
-            self._respond_with_error(
+            self._reporter.respond_with_error(
                 reported_error, caller_request, context, received_at, responder
             )
 
@@ -268,12 +271,12 @@
                 await self._send(context, relay, candidate)
                 return
             except ServerDidNotRun as error:
-                self._log_retry(context, candidate, error)
+                self._reporter.log_retry(context, candidate, error)
                 context.excluded.add(candidate.server.entry.id)
                 if context.sends >= MAX_SENDS:
                     raise self._final_error(context, relay, error.message) from error
             except NoUsableResponse as error:
-                self._log_retry(context, candidate, error)
+                self._reporter.log_retry(context, candidate, error)
                 context.excluded.add(candidate.server.entry.id)
                 if not self._may_retry(context):
                     raise self._final_error(context, relay, error.message) from error
@@ -530,68 +533,5 @@
     def _random_retry_after(self) -> float:
         return self._random.uniform(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S)
 
-    def _respond_with_error(
-        self,
-        error: ChivesaddleError,
-        caller_request: CallerRequest,
-        context: RequestContext | None,
-        received_at: float,
-        responder: Responder,
-    ) -> None:
-        self._log_result(error.code, caller_request, context, received_at, error)
-        if responder.started:
-            # A partial response must not look complete.
-            responder.abort()
-            return
-        headers: HeaderList = []
-        if error.retry_after_s is not None:
-            headers.append((b"retry-after", f"{error.retry_after_s:.2f}".encode()))
-        responder.answer(error.status, b"", headers)
-
-    def _log_retry(
-        self,
-        context: RequestContext,
-        candidate: Candidate,
-        error: ServerDidNotRun | NoUsableResponse,
-    ) -> None:
-        log.info(
-            "send failed",
-            extra={
-                "request": context.request.id,
-                "server": candidate.server.entry.id,
-                "cause": error.message,
-                "sends": context.sends,
-                "runs": context.runs,
-            },
-        )
-
-    def _log_result(
-        self,
-        result: str,
-        caller_request: CallerRequest,
-        context: RequestContext | None,
-        received_at: float,
-        error: ChivesaddleError | None = None,
-    ) -> None:
-        seconds = self._clock.seconds() - received_at
-        self._observe(result, seconds)
-        fields: dict[str, object] = {
-            "request": caller_request.id,
-            "ms": round(seconds * 1_000),
-        }
-        if context is not None:
-            fields |= {
-                "route": context.route.id,
-                "service": context.service,
-                "configuration": context.configuration_version,
-                "sends": context.sends,
-                "runs": context.runs,
-                **context.log_fields(self._clock.seconds()),
-            }
-        if error is not None:
-            fields["cause"] = error.message
-            fields["retry_after_s"] = error.retry_after_s
-        log.info(result, extra=fields)
-
 
 __all__ = ["Forwarder", "MessageCodec"]
