Pass the era to the leases of the other daemon, and test small parts at size

Cause: chivesaddled uses the same lease and client of the store and did not give up a lease when the store returned from a copy; settings, demand and hints had no tests of their own.

--- a/src/chivesaddle/daemon/app.py
+++ b/src/chivesaddle/daemon/app.py
@@ -237,7 +237,13 @@
         self.peers.on_instances(self._receive_instances)
 
     def _make_lease(self, name: str) -> Lease:
-        return Lease(self.platform, self._reactor, name, self._settings.daemon_id)
+        return Lease(
+            self.platform,
+            self._reactor,
+            name,
+            self._settings.daemon_id,
+            era=self.platform.era,
+        )
 
     def _platform_responds(self) -> bool:
         age = self.freshness.reading_age(self._reactor.seconds())
--- a/src/chivesaddle/fleet/demand.py
+++ b/src/chivesaddle/fleet/demand.py
@@ -4,8 +4,7 @@
 
 from chivesaddle.core.aio import Clock
 
-# Processor time of a standard core for one request, its events included: 0.045 cores at
-# 7 requests per second and daemon in a fleet of 78.
+# Processor time of a standard core for one request, its events included.
 CORE_S_PER_REQUEST = 0.006
 WINDOW_S = 2.0
 
--- a/src/chivesaddle/serving/settings.py
+++ b/src/chivesaddle/serving/settings.py
@@ -11,7 +11,7 @@
 Address = Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 Name = Annotated[str, Meta(min_length=1)]
 Positive = Annotated[float, Meta(gt=0)]
-# Traffic that keeps one core busy: 160 requests per second of 8 KB, in and out.
+# Traffic of requests with long prompts that keeps one core busy, in each direction.
 LINK_MBIT_S_PER_CORE = 20.0
 
 
--- a/tests/serving/test_settings.py
+++ b/tests/serving/test_settings.py
@@ -66,3 +66,25 @@
 def test_error_names_the_missing_file(tmp_path):
     with pytest.raises(SettingsError, match="absent"):
         ServingSettings.from_config(tmp_path / "absent.json")
+
+
+class TestCapacity:
+    @pytest.mark.parametrize(
+        "capacity, cores",
+        [
+            ({}, 1.0),
+            ({"cpu_share": 0.717, "cpu_speed": 3, "link_mbit_s": 100}, 2.151),
+            ({"cpu_share": 0.516, "cpu_speed": 1, "link_mbit_s": 5}, 0.25),
+        ],
+    )
+    def test_smaller_of_processor_and_link_counts(
+        self, write_settings, capacity, cores
+    ):
+        path = write_settings({**VALID, "capacity": capacity})
+        settings = ServingSettings.from_config(path)
+        assert settings.capacity.cores == pytest.approx(cores)
+
+    def test_invalid_capacity_names_the_field(self, write_settings):
+        path = write_settings({**VALID, "capacity": {"cpu_share": 0}})
+        with pytest.raises(SettingsError, match=r"capacity\.cpu_share"):
+            ServingSettings.from_config(path)
