Test who watches the store and who is a candidate for orders

Cause: daemons that do not watch, and candidates whose rank rises, had no tests of their own. Change: tests for both. Measured: they pass; with the withdrawal left out the one for rank 6 fails.

--- a/tests/fleet/test_watcher.py
+++ b/tests/fleet/test_watcher.py
@@ -110,3 +110,37 @@
         store.change("d1")
         advance_in_steps(clock, 10.0)
         assert 5 <= store.calls <= 30
+
+
+class TestDaemonsWithoutAWatch:
+    def start(self, store, clock, may_watch):
+        replica = Replica("daemons")
+        reachability = StoreReachability(clock)
+        Watcher(store, clock, replica, reachability, lambda: 80, may_watch).start()
+        return replica, reachability
+
+    def test_kind_is_listed_once_and_not_watched(self, store, clock):
+        _, reachability = self.start(store, clock, lambda: False)
+        advance_in_steps(clock, 30.0)
+        assert store.calls == 1
+        assert reachability.unreachable_since is None
+
+    def test_daemon_that_starts_to_watch_gets_what_it_missed(self, store, clock):
+        role = []
+        replica, _ = self.start(store, clock, lambda: bool(role))
+        advance_in_steps(clock, 2.0)
+        store.change("d1")
+        advance_in_steps(clock, 2.0)
+        assert replica.get("d1") is None
+        role.append("working")
+        advance_in_steps(clock, 0.5)
+        assert replica.get("d1") is not None
+        assert store.calls <= 3
+
+    def test_listing_is_repeated_until_the_store_answers(self, store, clock):
+        store.is_unavailable = True
+        replica, _ = self.start(store, clock, lambda: False)
+        advance_in_steps(clock, 5.0)
+        store.is_unavailable = False
+        advance_in_steps(clock, 2.0)
+        assert replica.applied_revision == store.revision
--- a/tests/weights/test_rollout.py
+++ b/tests/weights/test_rollout.py
@@ -183,6 +183,34 @@
         env.run_for(3)
         assert env.servers.version_by_id["s0"] == 2
 
+    @pytest.mark.parametrize("rank, is_started", [(5, True), (6, False)])
+    def test_candidate_whose_rank_has_risen_withdraws(self, env, rank, is_started):
+        """A daemon that has just started may take itself for the only one."""
+        stopped = []
+
+        async def stop(*, release=True):
+            stopped.append(release)
+
+        env.lease.stop = stop
+        env.lease.held = False
+        env.rollout.start()
+        assert env.lease.started
+        env.rank = rank
+        env.run_for(1)
+        assert stopped == ([] if is_started else [False])
+
+    def test_holder_keeps_the_lease_when_its_rank_rises(self, env):
+        stopped = []
+
+        async def stop(*, release=True):
+            stopped.append(release)
+
+        env.lease.stop = stop
+        env.rollout.start()
+        env.rank = 100
+        env.run_for(1)
+        assert stopped == []
+
     def test_only_daemons_of_the_lowest_ranks_acquire_the_lease(self, env):
         env.rank = 3
         env.rollout.start()
