Choose callers' addresses of a zone in one place

Cause: the working set repeated the choice of Members.caller_addresses: daemons of the caller's zone if it has enough, else all, at most 64. Change: both call caller_addresses_in_zone; behaviour is as before.

--- a/src/chivesaddle/fleet/members.py
+++ b/src/chivesaddle/fleet/members.py
@@ -1,6 +1,7 @@
 """Fleet membership: registered daemons, their liveness, and addresses for callers."""
 
 import math
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -267,9 +268,7 @@
             ]
         if include_own:
             candidates = [*candidates, self.own]
-        in_zone = [member for member in candidates if member.zone == zone]
-        chosen = in_zone if len(in_zone) >= MIN_ZONE_MEMBERS else candidates
-        return [member.callers for member in chosen[:MAX_ADDRESSES]]
+        return caller_addresses_in_zone(candidates, zone)
 
     def _timeout_s(self, last_seen: _LastSeen) -> float:
         timeout_s = self._liveness_timeout_s()
@@ -285,6 +284,13 @@
         return sum(other < self.own.id for other in running)
 
 
+def caller_addresses_in_zone(candidates: Sequence[Member], zone: str) -> list[str]:
+    """Return the callers' addresses of a zone's daemons, of all if it has too few."""
+    in_zone = [member for member in candidates if member.zone == zone]
+    chosen = in_zone if len(in_zone) >= MIN_ZONE_MEMBERS else candidates
+    return [member.callers for member in chosen[:MAX_ADDRESSES]]
+
+
 def _decode(value: Any) -> Member | None:
     try:
         return msgspec.convert(value, Member)
@@ -292,4 +298,4 @@
         return None
 
 
-__all__ = ["MEMBERS_KIND", "Member", "Members"]
+__all__ = ["MEMBERS_KIND", "Member", "Members", "caller_addresses_in_zone"]
--- a/src/chivesaddle/fleet/working_set.py
+++ b/src/chivesaddle/fleet/working_set.py
@@ -17,7 +17,7 @@
 
 from chivesaddle.core.aio import Clock
 from chivesaddle.core.logs import ComponentLogger
-from chivesaddle.fleet.members import MAX_ADDRESSES, MIN_ZONE_MEMBERS, Member, Members
+from chivesaddle.fleet.members import Member, Members, caller_addresses_in_zone
 
 # Working daemons of each zone at least, so that callers can change to another one.
 MIN_WORKING_PER_ZONE = 2
@@ -205,9 +205,7 @@
         ]
         if self.is_whole_fleet or not working:
             return self._members.caller_addresses(zone, include_own)
-        in_zone = [member for member in working if member.zone == zone]
-        chosen = in_zone if len(in_zone) >= MIN_ZONE_MEMBERS else working
-        return [member.callers for member in chosen[:MAX_ADDRESSES]]
+        return caller_addresses_in_zone(working, zone)
 
     def _refresh(self, now: float) -> None:
         members = self._members
