Log how a server's response was framed and whether its last event ended

The lines that end a request and those of failed sends now have the framing of the last response and the bytes of an event that had no end.

No change of behaviour; a test reads the fields from the log of an interrupted stream.

--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -457,6 +457,7 @@
             server.entry.id, serial
         )
         outcome: ExchangeOutcome | None = None
+        context.framing, context.unfinished_bytes = None, 0
         self._crashes.start_run(context.fingerprint)
         try:
             headers = self._codec.encode_server_headers(context.request, options)
@@ -480,7 +481,11 @@
                 raise NoUsableResponse(
                     f"Server responded with status {response.status}"
                 )
-            await relay.forward(response, exchange.read_chunk)
+            context.framing = response.framing
+            try:
+                await relay.forward(response, exchange.read_chunk)
+            finally:
+                context.unfinished_bytes = relay.unfinished_bytes
             context.first_event_at = relay.started_at
             outcome = (
                 ExchangeOutcome.FAILED
--- a/src/chivesaddle/forwarding/messages.py
+++ b/src/chivesaddle/forwarding/messages.py
@@ -4,7 +4,7 @@
 
 from chivesaddle.core.ids import AccountId, BackendServerId, ModelId, RequestId
 from chivesaddle.core.serving_model import CallerKey, PromptPartId
-from chivesaddle.http1 import HeaderList
+from chivesaddle.http1 import Framing, HeaderList
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,6 +140,8 @@
         The limit that the server names; None if it names none.
     retry_after : RetryAfter, InvalidValue or None
         How long the server wants no further request, if it says so.
+    framing : Framing
+        What marks the end of the body.
     content_length : int or None
         Length of the body; None if it is chunked or ends with the connection.
     """
@@ -156,6 +158,7 @@
     weight_version: int | None
     keep_alive_s: float | None
     retry_after: RetryAfter | InvalidValue | None
+    framing: Framing
     content_length: int | None
     passed_headers: HeaderList
 
--- a/src/chivesaddle/forwarding/relay.py
+++ b/src/chivesaddle/forwarding/relay.py
@@ -47,6 +47,11 @@
         """Id of the last event that was forwarded."""
         return self._splitter.last_id
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Bytes of an event whose end has not arrived."""
+        return len(self._splitter.remainder)
+
     async def forward(self, response: ServerResponse, read_chunk: ReadChunk) -> None:
         """Forward a response; raises `NoUsableResponse` if it is incomplete."""
         if self._is_stream and 200 <= response.status < 300:
--- a/src/chivesaddle/forwarding/request_context.py
+++ b/src/chivesaddle/forwarding/request_context.py
@@ -5,6 +5,7 @@
 from chivesaddle.core.ids import BackendServerId, Fingerprint, ServiceId
 from chivesaddle.core.serving_model import Account, Route
 from chivesaddle.forwarding.messages import CallerRequest
+from chivesaddle.http1 import Framing
 from chivesaddle.placement import Candidate
 
 
@@ -18,6 +19,10 @@
     ----------
     waited_s : float
         Time in the admission queue, in seconds.
+    framing : Framing or None
+        What marks the end of the last response, None before a response.
+    unfinished_bytes : int
+        Bytes of an event at the end of the last response that had no end.
     """
 
     request: CallerRequest
@@ -35,6 +40,17 @@
     first_event_at: float | None = None
     waited_s: float = 0.0
     last_candidate: Candidate | None = None
+    framing: Framing | None = None
+    unfinished_bytes: int = 0
+
+    def response_fields(self) -> dict[str, object]:
+        """Return log fields about how the last response was framed and ended."""
+        if self.framing is None:
+            return {}
+        return {
+            "framing": self.framing.value,
+            "unfinished_bytes": self.unfinished_bytes,
+        }
 
     def log_fields(self, now: float) -> dict[str, object]:
         """Return log fields about the last choice of a server."""
@@ -54,6 +70,7 @@
         }
         if self.first_event_at is not None:
             fields["first_ms"] = round((self.first_event_at - self.received_at) * 1_000)
+        fields |= self.response_fields()
         if candidate.plan is not None:
             fields |= {
                 "weights": candidate.version,
--- a/src/chivesaddle/forwarding/results.py
+++ b/src/chivesaddle/forwarding/results.py
@@ -63,6 +63,7 @@
                 "cause": error.message,
                 "sends": context.sends,
                 "runs": context.runs,
+                **context.response_fields(),
             },
         )
 
--- a/src/chivesaddle/http1/__init__.py
+++ b/src/chivesaddle/http1/__init__.py
@@ -7,6 +7,7 @@
 
 from chivesaddle.http1.client import (
     Connector,
+    Framing,
     NotSent,
     ResponseBroken,
     ResponseHead,
@@ -30,6 +31,7 @@
     "CallerLimits",
     "ConnectionPool",
     "Connector",
+    "Framing",
     "HeaderList",
     "Headers",
     "NotSent",
--- a/src/chivesaddle/http1/client.py
+++ b/src/chivesaddle/http1/client.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from typing import Any
 
 import h11
@@ -41,6 +42,14 @@
     code = "response_late"
 
 
+class Framing(Enum):
+    """What marks the end of a response's body."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Status and headers of a response; header names are lower case."""
@@ -53,6 +62,14 @@
         """Return the first value of a header, or None."""
         return header_value(self.headers, name)
 
+    @property
+    def framing(self) -> Framing:
+        """What marks the end of the body."""
+        names = {name for name, _ in self.headers}
+        if b"transfer-encoding" in names:
+            return Framing.CHUNKS
+        return Framing.LENGTH if b"content-length" in names else Framing.CONNECTION
+
 
 @dataclass(frozen=True, slots=True)
 class _EndOfResponse:
@@ -368,6 +385,7 @@
 
 __all__ = [
     "Connector",
+    "Framing",
     "NotSent",
     "ResponseBroken",
     "ResponseHead",
--- a/src/chivesaddle/platform/headers.py
+++ b/src/chivesaddle/platform/headers.py
@@ -158,6 +158,7 @@
         weight_version=_parse_integer(head.get(WEIGHT_VERSION)),
         keep_alive_s=None if keep_alive is None else float(keep_alive[1]),
         retry_after=_parse_retry_after(head),
+        framing=head.framing,
         content_length=None if length is None else int(length),
         passed_headers=[
             item for item in head.headers if item[0] not in _HOP_BY_HOP_HEADERS
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -238,6 +238,20 @@
         assert harness.connections[0].transport.is_lost
 
 
+class TestResponseFields:
+    def test_log_tells_how_a_response_was_framed_and_ended(
+        self, harness, caller, caplog
+    ):
+        """Guards against cut streams that logs cannot tell from complete ones."""
+        caplog.set_level("INFO")
+        caller.request("/stream/x")
+        harness.connections[0].start_stream(EVENT_1 + b"id: 2\nda")
+        harness.connections[0].transport.lose_connection()
+        harness.advance()
+        record = next(r for r in caplog.records if "may_have_run" in r.getMessage())
+        assert (record.framing, record.unfinished_bytes) == ("chunks", 8)
+
+
 class TestCallerDisconnects:
     @pytest.mark.parametrize("target", ["/safe/x", "/unsafe/x", "/stream/x"])
     def test_server_connection_is_closed_at_once(self, harness, caller, target):
