Break off streams that end inside an event

Cause: the relay took the end of the response's body for the end of the stream. It wrote the unfinished event and the last chunk. Only a reset was an error; a server that closes its connection, or sends its last chunk, inside an event was not noticed.

Change: the end of a stream is decided in one place, from the framing and the last event. A stream that ends inside an event is resumed, broken off or answered 502, and its server weighed, as after a reset. The unfinished event is not passed on.

Looked at for the same cause: the engine daemon's relay asks for the last chunk of the answer itself; store, KV and report calls decode JSON, which a cut body does not survive.

--- a/src/chivesaddle/forwarding/events.py
+++ b/src/chivesaddle/forwarding/events.py
@@ -2,8 +2,12 @@
 
 import re
 
-_BOUNDARY = re.compile(rb"\r?\n\r?\n")
-_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
+# CR ends a line only next to another CR: after CR LF, it is the first byte of a line end
+# that was cut.
+_BOUNDARY = re.compile(rb"\r?\n\r?\n|\r\r")
+_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
+# Empty lines and comments, which belong to no event.
+_NO_FIELD = re.compile(rb"(?:(?::[^\r\n]*)?[\r\n])*")
 
 
 class EventSplitter:
@@ -16,12 +20,19 @@
     b'id: 1\ndata: a\n\n'
     >>> splitter.last_id, splitter.remainder
     ('1', b'id: 2\nda')
+    >>> splitter.is_inside_event
+    True
     """
 
     def __init__(self) -> None:
         self.remainder = b""
         self.last_id: str | None = None
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun whose end has not arrived."""
+        return _NO_FIELD.fullmatch(self.remainder) is None
+
     def feed(self, chunk: bytes) -> bytes:
         """Return the events that ``chunk`` completes."""
         data = self.remainder + chunk
--- a/src/chivesaddle/forwarding/relay.py
+++ b/src/chivesaddle/forwarding/relay.py
@@ -6,7 +6,8 @@
 from chivesaddle.forwarding.events import EventSplitter
 from chivesaddle.forwarding.exchange import NoUsableResponse
 from chivesaddle.forwarding.messages import ServerResponse
-from chivesaddle.http1 import HeaderList, Responder
+from chivesaddle.forwarding.response_end import StreamEnd, stream_end
+from chivesaddle.http1 import Framing, HeaderList, Responder
 
 ReadChunk = Callable[[], Awaitable[bytes | None]]
 
@@ -88,13 +89,22 @@
         """Forward events as they arrive; the first one starts the response."""
         # A resumed stream starts with a complete event.
         self._splitter.remainder = b""
+        has_event = False
         while (chunk := await read_chunk()) is not None:
             events = self._splitter.feed(chunk)
             if not events:
                 continue
+            has_event = True
             if not self.has_started:
                 self._start(response, None)
             await self._write(events)
+        end = stream_end(response.framing, self._splitter, has_event)
+        if end is not StreamEnd.COMPLETE:
+            raise NoUsableResponse(
+                f"Stream ended {end.value}",
+                # The kernel closes the connections of a process that crashed.
+                may_be_crash=response.framing is Framing.CONNECTION,
+            )
         if not self.has_started:
             self._start(response, None)
         await self._write(self._splitter.remainder)
