--- a/src/chivesaddle/forwarding/events.py
+++ b/src/chivesaddle/forwarding/events.py
@@ -2,8 +2,8 @@
 
 import re
 
-# CR ends a line only next to another CR: after CR LF, it is the first byte of a line end
-# that was cut.
+# CR ends a line only next to another CR: after CR LF, it is the first byte of a line
+# end that was cut.
 _BOUNDARY = re.compile(rb"\r?\n\r?\n|\r\r")
 _ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
 # Empty lines and comments, which belong to no event.
