Log servers' software versions and the requests that callers resume

Entries' versions and Resumes are decoded in the adapter; the lines of listed servers, of failed sends and of ended requests have them. Ids of callers are cut in the log.

No change of behaviour; a test reads the fields.

--- a/src/chivesaddle/core/ids.py
+++ b/src/chivesaddle/core/ids.py
@@ -21,6 +21,7 @@
 IdempotencyKey = NewType("IdempotencyKey", str)
 ChangeId = NewType("ChangeId", str)
 Fingerprint = NewType("Fingerprint", str)
+SoftwareVersion = NewType("SoftwareVersion", str)
 BlockKey = NewType("BlockKey", str)
 Revision = NewType("Revision", int)
 FencingToken = NewType("FencingToken", int)
@@ -41,6 +42,7 @@
     "RequestId",
     "Revision",
     "ServiceId",
+    "SoftwareVersion",
     "StoreId",
     "WeightVersion",
     "ZoneId",
--- a/src/chivesaddle/core/serving_model.py
+++ b/src/chivesaddle/core/serving_model.py
@@ -9,12 +9,22 @@
 from enum import Enum
 from typing import NewType
 
-from chivesaddle.core.ids import AccountId, BackendServerId, ModelId, ServiceId, ZoneId
+from chivesaddle.core.ids import (
+    AccountId,
+    BackendServerId,
+    ModelId,
+    ServiceId,
+    SoftwareVersion,
+    ZoneId,
+)
 
 RouteId = NewType("RouteId", str)
 CallerKey = NewType("CallerKey", str)
 PromptPartId = NewType("PromptPartId", str)
 
+# Software version of servers whose entry names none.
+UNKNOWN_SOFTWARE = SoftwareVersion("")
+
 
 class RouteKind(Enum):
     """Whether the requests of a route may be repeated."""
@@ -174,6 +184,8 @@
         Weight version of each loaded model; empty for servers without models.
     started_ms : int
         Start time of this run of the server, in Unix milliseconds; 0 if unknown.
+    software_version : SoftwareVersion
+        Version of the server's software, not of weights.
     """
 
     id: BackendServerId
@@ -184,6 +196,7 @@
     state: ServerState
     version_by_model: Mapping[ModelId, int]
     started_ms: int = 0
+    software_version: SoftwareVersion = UNKNOWN_SOFTWARE
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,6 +208,7 @@
 
 
 __all__ = [
+    "UNKNOWN_SOFTWARE",
     "Account",
     "CallerKey",
     "CallerLimitsConfig",
--- a/src/chivesaddle/forwarding/messages.py
+++ b/src/chivesaddle/forwarding/messages.py
@@ -30,6 +30,8 @@
         session.
     resume_after : str or None
         Id of the last event that the caller has received of an interrupted stream.
+    resumed_request : RequestId or None
+        The request whose response had the first event of that stream.
     """
 
     id: RequestId
@@ -45,6 +47,7 @@
     output_tokens: int
     parts: tuple[PromptPart, ...]
     resume_after: str | None
+    resumed_request: RequestId | None
 
     @property
     def memory_tokens(self) -> int:
--- a/src/chivesaddle/forwarding/request_context.py
+++ b/src/chivesaddle/forwarding/request_context.py
@@ -8,6 +8,9 @@
 from chivesaddle.http1 import Framing
 from chivesaddle.placement import Candidate
 
+# Ids of callers in log lines are cut to this length.
+MAX_LOGGED_ID_CHARS = 64
+
 
 @dataclass(slots=True)
 class RequestContext:
@@ -58,12 +61,19 @@
             "target_ms": round(self.route.target_s * 1_000),
             "waited_ms": round(self.waited_s * 1_000),
         }
+        if self.request.resume_after is not None:
+            resumes = self.request.resumed_request
+            fields |= {
+                "resumes": None if resumes is None else resumes[:MAX_LOGGED_ID_CHARS],
+                "resume_after": self.request.resume_after[:MAX_LOGGED_ID_CHARS],
+            }
         candidate = self.last_candidate
         if candidate is None:
             return fields
         load_age_s = min(now - candidate.server.load_at, 1e6)
         fields |= {
             "server": candidate.server.entry.id,
+            "software": candidate.server.entry.software_version,
             "predicted_ms": round(candidate.predicted_ms),
             "known": asdict(candidate.load),
             "load_age_ms": round(load_age_s * 1_000),
--- a/src/chivesaddle/forwarding/results.py
+++ b/src/chivesaddle/forwarding/results.py
@@ -60,6 +60,7 @@
             extra={
                 "request": context.request.id,
                 "server": candidate.server.entry.id,
+                "software": candidate.server.entry.software_version,
                 "cause": error.message,
                 "sends": context.sends,
                 "runs": context.runs,
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -307,6 +307,8 @@
                     "server": entry.id,
                     "service": entry.service,
                     "state": entry.state.value,
+                    "software": entry.software_version,
+                    "started_ms": entry.started_ms,
                 },
             )
             self._by_id[entry.id] = TrackedServer(entry, versions)
--- a/src/chivesaddle/platform/documents.py
+++ b/src/chivesaddle/platform/documents.py
@@ -7,7 +7,14 @@
 from msgspec import field
 
 from chivesaddle.core.errors import InvalidValue
-from chivesaddle.core.ids import AccountId, BackendServerId, ModelId, ServiceId, ZoneId
+from chivesaddle.core.ids import (
+    AccountId,
+    BackendServerId,
+    ModelId,
+    ServiceId,
+    SoftwareVersion,
+    ZoneId,
+)
 from chivesaddle.core.serving_model import (
     Account,
     CallerKey,
@@ -116,6 +123,8 @@
     slots: int
     state: str
     models: list[_LoadedModel] = field(default_factory=list)
+    # Version of the server's software, unlike those of its models' weights.
+    version: str = ""
     # Time when the server process started, in Unix milliseconds.
     born: int = 0
 
@@ -233,6 +242,7 @@
         state=state,
         version_by_model={ModelId(m.name): m.version for m in decoded.models},
         started_ms=decoded.born,
+        software_version=SoftwareVersion(decoded.version),
     )
 
 
--- a/src/chivesaddle/platform/headers.py
+++ b/src/chivesaddle/platform/headers.py
@@ -50,6 +50,8 @@
 WEIGHT_VERSION = _PREFIX + b"weight-versions"
 EXPECTED_VERSION = _PREFIX + b"expected-version"
 LAST_EVENT = b"last-event-id"
+# Id of the caller's request whose response had the first event of the stream.
+RESUMES = b"resumes"
 
 _HOP_BY_HOP_HEADERS = {
     b"connection",
@@ -110,7 +112,8 @@
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
         parts=_parse_parts(header_value(headers.items, PROMPT_PARTS)),
-        resume_after=header_value(headers.items, LAST_EVENT),
+        resume_after=header_value(headers.items, LAST_EVENT) or None,
+        resumed_request=_parse_request_id(header_value(headers.items, RESUMES)),
     )
 
 
@@ -181,6 +184,10 @@
     return names - {REQUEST_ID, MODEL, TOKENS, PROMPT_PARTS, b"host"}
 
 
+def _parse_request_id(value: str | None) -> RequestId | None:
+    return RequestId(value) if value else None
+
+
 def _parse_bearer_key(value: str | None) -> CallerKey | None:
     scheme, _, key = (value or "").partition(" ")
     return CallerKey(key.strip()) if scheme.lower() == "bearer" else None
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -251,6 +251,20 @@
         record = next(r for r in caplog.records if "may_have_run" in r.getMessage())
         assert (record.framing, record.unfinished_bytes) == ("chunks", 8)
 
+    def test_log_tells_software_versions_and_what_a_caller_resumes(
+        self, harness, caller, caplog
+    ):
+        """Guards against mixed streams that logs cannot tell from others."""
+        caplog.set_level("INFO")
+        for number in (1, 2):
+            harness.add_server(number, version="v1.1")
+        caller.request("/stream/x", headers="Last-Event-Id: 1\r\nResumes: " + 100 * "a")
+        harness.connections[0].start_stream(EVENT_2)
+        harness.connections[0].end_stream()
+        record = next(r for r in caplog.records if "answered" in r.getMessage())
+        assert (record.software, record.resume_after) == ("v1.1", "1")
+        assert record.resumes == 64 * "a"
+
 
 class TestCallerDisconnects:
     @pytest.mark.parametrize("target", ["/safe/x", "/unsafe/x", "/stream/x"])
