Add tests of streams that go on at another software version, which fail

Three daemons and four servers as processes, two of each software version; servers break streams off after three events.

The stand-in names its id in each event, entries name a software version, and a new fault breaks off only streams that begin at the server.

--- a/src/chivesaddle/standins/platform_server.py
+++ b/src/chivesaddle/standins/platform_server.py
@@ -32,6 +32,8 @@
         Run requests, then abort the connection instead of responding.
     break_stream_after : int
         Abort event streams after the event with this id; 0 disables it.
+    break_new_stream_after : int
+        The same for streams that begin here, not for those that are resumed.
     extra_answer : bool
         Send a second response after each response.
     mute : bool
@@ -49,6 +51,7 @@
     shed: bool = False
     lose_answer: bool = False
     break_stream_after: int = 0
+    break_new_stream_after: int = 0
     extra_answer: bool = False
     mute: bool = False
     limit_per_s: float = 0.0
@@ -132,10 +135,14 @@
         first_event_id = int(request.headers.get("last-event-id") or 0) + 1
         responder.start(200, b"OK", headers)
         for event_id in range(first_event_id, STREAM_EVENT_COUNT + 1):
-            if 0 < self.faults.break_stream_after < event_id:
+            limit = self.faults.break_stream_after
+            if first_event_id == 1:
+                limit = limit or self.faults.break_new_stream_after
+            if 0 < limit < event_id:
                 responder.abort()
                 return
-            responder.write(f"id: {event_id}\ndata: {event_id}\n\n".encode())
+            event = f"id: {event_id}\ndata: {event_id} {self.server_id}\n\n"
+            responder.write(event.encode())
             await sleep_until(self.reactor, self.reactor.seconds() + EVENT_INTERVAL_S)
         responder.finish()
 
--- a/src/chivesaddle/tools/platform_fleet.py
+++ b/src/chivesaddle/tools/platform_fleet.py
@@ -67,6 +67,8 @@
         # Start times of backend servers as their entries name them.
         self._start_by_server: dict[str, int] = {}
         self._routes: list[dict[str, Any]] = []
+        # Software versions that the entries of backend servers name.
+        self.software_by_server: dict[str, str] = {}
 
     def start(self) -> None:
         """Start all processes and write the first configuration."""
@@ -142,6 +144,7 @@
             "slots": 8,
             "state": state,
             "born": self._start_by_server.get(name, 1),
+            "version": self.software_by_server.get(name, "v1"),
         }
         self._put_object("servers", name, value)
 
--- /dev/null
+++ b/tests/e2e_platform/test_software_versions.py
@@ -0,0 +1,142 @@
+"""Real daemons, and servers of two software versions whose streams break off."""
+
+import httpx
+import pytest
+
+from chivesaddle.tools.platform_fleet import (
+    API_KEY,
+    HOST_NAME,
+    ROUTES,
+    PlatformFleet,
+    route,
+)
+from chivesaddle.tools.processes import wait_until
+
+VERSION_BY_SERVER = {
+    "server-0": "v1",
+    "server-1": "v1",
+    "server-2": "v2",
+    "server-3": "v2",
+}
+LAST_EVENT = 8
+STREAMS = 12
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    platform_fleet = PlatformFleet(tmp_path, daemons=3, servers=4)
+    platform_fleet.software_by_server.update(VERSION_BY_SERVER)
+    try:
+        platform_fleet.start()
+        once = route("stream-once", "streaming", allow_resume=True, attempts=1)
+        platform_fleet.put_configuration([*ROUTES, once])
+        assert wait_until(
+            lambda: all(
+                len(platform_fleet.list_caller_addresses(name)) == 3
+                for name in platform_fleet.listeners
+            ),
+            15,
+        )
+        assert wait_until(
+            lambda: receive(platform_fleet, 0, "/stream-once/x", "probe")[0] == 200, 5
+        )
+        yield platform_fleet
+    finally:
+        platform_fleet.stop()
+
+
+def receive(fleet, daemon, target, request_id, *, resumes=None, after=None):
+    """Send a request; return its status and its events as pairs of id and server."""
+    headers = {
+        "Host": HOST_NAME,
+        "Authorization": f"Bearer {API_KEY}",
+        "X-Chivesaddle-Attempt-Identifier": request_id,
+        "X-Chivesaddle-Deadline-Milliseconds": "5000",
+    }
+    if resumes is not None:
+        headers |= {"Resumes": resumes, "Last-Event-Id": str(after)}
+    url = f"http://{fleet.listeners[f'daemon-{daemon}']['callers']}{target}"
+    body = ""
+    status = None
+    try:
+        with httpx.stream("POST", url, headers=headers, timeout=5) as response:
+            status = response.status_code
+            for text in response.iter_text():
+                body += text
+    except httpx.TransportError:
+        # The events that arrived before the connection broke still count.
+        pass
+    lines = [line for line in body.split("\n") if line.startswith("data: ")]
+    return status, [tuple(line.removeprefix("data: ").split()) for line in lines]
+
+
+def versions(events):
+    return {VERSION_BY_SERVER[server] for _, server in events}
+
+
+def is_whole(events):
+    return [int(event_id) for event_id, _ in events] == [*range(1, LAST_EVENT + 1)]
+
+
+def break_new_streams(fleet):
+    for server in VERSION_BY_SERVER:
+        fleet.set_faults(server, break_new_stream_after=3)
+
+
+def test_stream_goes_on_at_its_version_within_one_response(fleet):
+    break_new_streams(fleet)
+    streams = [
+        receive(fleet, number % 3, f"/stream/{number}", f"one-{number}")[1]
+        for number in range(STREAMS)
+    ]
+    assert [versions(events) for events in streams if len(versions(events)) > 1] == []
+    assert sum(map(is_whole, streams)) >= 0.9 * STREAMS
+
+
+def test_stream_goes_on_at_its_version_at_another_daemon(fleet):
+    break_new_streams(fleet)
+    taken_up = []
+    for number in range(STREAMS):
+        first = f"two-{number}"
+        target = f"/stream-once/{number}"
+        _, events = receive(fleet, number % 3, target, first)
+        for attempt in (1, 2, 3):
+            _, more = receive(
+                fleet,
+                (number + attempt) % 3,
+                target,
+                f"{first}-{attempt}",
+                resumes=first,
+                after=len(events),
+            )
+            events += more
+            if is_whole(events):
+                break
+        taken_up.append(events)
+    assert [versions(events) for events in taken_up if len(versions(events)) > 1] == []
+    assert sum(map(is_whole, taken_up)) >= 0.9 * len(taken_up)
+
+
+def test_stream_goes_on_at_its_version_after_its_daemon_was_killed(fleet):
+    break_new_streams(fleet)
+    begun = [
+        (
+            f"killed-{number}",
+            receive(fleet, 0, f"/stream-once/{number}", f"killed-{number}")[1],
+        )
+        for number in range(STREAMS)
+    ]
+    fleet.processes.kill("daemon-0")
+    for number, (request_id, events) in enumerate(begun):
+        _, more = receive(
+            fleet,
+            1 + number % 2,
+            f"/stream-once/{number}",
+            f"{request_id}-again",
+            resumes=request_id,
+            after=len(events),
+        )
+        events += more
+    streams = [events for _, events in begun]
+    assert [versions(events) for events in streams if len(versions(events)) > 1] == []
+    assert sum(map(is_whole, streams)) >= 0.5 * STREAMS
