Resume streams only at the software version that began them

Cause: nothing read the version in a server's entry or the header Resumes. A daemon sent a resumed stream to whichever server was best, and could not know where a stream had begun that its caller brought from another daemon. The class of fault is that of the crash counts and the limits: what one daemon knows has to bind the fleet.

Change: the first event of a stream fixes its software version; every further send of the same response goes to servers of that version only. With a single version there is no message. Where nobody knows, the stream is refused as not run with the time to return. The key of a stream contains the account, so no account learns of another's streams.

--- a/src/chivesaddle/fleet/notices.py
+++ b/src/chivesaddle/fleet/notices.py
@@ -3,13 +3,14 @@
 A datagram may be lost. What it reported is exchanged again by `GossipExchange`.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Generic, Protocol, TypeVar
 
 import msgspec
 
 from chivesaddle.core.aio import Clock, DelayedCall
 from chivesaddle.fleet.datagrams import MAX_DATAGRAM_BYTES, PeerDatagrams
+from chivesaddle.fleet.members import Member
 from chivesaddle.fleet.working_set import WorkingSet
 
 # Observations within this time share a datagram: a crashed server breaks the
@@ -44,6 +45,9 @@
         Struct whose only field is ``items``, a list of structs.
     apply : callable
         Applies the observations of a peer.
+    choose_receivers : callable or None
+        Chooses, of the daemons that take callers, those that get an observation; None
+        for all.
     """
 
     def __init__(
@@ -53,11 +57,14 @@
         datagrams: PeerDatagrams,
         notice_type: type[msgspec.Struct],
         apply: Callable[[list[T]], None],
+        choose_receivers: Callable[[T, Sequence[Member]], Sequence[Member]]
+        | None = None,
     ) -> None:
         self._clock = clock
         self._working_set = working_set
         self._datagrams = datagrams
         self._notice_type = notice_type
+        self._choose_receivers = choose_receivers
         self._pending: list[T] = []
         self._batch: DelayedCall | None = None
 
@@ -79,10 +86,21 @@
 
     def _send_batch(self) -> None:
         pending, self._pending = self._pending, []
-        receivers = self._working_set.peers()
+        peers = self._working_set.peers()
+        if self._choose_receivers is None:
+            self._send_items(pending, peers)
+            return
+        items_by_receiver: dict[str, list[T]] = {}
+        for item in pending:
+            for member in self._choose_receivers(item, peers):
+                items_by_receiver.setdefault(member.id, []).append(item)
+        for member in peers:
+            self._send_items(items_by_receiver.get(member.id, []), [member])
+
+    def _send_items(self, items: Sequence[T], receivers: Sequence[Member]) -> None:
         batch: list[T] = []
         used_bytes = ENVELOPE_BYTES
-        for item in pending:
+        for item in items:
             size = len(msgspec.msgpack.encode(item))
             if batch and used_bytes + size > MAX_DATAGRAM_BYTES:
                 self._datagrams.send(self._notice_type(batch), receivers)
--- a/src/chivesaddle/forwarding/__init__.py
+++ b/src/chivesaddle/forwarding/__init__.py
@@ -14,6 +14,11 @@
 )
 from chivesaddle.forwarding.prompts import PromptPlanner
 from chivesaddle.forwarding.serving_state import ServingState
+from chivesaddle.forwarding.stream_origins import (
+    OriginReport,
+    StreamOrigins,
+    stream_key,
+)
 
 __all__ = [
     "CallerRequest",
@@ -22,6 +27,7 @@
     "Forwarder",
     "InvalidValue",
     "MessageCodec",
+    "OriginReport",
     "PromptPart",
     "PromptPlanner",
     "RequestLimit",
@@ -30,4 +36,6 @@
     "ServerLoad",
     "ServerResponse",
     "ServingState",
+    "StreamOrigins",
+    "stream_key",
 ]
--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -13,6 +13,7 @@
     Fingerprint,
     RequestId,
     ServiceId,
+    SoftwareVersion,
     ZoneId,
 )
 from chivesaddle.core.logs import ComponentLogger
@@ -41,6 +42,7 @@
 from chivesaddle.forwarding.request_context import RequestContext
 from chivesaddle.forwarding.results import ResultReporter
 from chivesaddle.forwarding.serving_state import ServingState
+from chivesaddle.forwarding.stream_origins import StreamOrigins, stream_key
 from chivesaddle.http1 import (
     ConnectionPool,
     HeaderList,
@@ -114,6 +116,8 @@
         Identifies requests that crash servers.
     prompts : PromptPlanner
         Costs and transfers of prompts.
+    origins : StreamOrigins
+        Software versions at which streams began.
     observe : callable
         Called for each finished request with its result and duration in seconds.
     """
@@ -130,6 +134,7 @@
         budget: RetryBudget,
         crashes: CrashRecord,
         prompts: PromptPlanner,
+        origins: StreamOrigins,
         observe: Callable[[str, float], None],
     ) -> None:
         self._clock = clock
@@ -142,6 +147,7 @@
         self._budget = budget
         self._crashes = crashes
         self._prompts = prompts
+        self._origins = origins
         self._reporter = ResultReporter(clock, observe)
         self._random = random.Random()
         self._queues_by_service: dict[ServiceId, AdmissionQueue] = {}
@@ -283,6 +289,7 @@
             raise TimedOut(f"No complete response in time: {error.message}") from error
 
     async def _send_with_retries(self, context: RequestContext, relay: Relay) -> None:
+        await self._find_origin(context)
         while True:
             candidate = await self._find_server(context)
             try:
@@ -311,6 +318,56 @@
                 if not self._may_retry(context):
                     raise self._final_error(context, relay, error.message) from error
 
+    async def _find_origin(self, context: RequestContext) -> None:
+        """Find out where a stream began that the caller takes up.
+
+        Raises `NotRun` if that is not known.
+        """
+        request = context.request
+        if context.route.kind is not RouteKind.STREAM or request.resume_after is None:
+            return
+        account = context.account.id if context.account else None
+        origin = await self._origins.find(
+            account, request.resumed_request, context.service
+        )
+        context.software_version = origin.version
+        if origin.service in context.route.weight_by_service:
+            context.service = origin.service
+        servers = self._servers.of_service(context.service)
+        log.info(
+            "stream taken up",
+            extra={
+                "request": request.id,
+                **context.resumption_fields(),
+                "software": origin.version,
+                "from": origin.source.value,
+                "servers": sum(
+                    server.entry.software_version == origin.version
+                    for server in servers
+                ),
+                "all_servers": len(servers),
+            },
+        )
+
+    def _record_stream_start(
+        self, context: RequestContext, version: SoftwareVersion
+    ) -> None:
+        """Record the software version whose event is about to be passed on."""
+        context.software_version = version
+        request = context.request
+        if not context.route.may_resume:
+            return
+        began = request.id
+        if request.resume_after is not None and request.resumed_request is not None:
+            began = request.resumed_request
+        account = context.account.id if context.account else None
+        self._origins.record_start(
+            stream_key(account, began),
+            context.service,
+            version,
+            context.caller_deadline or context.deadline,
+        )
+
     async def _find_server(self, context: RequestContext) -> Candidate:
         """Return a server, after waiting for one with capacity if necessary.
 
@@ -391,6 +448,8 @@
             message = (
                 f"Service {context.service} has no usable server among {len(servers)}"
             )
+            if context.software_version is not None:
+                message += f" for software version {context.software_version!r}"
             if context.runs:
                 raise MayHaveRun(message)
             raise NotRun(message, retry_after_s=self._random_retry_after())
@@ -399,7 +458,10 @@
     def _requirements(self, context: RequestContext) -> ServerRequirements:
         caller_request = context.request
         if caller_request.model is None:
-            return ServerRequirements(body_bytes=len(caller_request.body))
+            return ServerRequirements(
+                body_bytes=len(caller_request.body),
+                software_version=context.software_version,
+            )
         shared_part_id = caller_request.shared_part
         return ServerRequirements(
             model=caller_request.model,
@@ -410,6 +472,7 @@
             affinity_key=None if shared_part_id is None else str(shared_part_id),
             memory_tokens=caller_request.memory_tokens,
             body_bytes=len(caller_request.body),
+            software_version=context.software_version,
             server_memory_tokens=self._server_memory_tokens(context.service),
             plan_prompt=self._prompts.planner(
                 caller_request, context.account, context.service
@@ -453,9 +516,14 @@
             plan.read_tokens if plan else 0,
             context.request.memory_tokens if plan else 0,
         )
-        relay.on_start = lambda: self._servers.record_first_event(
-            server.entry.id, serial
-        )
+        software_version = server.entry.software_version
+
+        def record_first_event() -> None:
+            self._servers.record_first_event(server.entry.id, serial)
+            if context.route.kind is RouteKind.STREAM:
+                self._record_stream_start(context, software_version)
+
+        relay.on_start = record_first_event
         outcome: ExchangeOutcome | None = None
         context.framing, context.unfinished_bytes = None, 0
         self._crashes.start_run(context.fingerprint)
--- a/src/chivesaddle/forwarding/request_context.py
+++ b/src/chivesaddle/forwarding/request_context.py
@@ -2,7 +2,12 @@
 
 from dataclasses import asdict, dataclass, field
 
-from chivesaddle.core.ids import BackendServerId, Fingerprint, ServiceId
+from chivesaddle.core.ids import (
+    BackendServerId,
+    Fingerprint,
+    ServiceId,
+    SoftwareVersion,
+)
 from chivesaddle.core.serving_model import Account, Route
 from chivesaddle.forwarding.messages import CallerRequest
 from chivesaddle.http1 import Framing
@@ -22,6 +27,9 @@
     ----------
     waited_s : float
         Time in the admission queue, in seconds.
+    software_version : SoftwareVersion or None
+        Version of the servers' software at which the request's stream began; None
+        before its first event.
     framing : Framing or None
         What marks the end of the last response, None before a response.
     unfinished_bytes : int
@@ -43,6 +51,7 @@
     first_event_at: float | None = None
     waited_s: float = 0.0
     last_candidate: Candidate | None = None
+    software_version: SoftwareVersion | None = None
     framing: Framing | None = None
     unfinished_bytes: int = 0
 
@@ -55,18 +64,23 @@
             "unfinished_bytes": self.unfinished_bytes,
         }
 
+    def resumption_fields(self) -> dict[str, object]:
+        """Return log fields about the stream that the caller takes up."""
+        if self.request.resume_after is None:
+            return {}
+        resumes = self.request.resumed_request
+        return {
+            "resumes": None if resumes is None else resumes[:MAX_LOGGED_ID_CHARS],
+            "resume_after": self.request.resume_after[:MAX_LOGGED_ID_CHARS],
+        }
+
     def log_fields(self, now: float) -> dict[str, object]:
         """Return log fields about the last choice of a server."""
         fields: dict[str, object] = {
             "target_ms": round(self.route.target_s * 1_000),
             "waited_ms": round(self.waited_s * 1_000),
         }
-        if self.request.resume_after is not None:
-            resumes = self.request.resumed_request
-            fields |= {
-                "resumes": None if resumes is None else resumes[:MAX_LOGGED_ID_CHARS],
-                "resume_after": self.request.resume_after[:MAX_LOGGED_ID_CHARS],
-            }
+        fields |= self.resumption_fields()
         candidate = self.last_candidate
         if candidate is None:
             return fields
--- a/src/chivesaddle/placement/__init__.py
+++ b/src/chivesaddle/placement/__init__.py
@@ -1,6 +1,6 @@
 """Selection of a backend server for each request, and the state it is based on."""
 
-from chivesaddle.placement.affinity import preferred_servers
+from chivesaddle.placement.affinity import rendezvous_order
 from chivesaddle.placement.choice import (
     Candidate,
     PlanPrompt,
@@ -8,6 +8,7 @@
     choose,
 )
 from chivesaddle.placement.rate_limits import LimitReport, RateLimits
+from chivesaddle.placement.software import SoftwareHistory
 from chivesaddle.placement.table import (
     ExchangeOutcome,
     Load,
@@ -28,7 +29,8 @@
     "RateLimits",
     "ServerRequirements",
     "ServerTable",
+    "SoftwareHistory",
     "TrackedServer",
     "choose",
-    "preferred_servers",
+    "rendezvous_order",
 ]
--- a/src/chivesaddle/placement/affinity.py
+++ b/src/chivesaddle/placement/affinity.py
@@ -1,29 +1,25 @@
-"""Rendezvous hashing, by which all daemons prefer the same server for a shared part."""
+"""Rendezvous hashing, by which all daemons put the same ids first for a key."""
 
 from collections.abc import Iterable
+from typing import TypeVar
 
 import xxhash
 
-from chivesaddle.core.ids import BackendServerId
+Id = TypeVar("Id", bound=str)
 
 
-def preferred_servers(
-    key: str, server_ids: Iterable[BackendServerId]
-) -> list[BackendServerId]:
-    """Return the servers in order of preference for ``key``.
+def rendezvous_order(key: str, ids: Iterable[Id]) -> list[Id]:
+    """Return ids, of servers or daemons, in order of preference for ``key``.
 
-    Removing a server moves only the keys that were assigned to it.
+    Removing one moves only the keys that were assigned to it.
 
     Examples
     --------
-    >>> order = preferred_servers("part", ["a", "b", "c"])
-    >>> order == [s for s in preferred_servers("part", "abcd") if s != "d"]
+    >>> order = rendezvous_order("part", ["a", "b", "c"])
+    >>> order == [s for s in rendezvous_order("part", "abcd") if s != "d"]
     True
     """
-    return sorted(
-        server_ids,
-        key=lambda server: xxhash.xxh3_64_intdigest(f"{key}|{server}".encode()),
-    )
+    return sorted(ids, key=lambda id: xxhash.xxh3_64_intdigest(f"{key}|{id}".encode()))
 
 
-__all__ = ["preferred_servers"]
+__all__ = ["rendezvous_order"]
--- a/src/chivesaddle/placement/choice.py
+++ b/src/chivesaddle/placement/choice.py
@@ -5,8 +5,8 @@
 
 from chivesaddle.cachemap import PromptPlan
 from chivesaddle.cachemap.transfers import PREFILL_TOKENS_PER_MS
-from chivesaddle.core.ids import BackendServerId, ModelId, ZoneId
-from chivesaddle.placement.affinity import preferred_servers
+from chivesaddle.core.ids import BackendServerId, ModelId, SoftwareVersion, ZoneId
+from chivesaddle.placement.affinity import rendezvous_order
 from chivesaddle.placement.table import Load, TrackedServer
 
 # Weight of prefill time. Prefilling shared parts again also delays all other requests
@@ -65,6 +65,9 @@
         Capacity of a server's memory in tokens; 0 if unknown.
     body_bytes : int
         Size of the request, which is sent to the server.
+    software_version : SoftwareVersion or None
+        Version of the server's software that the request's stream began at; None for
+        any.
     """
 
     model: ModelId | None = None
@@ -75,6 +78,7 @@
     memory_tokens: int = 0
     server_memory_tokens: int = 0
     body_bytes: int = 0
+    software_version: SoftwareVersion | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,7 +120,8 @@
     usable = [
         server
         for server in servers
-        if server.entry.id not in excluded and _has_usable_version(server, requirements)
+        if server.entry.id not in excluded
+        and _has_usable_versions(server, requirements)
     ]
     available_servers = [server for server in usable if server.ejected_until <= now]
     if not available_servers:
@@ -140,9 +145,11 @@
     return replace(best, has_capacity=has_capacity, candidate_count=len(candidates))
 
 
-def _has_usable_version(
+def _has_usable_versions(
     server: TrackedServer, requirements: ServerRequirements
 ) -> bool:
+    if requirements.software_version not in (None, server.entry.software_version):
+        return False
     if requirements.model is None:
         return True
     version = server.version_by_model.get(requirements.model)
@@ -155,7 +162,7 @@
     key = requirements.affinity_key
     if key is None or not servers:
         return None
-    return preferred_servers(key, [server.entry.id for server in servers])[0]
+    return rendezvous_order(key, [server.entry.id for server in servers])[0]
 
 
 def _predict(
--- /dev/null
+++ b/src/chivesaddle/placement/software.py
@@ -0,0 +1,122 @@
+"""Software versions of each service's servers, including those that left recently."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+
+from chivesaddle.core.aio import Clock
+from chivesaddle.core.ids import ServiceId, SoftwareVersion
+from chivesaddle.core.logs import ComponentLogger
+from chivesaddle.core.serving_model import ServerEntry
+from chivesaddle.placement.table import ServerTable
+
+# Callers take streams up again for at most their time limit; the longest in use are
+# 15 s.
+GONE_VERSION_RETENTION_S = 60.0
+
+log = ComponentLogger("software")
+
+
+class GoneVersion(msgspec.Struct, array_like=True, frozen=True):
+    """A software version whose server left the list.
+
+    Attributes
+    ----------
+    age_ms : int
+        Milliseconds since then.
+    """
+
+    service: str
+    version: str
+    age_ms: int
+
+
+class SoftwareHistory:
+    """Tells which software versions a stream of a service may have begun at.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of all times.
+    servers : ServerTable
+        The listed servers; its callback for changes of entries is set.
+    """
+
+    def __init__(self, clock: Clock, servers: ServerTable) -> None:
+        self._clock = clock
+        self._servers = servers
+        self._gone_at: dict[tuple[ServiceId, SoftwareVersion], float] = {}
+        self._mixed: set[ServiceId] = set()
+        # Called with a service when a second version of it becomes known.
+        self.on_mixed: Callable[[ServiceId], None] = lambda service: None
+        self.has_heard_peers = False
+        servers.on_entry_changed = self._update
+
+    def versions(self, service: ServiceId) -> set[SoftwareVersion]:
+        """Return the versions that are listed or have left recently."""
+        listed = {
+            tracked.entry.software_version
+            for tracked in self._servers.all()
+            if tracked.entry.service == service
+        }
+        oldest = self._clock.seconds() - GONE_VERSION_RETENTION_S
+        gone = {
+            version
+            for (gone_service, version), at in self._gone_at.items()
+            if gone_service == service and at > oldest
+        }
+        return listed | gone
+
+    def collect(self) -> list[Any]:
+        """Return the versions that left recently, for peers."""
+        now = self._clock.seconds()
+        self._gone_at = {
+            key: at
+            for key, at in self._gone_at.items()
+            if at > now - GONE_VERSION_RETENTION_S
+        }
+        return [
+            msgspec.to_builtins(
+                GoneVersion(service, version, round((now - at) * 1_000))
+            )
+            for (service, version), at in self._gone_at.items()
+        ]
+
+    def apply_remote(self, hint: Any) -> None:
+        """Apply what a peer has seen leave."""
+        self.has_heard_peers = True
+        self._apply(msgspec.convert(hint, list[GoneVersion]))
+
+    def _apply(self, reports: Iterable[GoneVersion]) -> None:
+        now = self._clock.seconds()
+        for report in reports:
+            service = ServiceId(report.service)
+            key = service, SoftwareVersion(report.version)
+            at = now - report.age_ms / 1_000
+            if at > self._gone_at.get(key, now - GONE_VERSION_RETENTION_S):
+                self._gone_at[key] = at
+                self._check_mixed(service)
+
+    def _update(self, previous: ServerEntry | None, entry: ServerEntry | None) -> None:
+        """Record that an entry replaced another one; None stands for no entry."""
+        if previous is not None:
+            key = previous.service, previous.software_version
+            self._gone_at[key] = self._clock.seconds()
+        if entry is not None:
+            self._check_mixed(entry.service)
+
+    def _check_mixed(self, service: ServiceId) -> None:
+        versions = self.versions(service)
+        if len(versions) < 2:
+            self._mixed.discard(service)
+        elif service not in self._mixed:
+            self._mixed.add(service)
+            log.info(
+                "several software versions",
+                extra={"service": service, "versions": sorted(versions)},
+            )
+            self.on_mixed(service)
+
+
+__all__ = ["GoneVersion", "SoftwareHistory"]
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -197,6 +197,11 @@
         self.on_down: Callable[[BackendServerId], None] = lambda server: None
         # Called when a server of the service may have free capacity.
         self.on_capacity_freed: Callable[[ServiceId], None] = lambda service: None
+        # Called with the entry before and the new one when a server is listed, removed
+        # or replaced; None stands for no entry.
+        self.on_entry_changed: Callable[
+            [ServerEntry | None, ServerEntry | None], None
+        ] = lambda previous, entry: None
         self._by_id: dict[BackendServerId, TrackedServer] = {}
         # Start times of servers that said that they are leaving.
         self._leaving: OrderedDict[BackendServerId, int] = OrderedDict()
@@ -312,6 +317,7 @@
                 },
             )
             self._by_id[entry.id] = TrackedServer(entry, versions)
+            self.on_entry_changed(None if known is None else known.entry, entry)
             return
         if known.entry.state is not entry.state:
             log.info(
@@ -320,9 +326,11 @@
         for model, version in known.version_by_model.items():
             # The entry may be older than the version that the server itself reported.
             versions[model] = max(version, versions.get(model, 0))
-        known.entry = entry
+        previous, known.entry = known.entry, entry
         known.version_by_model = versions
         known.remove_at = None
+        if previous.software_version != entry.software_version:
+            self.on_entry_changed(previous, entry)
 
     def remove(self, server: BackendServerId, *, may_have_expired: bool) -> None:
         """Remove a server.
@@ -346,6 +354,7 @@
         self._departed.move_to_end(server)
         while len(self._departed) > MAX_DEPARTED:
             self._departed.popitem(last=False)
+        self.on_entry_changed(known.entry, None)
 
     def record_send(
         self, server: BackendServerId, unread_tokens: int = 0, memory_tokens: int = 0
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -41,6 +41,7 @@
     PromptPlanner,
     RetryBudget,
     ServingState,
+    StreamOrigins,
 )
 from chivesaddle.http1 import (
     CallerLimits,
@@ -51,7 +52,7 @@
     listen,
 )
 from chivesaddle.objects import Lease, StoreEra
-from chivesaddle.placement import RateLimits, ServerTable
+from chivesaddle.placement import RateLimits, ServerTable, SoftwareHistory
 from chivesaddle.platform import (
     CONFIG_KIND,
     READINESS_PATH,
@@ -71,10 +72,16 @@
 from chivesaddle.serving.documents import StoredDocuments
 from chivesaddle.serving.hints import LeavingHints, LoadHints, ServerLoadShares
 from chivesaddle.serving.metrics import ServingMetrics
-from chivesaddle.serving.notices import CrashNotice, LimitNotice
+from chivesaddle.serving.notices import (
+    CrashNotice,
+    LimitNotice,
+    OriginNotice,
+    OriginQuestion,
+)
 from chivesaddle.serving.registration import Registration
 from chivesaddle.serving.settings import ServingSettings, SettingsError
 from chivesaddle.serving.store_hints import StoreHints
+from chivesaddle.serving.stream_sharing import StreamSharing
 from chivesaddle.weights import LEASE_NAME, RENEW_INTERVAL_S, Rollout
 
 # How long callers may cache an address response. Some cache it three times as long,
@@ -89,6 +96,8 @@
 # Part of ``Bounds.older_weights_s`` that is reserved for two delays: until this daemon
 # receives a new target version, and until a backend server runs a queued request.
 OLDER_WEIGHTS_RESERVE_S = 1.3
+# A daemon that started longer ago and has heard of no peer is the only one that runs.
+FIRST_EXCHANGE_TIMEOUT_S = 3.0
 
 log = ComponentLogger("serving")
 
@@ -139,7 +148,9 @@
         self._serving_state = ServingState(
             reactor, bounds.older_weights_s - OLDER_WEIGHTS_RESERVE_S
         )
+        self._started_at = reactor.seconds()
         self._servers = ServerTable(reactor)
+        self._software = SoftwareHistory(reactor, self._servers)
         StoredDocuments(
             reactor,
             self._replicas,
@@ -196,6 +207,7 @@
                 "crash_reports": crashes,
                 "limits": limits,
                 "leaving": LeavingHints(self._servers),
+                "software": self._software,
                 "store": StoreHints(self._era, lease),
             },
         )
@@ -220,7 +232,9 @@
             reactor, self._servers, lambda: self._rollout.excluded_servers
         )
         self._demand = RequestDemand(reactor)
-        self._datagrams = PeerDatagrams(Beacon | Update | CrashNotice | LimitNotice)
+        self._datagrams = PeerDatagrams(
+            Beacon | Update | CrashNotice | LimitNotice | OriginNotice | OriginQuestion
+        )
         self._crash_notices = NoticeSender(
             reactor,
             self._working_set,
@@ -237,6 +251,12 @@
             limits.apply_reports,
         )
         limits.on_report = self._limit_notices.send
+        self._origins = StreamOrigins(
+            reactor, self._software, self._knows_software_versions
+        )
+        self._stream_sharing = StreamSharing(
+            reactor, self._members, self._working_set, self._datagrams, self._origins
+        )
         content = BeaconContent(
             shares,
             self._rollout,
@@ -278,6 +298,7 @@
             ),
             crashes,
             PromptPlanner(reactor, self._serving_state, self._servers, self._transfers),
+            self._origins,
             self._observe_request,
         )
         self._caller_listener: Any = None
@@ -342,6 +363,7 @@
         self._updates.stop()
         self._crash_notices.stop()
         self._limit_notices.stop()
+        self._stream_sharing.stop()
         self._datagrams.stop()
         for watcher in self._watchers:
             watcher.stop()
@@ -414,6 +436,18 @@
         self.metrics.observe_request(result, seconds)
         self._demand.record_request()
 
+    def _knows_software_versions(self) -> bool:
+        """Return whether this daemon knows the software versions of all servers.
+
+        Without the store and peers, it would not hear of a new version, and a daemon
+        that has just started does not know which versions have left.
+        """
+        peers = self._members.serving_peers()
+        is_new = self._reactor.seconds() - self._started_at < FIRST_EXCHANGE_TIMEOUT_S
+        if not self._software.has_heard_peers and (peers or is_new):
+            return not self._members.peers()
+        return self._reachability.unreachable_since is None or bool(peers)
+
     def _order_rank(self) -> int:
         """Return this daemon's position among those that may give weight orders."""
         if self._working_set.is_whole_fleet:
@@ -475,6 +509,9 @@
             )
             self.metrics.set_value("working_set", len(self._working_set.daemons()))
             self.metrics.set_value("limited_servers", self._limits.in_force())
+            self.metrics.set_value("stream_origins", len(self._origins))
+            for result, count in self._origins.taken_up_by_result.items():
+                self.metrics.set_value(f"streams_taken_up_{result}", count)
             self.metrics.set_value("in_flight", self._caller_listener.in_flight)
             self.metrics.set_value("callers", len(self._caller_listener.connections))
 
--- a/src/chivesaddle/serving/notices.py
+++ b/src/chivesaddle/serving/notices.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from chivesaddle.forwarding import CrashReport
+from chivesaddle.forwarding import CrashReport, OriginReport
 from chivesaddle.placement import LimitReport
 
 
@@ -18,4 +18,23 @@
     items: list[LimitReport]
 
 
-__all__ = ["CrashNotice", "LimitNotice"]
+class OriginNotice(msgspec.Struct, array_like=True, tag="origins"):
+    """Where streams began that the receiver may be asked for, or has asked for."""
+
+    items: list[OriginReport]
+
+
+class OriginQuestion(msgspec.Struct, array_like=True, tag="origin?"):
+    """Asks where a stream began; only a daemon that knows answers.
+
+    Attributes
+    ----------
+    daemon : str
+        Id of the sender.
+    """
+
+    daemon: str
+    key: int
+
+
+__all__ = ["CrashNotice", "LimitNotice", "OriginNotice", "OriginQuestion"]
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -24,10 +24,11 @@
     PromptPlanner,
     RetryBudget,
     ServingState,
+    StreamOrigins,
 )
 from chivesaddle.http1 import ConnectionPool, Connector
 from chivesaddle.http1.server import CallerConnection, Listener
-from chivesaddle.placement import RateLimits, ServerTable
+from chivesaddle.placement import RateLimits, ServerTable, SoftwareHistory
 from chivesaddle.platform import (
     decode_configuration,
     decode_request,
@@ -201,6 +202,11 @@
         self.serving_state = ServingState(clock, 7.0)
         self.serving_state.put_configuration(decode_configuration(CONFIGURATION))
         self.servers = ServerTable(clock)
+        self.software = SoftwareHistory(clock, self.servers)
+        self.knows_software_versions = True
+        self.origins = StreamOrigins(
+            clock, self.software, lambda: self.knows_software_versions
+        )
         for number in (1, 2):
             self.add_server(number)
         self.limits = RateLimits(clock, self.servers, DaemonId("d0"), lambda: [])
@@ -229,6 +235,7 @@
             self.budget,
             self.crashes,
             PromptPlanner(clock, self.serving_state, self.servers, self.transfers),
+            self.origins,
             lambda result, _: self.results.append(result),
         )
 
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -1,5 +1,7 @@
 import pytest
 
+from chivesaddle.forwarding import stream_key
+
 EVENT_1 = b"id: 1\ndata: a\n\n"
 EVENT_2 = b"id: 2\ndata: b\n\n"
 
@@ -258,6 +260,8 @@
         caplog.set_level("INFO")
         for number in (1, 2):
             harness.add_server(number, version="v1.1")
+        key = stream_key("acme", 100 * "a")
+        harness.origins.record_start(key, "app", "v1.1", valid_until=60)
         caller.request("/stream/x", headers="Last-Event-Id: 1\r\nResumes: " + 100 * "a")
         harness.connections[0].start_stream(EVENT_2)
         harness.connections[0].end_stream()
