Prefer the other software version in the test of streams taken up

With the constraint of placement switched off, this test still passed, since placement prefers one server by its id. Servers of the stream's version now look worse than the others; with the constraint switched off it fails.

--- a/tests/forwarding/test_software_versions.py
+++ b/tests/forwarding/test_software_versions.py
@@ -108,8 +108,12 @@
         return connection
 
     def test_stream_goes_on_at_the_version_that_began_it(self, mixed):
+        """Without the version, the servers of the other one would be preferred."""
         for number in range(8):
             first = self.begin(mixed, f"a{number}")
+            for server in mixed.servers.all():
+                is_own = server.entry.software_version == version_of(first)
+                server.failure_rate = 0.9 if is_own else 0.0
             take_up(mixed, f"a{number}", request_id=f"b{number}")
             second = mixed.connections[-1]
             assert version_of(second) == version_of(first)
