Bound the body of a response that is read whole

Servers in trouble may send bytes without end. Reports, cache events and pages of the store were read until their deadline, into memory without bound: in the new test 64 MB before it stopped. Over 16 MB the connection is now closed and the response counts as broken.

The test failed before the change.

--- a/src/chivesaddle/http1/exchange.py
+++ b/src/chivesaddle/http1/exchange.py
@@ -2,12 +2,19 @@
 
 from chivesaddle.core.aio import Clock, start, with_deadline
 from chivesaddle.core.errors import DeadlineExceeded
-from chivesaddle.http1.client import ResponseHead, ResponseLate, ServerConnection
+from chivesaddle.http1.client import (
+    ResponseBroken,
+    ResponseHead,
+    ResponseLate,
+    ServerConnection,
+)
 from chivesaddle.http1.fields import HeaderList
 from chivesaddle.http1.pool import ConnectionPool
 
 # Opening a connection takes one round trip; a lost SYN is retransmitted after 1 s.
 CONNECT_TIMEOUT_S = 1.0
+# Pages of the store's lists and of cached parts have 1 to 2 MB.
+MAX_BODY_BYTES = 16_000_000
 
 
 async def exchange(
@@ -69,8 +76,12 @@
 async def _read_response(connection: ServerConnection) -> tuple[ResponseHead, bytes]:
     head = await connection.read_head()
     chunks = []
+    size = 0
     while (chunk := await connection.read_chunk()) is not None:
         chunks.append(chunk)
+        size += len(chunk)
+        if size > MAX_BODY_BYTES:
+            raise ResponseBroken(f"Body has over {MAX_BODY_BYTES} bytes")
     return head, b"".join(chunks)
 
 
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -1,10 +1,20 @@
 import pytest
 from twisted.internet.error import ConnectError, ConnectionLost
-from twisted.internet.testing import MemoryReactorClock
+from twisted.internet.testing import (
+    MemoryReactorClock,
+    StringTransportWithDisconnection,
+)
 from twisted.python.failure import Failure
 
 from chivesaddle.core.aio import start
-from chivesaddle.http1 import Connector, NotSent
+from chivesaddle.http1 import (
+    ConnectionPool,
+    Connector,
+    NotSent,
+    ResponseBroken,
+    exchange,
+)
+from chivesaddle.http1.exchange import MAX_BODY_BYTES
 
 
 @pytest.fixture
@@ -34,3 +44,23 @@
         result = start(Connector(reactor).connect("127.0.0.1:9", 1))
         reactor.advance(1.1)
         assert isinstance(take_error(result), NotSent)
+
+
+class TestExchange:
+    def test_body_without_end_is_broken_off(self):
+        """Guards against a report or a list that fills the memory."""
+        reactor = MemoryReactorClock()
+        pool = ConnectionPool(Connector(reactor), reactor)
+        result = start(exchange(pool, reactor, "127.0.0.1:9", "GET", "/x", deadline=60))
+        connection = reactor.tcpClients[0][2].buildProtocol(None)
+        transport = StringTransportWithDisconnection()
+        transport.protocol = connection
+        transport.abortConnection = transport.loseConnection
+        connection.makeConnection(transport)
+        connection.dataReceived(b"HTTP/1.1 200 OK\r\n\r\n")
+        sent = 0
+        while transport.connected and sent < 4 * MAX_BODY_BYTES:
+            connection.dataReceived(b"x" * 65_536)
+            sent += 65_536
+        assert sent <= MAX_BODY_BYTES + 2 * 65_536
+        assert isinstance(take_error(result), ResponseBroken)
