Break off a stream whose event has no end

Servers in trouble may send bytes without end. Over 128 KiB the stream is now broken off or resumed elsewhere, the connection closed and the server weighed as faulty. An event that arrives in many pieces is no longer copied once for each.

--- a/src/chivesaddle/forwarding/events.py
+++ b/src/chivesaddle/forwarding/events.py
@@ -25,22 +25,40 @@
     """
 
     def __init__(self) -> None:
-        self.remainder = b""
+        self._buffer = bytearray()
         self.last_id: str | None = None
 
+    @property
+    def remainder(self) -> bytes:
+        """What has arrived after the last complete event."""
+        return bytes(self._buffer)
+
+    @property
+    def remaining_bytes(self) -> int:
+        """Length of the remainder."""
+        return len(self._buffer)
+
     @property
     def is_inside_event(self) -> bool:
         """Whether an event has begun whose end has not arrived."""
-        return _NO_FIELD.fullmatch(self.remainder) is None
+        return _NO_FIELD.fullmatch(self._buffer) is None
+
+    def drop_remainder(self) -> None:
+        """Forget the remainder, before the response of another server."""
+        self._buffer.clear()
 
     def feed(self, chunk: bytes) -> bytes:
         """Return the events that ``chunk`` completes."""
-        data = self.remainder + chunk
-        end = 0
         # A boundary may start in the last bytes of the remainder.
-        for boundary in _BOUNDARY.finditer(data, max(0, len(self.remainder) - 3)):
+        search_from = max(0, len(self._buffer) - 3)
+        self._buffer += chunk
+        end = 0
+        for boundary in _BOUNDARY.finditer(self._buffer, search_from):
             end = boundary.end()
-        events, self.remainder = data[:end], data[end:]
+        if not end:
+            return b""
+        events = bytes(self._buffer[:end])
+        del self._buffer[:end]
         ids = _ID.findall(events)
         if ids:
             self.last_id = ids[-1].decode("latin-1")
--- a/src/chivesaddle/forwarding/relay.py
+++ b/src/chivesaddle/forwarding/relay.py
@@ -15,6 +15,9 @@
 # that a truncated response can be retried or reported as an error. Larger bodies are
 # forwarded as they arrive.
 MAX_BUFFERED_BYTES = 262_144
+# Longest event; those of engines have some 100 bytes for each of a few tokens. 200
+# streams with an endless event take 26 MB.
+MAX_EVENT_BYTES = 131_072
 
 
 class Relay:
@@ -51,7 +54,7 @@
     @property
     def unfinished_bytes(self) -> int:
         """Bytes of an event whose end has not arrived."""
-        return len(self._splitter.remainder)
+        return self._splitter.remaining_bytes
 
     async def forward(self, response: ServerResponse, read_chunk: ReadChunk) -> None:
         """Forward a response; raises `NoUsableResponse` if it is incomplete."""
@@ -88,10 +91,12 @@
     ) -> None:
         """Forward events as they arrive; the first one starts the response."""
         # A resumed stream starts with a complete event.
-        self._splitter.remainder = b""
+        self._splitter.drop_remainder()
         has_event = False
         while (chunk := await read_chunk()) is not None:
             events = self._splitter.feed(chunk)
+            if self._splitter.remaining_bytes > MAX_EVENT_BYTES:
+                raise NoUsableResponse(f"Event has over {MAX_EVENT_BYTES} bytes")
             if not events:
                 continue
             has_event = True
