Refuse to infer a stream's software version on a daemon that is cut off

A daemon that knows one version of a service takes unknown streams up there. One that the store and all peers are cut from would not hear of a second version, and until a watch fails, for up to 15 s, it still counted the store as reachable. It now needs a peer that is serving, or an answer of the store within 3 s; one that has just started needs an exchange.

A mix that comes back after a minute is reported again: streams begun before were not told to other daemons the second time (the new test failed). Versions are counted for each service instead of walking over all servers for each stream.

--- a/src/chivesaddle/fleet/watcher.py
+++ b/src/chivesaddle/fleet/watcher.py
@@ -1,5 +1,6 @@
 """Updates replicas through watches on the platform's store."""
 
+import math
 import random
 from collections.abc import Callable
 
@@ -46,15 +47,19 @@
         reachable.
     reachable_since : float
         When the store last became reachable again, in seconds on the clock.
+    last_success_at : float
+        When the store last answered a call, in seconds on the clock.
     """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self.unreachable_since: float | None = clock.seconds()
         self.reachable_since = 0.0
+        self.last_success_at = -math.inf
 
     def record_success(self) -> None:
         """Record that the store answered a call."""
+        self.last_success_at = self._clock.seconds()
         if self.unreachable_since is not None:
             now = self._clock.seconds()
             away_ms = round((now - self.unreachable_since) * 1_000)
--- a/src/chivesaddle/placement/software.py
+++ b/src/chivesaddle/placement/software.py
@@ -1,5 +1,6 @@
 """Software versions of each service's servers, including those that left recently."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -45,9 +46,8 @@
 
     def __init__(self, clock: Clock, servers: ServerTable) -> None:
         self._clock = clock
-        self._servers = servers
+        self._listed: Counter[tuple[ServiceId, SoftwareVersion]] = Counter()
         self._gone_at: dict[tuple[ServiceId, SoftwareVersion], float] = {}
-        self._mixed: set[ServiceId] = set()
         # Called with a service when a second version of it becomes known.
         self.on_mixed: Callable[[ServiceId], None] = lambda service: None
         self.has_heard_peers = False
@@ -55,18 +55,13 @@
 
     def versions(self, service: ServiceId) -> set[SoftwareVersion]:
         """Return the versions that are listed or have left recently."""
-        listed = {
-            tracked.entry.software_version
-            for tracked in self._servers.all()
-            if tracked.entry.service == service
-        }
         oldest = self._clock.seconds() - GONE_VERSION_RETENTION_S
-        gone = {
+        gone = {key for key, at in self._gone_at.items() if at > oldest}
+        return {
             version
-            for (gone_service, version), at in self._gone_at.items()
-            if gone_service == service and at > oldest
+            for known_service, version in self._listed.keys() | gone
+            if known_service == service
         }
-        return listed | gone
 
     def collect(self) -> list[Any]:
         """Return the versions that left recently, for peers."""
@@ -95,23 +90,27 @@
             key = service, SoftwareVersion(report.version)
             at = now - report.age_ms / 1_000
             if at > self._gone_at.get(key, now - GONE_VERSION_RETENTION_S):
+                known = self.versions(service)
                 self._gone_at[key] = at
-                self._check_mixed(service)
+                self._report_mixed(service, known)
 
     def _update(self, previous: ServerEntry | None, entry: ServerEntry | None) -> None:
         """Record that an entry replaced another one; None stands for no entry."""
         if previous is not None:
             key = previous.service, previous.software_version
             self._gone_at[key] = self._clock.seconds()
+            self._listed[key] -= 1
+            if not self._listed[key]:
+                del self._listed[key]
         if entry is not None:
-            self._check_mixed(entry.service)
+            known = self.versions(entry.service)
+            self._listed[entry.service, entry.software_version] += 1
+            self._report_mixed(entry.service, known)
 
-    def _check_mixed(self, service: ServiceId) -> None:
+    def _report_mixed(self, service: ServiceId, known: set[SoftwareVersion]) -> None:
+        """Report a second version, given those known before."""
         versions = self.versions(service)
-        if len(versions) < 2:
-            self._mixed.discard(service)
-        elif service not in self._mixed:
-            self._mixed.add(service)
+        if len(known) < 2 <= len(versions):
             log.info(
                 "several software versions",
                 extra={"service": service, "versions": sorted(versions)},
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -329,7 +329,10 @@
         previous, known.entry = known.entry, entry
         known.version_by_model = versions
         known.remove_at = None
-        if previous.software_version != entry.software_version:
+        if (previous.service, previous.software_version) != (
+            entry.service,
+            entry.software_version,
+        ):
             self.on_entry_changed(previous, entry)
 
     def remove(self, server: BackendServerId, *, may_have_expired: bool) -> None:
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -80,6 +80,7 @@
 )
 from chivesaddle.serving.registration import Registration
 from chivesaddle.serving.settings import ServingSettings, SettingsError
+from chivesaddle.serving.software_view import SoftwareView
 from chivesaddle.serving.store_hints import StoreHints
 from chivesaddle.serving.stream_sharing import StreamSharing
 from chivesaddle.weights import LEASE_NAME, RENEW_INTERVAL_S, Rollout
@@ -96,8 +97,6 @@
 # Part of ``Bounds.older_weights_s`` that is reserved for two delays: until this daemon
 # receives a new target version, and until a backend server runs a queued request.
 OLDER_WEIGHTS_RESERVE_S = 1.3
-# A daemon that started longer ago and has heard of no peer is the only one that runs.
-FIRST_EXCHANGE_TIMEOUT_S = 3.0
 
 log = ComponentLogger("serving")
 
@@ -148,7 +147,6 @@
         self._serving_state = ServingState(
             reactor, bounds.older_weights_s - OLDER_WEIGHTS_RESERVE_S
         )
-        self._started_at = reactor.seconds()
         self._servers = ServerTable(reactor)
         self._software = SoftwareHistory(reactor, self._servers)
         StoredDocuments(
@@ -251,9 +249,10 @@
             limits.apply_reports,
         )
         limits.on_report = self._limit_notices.send
-        self._origins = StreamOrigins(
-            reactor, self._software, self._knows_software_versions
+        software_view = SoftwareView(
+            reactor, self._members, self._software, self._reachability
         )
+        self._origins = StreamOrigins(reactor, self._software, software_view.is_current)
         self._stream_sharing = StreamSharing(
             reactor, self._members, self._working_set, self._datagrams, self._origins
         )
@@ -436,18 +435,6 @@
         self.metrics.observe_request(result, seconds)
         self._demand.record_request()
 
-    def _knows_software_versions(self) -> bool:
-        """Return whether this daemon knows the software versions of all servers.
-
-        Without the store and peers, it would not hear of a new version, and a daemon
-        that has just started does not know which versions have left.
-        """
-        peers = self._members.serving_peers()
-        is_new = self._reactor.seconds() - self._started_at < FIRST_EXCHANGE_TIMEOUT_S
-        if not self._software.has_heard_peers and (peers or is_new):
-            return not self._members.peers()
-        return self._reachability.unreachable_since is None or bool(peers)
-
     def _order_rank(self) -> int:
         """Return this daemon's position among those that may give weight orders."""
         if self._working_set.is_whole_fleet:
--- a/tests/serving/test_stream_sharing.py
+++ b/tests/serving/test_stream_sharing.py
@@ -175,6 +175,17 @@
         del fleet.daemons[begun[0][1]]
         assert fleet.share_that_goes_on([stream for stream, _ in begun]) >= 0.9
 
+    def test_streams_begun_before_the_second_version_came_back_go_on(self, size):
+        """Guards against a version mix that is noticed only the first time."""
+        fleet = Fleet(size)
+        fleet.remove_servers("v2")
+        fleet.advance(61)
+        begun = [fleet.begin() for _ in range(24)]
+        fleet.put_servers("v2")
+        fleet.advance(0.1)
+        del fleet.daemons[begun[0][1]]
+        assert fleet.share_that_goes_on([stream for stream, _ in begun]) >= 0.9
+
     def test_streams_are_never_mixed_while_the_fleet_rolls_and_restarts(self, size):
         fleet = Fleet(size, versions=("v1",))
         for version, previous in (("v2", "v1"), ("v3", "v2"), ("v2", "v3")):
