--- a/src/chivesaddle/standins/platform_server.py
+++ b/src/chivesaddle/standins/platform_server.py
@@ -34,6 +34,11 @@
         Abort event streams after the event with this id; 0 disables it.
     break_new_stream_after : int
         The same for streams that begin here, not for those that are resumed.
+    cut_stream_after : int
+        End event streams properly in the middle of the event after the one with this
+        id; 0 disables it.
+    unframed : bool
+        Send event streams without length and chunks, and close the connection.
     extra_answer : bool
         Send a second response after each response.
     mute : bool
@@ -52,6 +57,8 @@
     lose_answer: bool = False
     break_stream_after: int = 0
     break_new_stream_after: int = 0
+    cut_stream_after: int = 0
+    unframed: bool = False
     extra_answer: bool = False
     mute: bool = False
     limit_per_s: float = 0.0
@@ -69,6 +76,28 @@
         return headers
 
 
+class UnframedResponder:
+    """Writes a response that ends with its connection."""
+
+    def __init__(self, responder: Any) -> None:
+        self._transport = responder.connection.transport
+        self.abort = responder.abort
+
+    def start(self, status: int, reason: bytes, headers: HeaderList) -> None:
+        """Write status and headers."""
+        lines = [b"HTTP/1.1 %d %s" % (status, reason), b"connection: close"]
+        lines += [name + b": " + value for name, value in headers]
+        self.write(b"\r\n".join(lines) + b"\r\n\r\n")
+
+    def write(self, data: bytes) -> None:
+        """Write body bytes."""
+        self._transport.write(data)
+
+    def finish(self) -> None:
+        """Close the connection."""
+        self._transport.loseConnection()
+
+
 @dataclass(slots=True)
 class PlatformServer:
     """Responds to requests of daemons and records those that it ran."""
@@ -132,6 +161,8 @@
                 responder.connection.transport.write(EXTRA_RESPONSE)
 
     async def _stream(self, request: Any, responder: Any, headers: Any) -> None:
+        if self.faults.unframed:
+            responder = UnframedResponder(responder)
         first_event_id = int(request.headers.get("last-event-id") or 0) + 1
         responder.start(200, b"OK", headers)
         for event_id in range(first_event_id, STREAM_EVENT_COUNT + 1):
@@ -141,8 +172,11 @@
             if 0 < limit < event_id:
                 responder.abort()
                 return
-            event = f"id: {event_id}\ndata: {event_id} {self.server_id}\n\n"
-            responder.write(event.encode())
+            event = f"id: {event_id}\ndata: {event_id} {self.server_id}\n\n".encode()
+            if 0 < self.faults.cut_stream_after < event_id:
+                responder.write(event[:-2])
+                break
+            responder.write(event)
             await sleep_until(self.reactor, self.reactor.seconds() + EVENT_INTERVAL_S)
         responder.finish()
 
--- a/src/chivesaddle/tools/soak/callers.py
+++ b/src/chivesaddle/tools/soak/callers.py
@@ -2,16 +2,20 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+import re
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import httpx
 
-from chivesaddle.platform.headers import REQUEST_ID, TIME_LIMIT
+from chivesaddle.platform.headers import LAST_EVENT, REQUEST_ID, RESUMES, TIME_LIMIT
 from chivesaddle.standins.platform_server import STREAM_EVENT_COUNT
 from chivesaddle.tools.platform_fleet import API_KEY, HOST_NAME
 
 REQUEST_TIMEOUT_MS = 3_000
+# Times that a caller takes up a stream that was broken off.
+MAX_TAKEN_UP = 2
+EVENT = re.compile(r"id: (\d+)\ndata: \d+ (\S+)\n\n")
 # Response statuses after which an unsafe request must not have run.
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 
@@ -47,6 +51,8 @@
         Returns the client addresses of the daemons, as one daemon lists them.
     clock : callable
         Returns the time in seconds.
+    software_by_server : mapping
+        Software version of each backend server.
     """
 
     def __init__(
@@ -56,8 +62,10 @@
         request_log: RequestLog,
         list_addresses: Callable[[], Awaitable[list[str]]],
         clock: Callable[[], float],
+        software_by_server: Mapping[str, str],
     ) -> None:
         self._name = name
+        self._software_by_server = software_by_server
         self._random = random.Random(seed)
         self._request_log = request_log
         self._list_addresses = list_addresses
@@ -77,39 +85,101 @@
                 await asyncio.sleep(self._random.uniform(0.0, 0.08))
 
     async def _request(self, client: httpx.AsyncClient, address: str) -> bool:
+        route = self._random.choice(("safe", "unsafe", "stream"))
+        if route == "stream":
+            return await self._request_stream(client, address)
+        request_id, headers = self._start(route)
+        url = f"http://{address}/{route}/x"
+        try:
+            response = await client.post(
+                url, headers=headers, content=request_id.encode()
+            )
+        except httpx.HTTPError:
+            # After a connection error the request may or may not have run.
+            return False
+        self._request_log.status_by_id[request_id] = response.status_code
+        if (
+            response.status_code == 200
+            and response.text != f"{request_id}:{request_id}"
+        ):
+            self._request_log.violations.append(
+                f"{request_id}: wrong response {response.text!r}"
+            )
+        return response.status_code < 500
+
+    def _start(self, route: str) -> tuple[str, dict[str, str]]:
+        """Record a new request; return its id and headers."""
         self._sent_count += 1
         request_id = f"{self._name}-{self._sent_count}"
-        route = self._random.choice(("safe", "unsafe", "stream"))
         self._request_log.route_by_id[request_id] = route
         self._request_log.sent_at_by_id[request_id] = self._clock()
         self._request_log.status_by_id[request_id] = None
-        headers = {
+        return request_id, {
             "Host": HOST_NAME,
             "Authorization": f"Bearer {API_KEY}",
             REQUEST_ID.decode(): request_id,
             TIME_LIMIT.decode(): str(REQUEST_TIMEOUT_MS),
         }
-        body = request_id.encode()
-        url = f"http://{address}/{route}/x"
+
+    async def _request_stream(self, client: httpx.AsyncClient, address: str) -> bool:
+        """Receive a stream; take it up at other daemons if it is broken off."""
+        events: list[tuple[str, str]] = []
+        began, target = "", f"/stream/{self._name}-{self._sent_count}"
+        for _ in range(1 + MAX_TAKEN_UP):
+            request_id, headers = self._start("stream")
+            if events:
+                headers |= {RESUMES.decode(): began, LAST_EVENT.decode(): events[-1][0]}
+            text, is_complete = await self._receive(
+                client, f"http://{address}{target}", request_id, headers
+            )
+            began = began if events else request_id
+            events += EVENT.findall(text)
+            found = check_events(events, is_complete, self._software_by_server)
+            self._request_log.violations += [f"{request_id}: {v}" for v in found]
+            if is_complete or not events:
+                break
+            addresses = await self._list_addresses()
+            address = self._random.choice(addresses) if addresses else address
+        return is_complete
+
+    async def _receive(
+        self,
+        client: httpx.AsyncClient,
+        url: str,
+        request_id: str,
+        headers: dict[str, str],
+    ) -> tuple[str, bool]:
+        """Return the body that arrived, and whether it is a complete success."""
+        text = ""
         try:
-            response = await client.post(url, headers=headers, content=body)
+            async with client.stream("POST", url, headers=headers) as response:
+                async for part in response.aiter_text():
+                    text += part
         except httpx.HTTPError:
-            # After a connection error the request may or may not have run.
-            return False
+            # What arrived before the connection broke counts.
+            return text, False
         self._request_log.status_by_id[request_id] = response.status_code
-        if response.status_code == 200:
-            self._check_response(request_id, route, response.text)
-        return response.status_code < 500
+        return text, response.status_code == 200
 
-    def _check_response(self, request_id: str, route: str, text: str) -> None:
-        if route == "stream":
-            ids = [line for line in text.splitlines() if line.startswith("id: ")]
-            if ids != [f"id: {number}" for number in range(1, STREAM_EVENT_COUNT + 1)]:
-                self._request_log.violations.append(f"{request_id}: events {ids}")
-        elif text != f"{request_id}:{request_id}":
-            self._request_log.violations.append(
-                f"{request_id}: wrong response {text!r}"
-            )
+
+def check_events(
+    events: Sequence[tuple[str, str]],
+    is_complete: bool,
+    software_by_server: Mapping[str, str],
+) -> list[str]:
+    """Return the violations that the events of a stream show, over all its requests.
+
+    Each event is a pair of its id and the server that made it.
+    """
+    violations = []
+    ids = [int(event_id) for event_id, _ in events]
+    expected = list(range(1, STREAM_EVENT_COUNT + 1))
+    if ids != (expected if is_complete else expected[: len(ids)]):
+        violations.append(f"events {ids}, complete: {is_complete}")
+    versions = {software_by_server[server] for _, server in events}
+    if len(versions) > 1:
+        violations.append(f"several software versions: {events}")
+    return violations
 
 
 def check_runs(request_log: RequestLog, runs: list[str]) -> list[str]:
@@ -134,4 +204,4 @@
     return violations
 
 
-__all__ = ["Caller", "RequestLog", "check_runs"]
+__all__ = ["Caller", "RequestLog", "check_events", "check_runs"]
--- a/src/chivesaddle/tools/soak/run.py
+++ b/src/chivesaddle/tools/soak/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 import time
 from collections.abc import Iterator
@@ -16,7 +17,8 @@
 from chivesaddle.tools.soak.proxy import Proxy, ProxyMode
 
 DAEMON_COUNT = 3
-SERVER_COUNT = 3
+SERVER_COUNT = 4
+SOFTWARE_BY_SERVER = {f"server-{n}": f"v{n % 2}" for n in range(SERVER_COUNT)}
 CALLER_COUNT = 8
 # Requests must be served again this long after the last fault.
 MAX_RECOVERY_S = 12.0
@@ -61,6 +63,7 @@
         self.fleet = PlatformFleet(
             build_dir, DAEMON_COUNT, SERVER_COUNT, self._proxy_address
         )
+        self.fleet.software_by_server = SOFTWARE_BY_SERVER
         self.request_log = RequestLog()
         self.fault_log: list[str] = []
         self._recovered_by = 0.0
@@ -101,6 +104,7 @@
                 self.request_log,
                 self._list_addresses,
                 time.monotonic,
+                SOFTWARE_BY_SERVER,
             )
             for n in range(CALLER_COUNT)
         ]
@@ -214,7 +218,9 @@
             self._proxies[name].set_mode(ProxyMode.PASS)
 
     async def _inject_server_faults(self) -> None:
-        name = self._random.choice(list(self.fleet.servers))
+        # With few faulty servers, daemons soon avoid them.
+        names = list(self.fleet.servers)
+        names = self._random.sample(names, self._random.randint(1, len(names)))
         switches = self._random.choice(
             (
                 {"shed": True},
@@ -223,23 +229,31 @@
                 {"refuse_s": self._random.uniform(0.2, 2.0)},
                 {"is_leaving": True},
                 {"break_stream_after": self._random.randint(1, 7)},
+                {
+                    "cut_stream_after": self._random.randint(1, 7),
+                    "unframed": self._random.random() < 0.5,
+                },
+                {"unframed": True},
                 {"extra_answer": True},
                 {"mute": True},
             )
         )
         loop = asyncio.get_running_loop()
-        with self._log_fault(f"{switches} {name}"):
-            await loop.run_in_executor(
-                None, lambda: self.fleet.set_faults(name, **switches)
-            )
+        with self._log_fault(f"{switches} {' '.join(names)}"):
+            for name in names:
+                await loop.run_in_executor(
+                    None, functools.partial(self.fleet.set_faults, name, **switches)
+                )
             await asyncio.sleep(self._random.uniform(0.3, 2.0))
-            await loop.run_in_executor(None, self.fleet.set_faults, name)
+            for name in names:
+                await loop.run_in_executor(None, self.fleet.set_faults, name)
             if "is_leaving" in switches:
                 # Only another start of the server ends its leaving.
                 async with self._is_store_in_use:
-                    await loop.run_in_executor(
-                        None, self.fleet.put_restarted_server, name
-                    )
+                    for name in names:
+                        await loop.run_in_executor(
+                            None, self.fleet.put_restarted_server, name
+                        )
 
     async def _return_store_older(self) -> None:
         """Make the store lose its last writes, unless it is disturbed already."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,7 +1,7 @@
 import pytest
 
 from chivesaddle.tools.soak import run_seed
-from chivesaddle.tools.soak.callers import RequestLog, check_runs
+from chivesaddle.tools.soak.callers import RequestLog, check_events, check_runs
 
 # Seeds of every test run; a seed that once failed is kept here with its cause.
 SEEDS = [
@@ -53,3 +53,28 @@
     def test_violation_is_found(self, request_log, runs, message_part):
         (violation,) = check_runs(request_log, runs)
         assert message_part in violation
+
+
+class TestCheckEvents:
+    """Guards against a soak test that passes because it checks nothing."""
+
+    SOFTWARE = {"a": "v0", "b": "v0", "c": "v1"}
+    WHOLE = [(str(number), "a") for number in range(1, 9)]
+
+    def test_whole_stream_of_one_version_is_no_violation(self):
+        events = [*self.WHOLE[:4], *((number, "b") for number, _ in self.WHOLE[4:])]
+        assert check_events(events, True, self.SOFTWARE) == []
+        assert check_events(events[:5], False, self.SOFTWARE) == []
+
+    @pytest.mark.parametrize(
+        "events, is_complete, message_part",
+        [
+            (WHOLE[:7], True, "events"),
+            ([*WHOLE[:3], *WHOLE[4:]], False, "events"),
+            ([*WHOLE[:3], *WHOLE[2:]], True, "events"),
+            ([*WHOLE[:7], ("8", "c")], True, "several software versions"),
+        ],
+    )
+    def test_violation_is_found(self, events, is_complete, message_part):
+        (violation,) = check_events(events, is_complete, self.SOFTWARE)
+        assert message_part in violation
