Move the software version of a stream out of the forwarder

What keeps a stream at its software version is a module of its own now; behaviour is as before. The metric of streams that went on at the only version had a space in its name. Tests for entries whose version is missing, empty or not text.

--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -13,7 +13,6 @@
     Fingerprint,
     RequestId,
     ServiceId,
-    SoftwareVersion,
     ZoneId,
 )
 from chivesaddle.core.logs import ComponentLogger
@@ -42,7 +41,8 @@
 from chivesaddle.forwarding.request_context import RequestContext
 from chivesaddle.forwarding.results import ResultReporter
 from chivesaddle.forwarding.serving_state import ServingState
-from chivesaddle.forwarding.stream_origins import StreamOrigins, stream_key
+from chivesaddle.forwarding.stream_origins import StreamOrigins
+from chivesaddle.forwarding.stream_software import StreamSoftware
 from chivesaddle.http1 import (
     ConnectionPool,
     HeaderList,
@@ -147,7 +147,7 @@
         self._budget = budget
         self._crashes = crashes
         self._prompts = prompts
-        self._origins = origins
+        self._stream_software = StreamSoftware(origins, servers)
         self._reporter = ResultReporter(clock, observe)
         self._random = random.Random()
         self._queues_by_service: dict[ServiceId, AdmissionQueue] = {}
@@ -289,7 +289,7 @@
             raise TimedOut(f"No complete response in time: {error.message}") from error
 
     async def _send_with_retries(self, context: RequestContext, relay: Relay) -> None:
-        await self._find_origin(context)
+        await self._stream_software.take_up(context)
         while True:
             candidate = await self._find_server(context)
             try:
@@ -318,56 +318,6 @@
                 if not self._may_retry(context):
                     raise self._final_error(context, relay, error.message) from error
 
-    async def _find_origin(self, context: RequestContext) -> None:
-        """Find out where a stream began that the caller takes up.
-
-        Raises `NotRun` if that is not known.
-        """
-        request = context.request
-        if context.route.kind is not RouteKind.STREAM or request.resume_after is None:
-            return
-        account = context.account.id if context.account else None
-        origin = await self._origins.find(
-            account, request.resumed_request, context.service
-        )
-        context.software_version = origin.version
-        if origin.service in context.route.weight_by_service:
-            context.service = origin.service
-        servers = self._servers.of_service(context.service)
-        log.info(
-            "stream taken up",
-            extra={
-                "request": request.id,
-                **context.resumption_fields(),
-                "software": origin.version,
-                "from": origin.source.value,
-                "servers": sum(
-                    server.entry.software_version == origin.version
-                    for server in servers
-                ),
-                "all_servers": len(servers),
-            },
-        )
-
-    def _record_stream_start(
-        self, context: RequestContext, version: SoftwareVersion
-    ) -> None:
-        """Record the software version whose event is about to be passed on."""
-        context.software_version = version
-        request = context.request
-        if not context.route.may_resume:
-            return
-        began = request.id
-        if request.resume_after is not None and request.resumed_request is not None:
-            began = request.resumed_request
-        account = context.account.id if context.account else None
-        self._origins.record_start(
-            stream_key(account, began),
-            context.service,
-            version,
-            context.caller_deadline or context.deadline,
-        )
-
     async def _find_server(self, context: RequestContext) -> Candidate:
         """Return a server, after waiting for one with capacity if necessary.
 
@@ -520,8 +470,7 @@
 
         def record_first_event() -> None:
             self._servers.record_first_event(server.entry.id, serial)
-            if context.route.kind is RouteKind.STREAM:
-                self._record_stream_start(context, software_version)
+            self._stream_software.record_start(context, software_version)
 
         relay.on_start = record_first_event
         outcome: ExchangeOutcome | None = None
--- a/src/chivesaddle/forwarding/stream_origins.py
+++ b/src/chivesaddle/forwarding/stream_origins.py
@@ -46,7 +46,7 @@
 
     OWN = "own"
     PEER = "peer"
-    ONLY_VERSION = "only version"
+    ONLY_VERSION = "only_version"
 
 
 class OriginReport(msgspec.Struct, array_like=True, frozen=True):
--- /dev/null
+++ b/src/chivesaddle/forwarding/stream_software.py
@@ -0,0 +1,82 @@
+"""Keeps each stream at the software version that began it."""
+
+from chivesaddle.core.ids import SoftwareVersion
+from chivesaddle.core.logs import ComponentLogger
+from chivesaddle.core.serving_model import RouteKind
+from chivesaddle.forwarding.request_context import RequestContext
+from chivesaddle.forwarding.stream_origins import StreamOrigins, stream_key
+from chivesaddle.placement import ServerTable
+
+log = ComponentLogger("forward")
+
+
+class StreamSoftware:
+    """Sets the software version at which requests for streams go on.
+
+    Parameters
+    ----------
+    origins : StreamOrigins
+        Software versions at which streams began.
+    servers : ServerTable
+        Backend servers.
+    """
+
+    def __init__(self, origins: StreamOrigins, servers: ServerTable) -> None:
+        self._origins = origins
+        self._servers = servers
+
+    async def take_up(self, context: RequestContext) -> None:
+        """Set version and service if the caller takes up a stream.
+
+        Raises
+        ------
+        NotRun
+            If it is not known where the stream began.
+        """
+        request = context.request
+        if context.route.kind is not RouteKind.STREAM or request.resume_after is None:
+            return
+        account = context.account.id if context.account else None
+        origin = await self._origins.find(
+            account, request.resumed_request, context.service
+        )
+        context.software_version = origin.version
+        if origin.service in context.route.weight_by_service:
+            context.service = origin.service
+        servers = self._servers.of_service(context.service)
+        log.info(
+            "stream taken up",
+            extra={
+                "request": request.id,
+                **context.resumption_fields(),
+                "software": origin.version,
+                "from": origin.source.value,
+                "servers": sum(
+                    server.entry.software_version == origin.version
+                    for server in servers
+                ),
+                "all_servers": len(servers),
+            },
+        )
+
+    def record_start(self, context: RequestContext, version: SoftwareVersion) -> None:
+        """Record the version whose first event is about to be passed on."""
+        if context.route.kind is not RouteKind.STREAM:
+            return
+        context.software_version = version
+        if not context.route.may_resume:
+            return
+        request = context.request
+        began = request.id
+        if request.resume_after is not None and request.resumed_request is not None:
+            began = request.resumed_request
+        account = context.account.id if context.account else None
+        self._origins.record_start(
+            stream_key(account, began),
+            context.service,
+            version,
+            context.caller_deadline or context.deadline,
+        )
+
+
+__all__ = ["StreamSoftware"]
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -107,3 +107,25 @@
     @pytest.mark.parametrize("value", [None, "text", [], {"service": "llm"}])
     def test_malformed_value_is_ignored(self, value):
         assert decode_server("i-1", value) is None
+
+
+class TestSoftwareVersion:
+    ENTRY = {
+        "service": "app",
+        "address": "10.0.0.1:80",
+        "zone": "z",
+        "slots": 4,
+        "state": "ready",
+    }
+
+    @pytest.mark.parametrize(
+        "fields, version",
+        [({"version": "v1.1"}, "v1.1"), ({"version": ""}, ""), ({}, "")],
+    )
+    def test_is_that_of_the_entry_or_unknown(self, fields, version):
+        entry = decode_server("i-1", {**self.ENTRY, **fields})
+        assert entry.software_version == version
+
+    @pytest.mark.parametrize("version", [1, None, ["v1"]])
+    def test_that_is_not_text_makes_the_entry_unusable(self, version):
+        assert decode_server("i-1", {**self.ENTRY, "version": version}) is None
