--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -289,7 +289,7 @@
             raise TimedOut(f"No complete response in time: {error.message}") from error
 
     async def _send_with_retries(self, context: RequestContext, relay: Relay) -> None:
-        await self._stream_software.take_up(context)
+        await self._stream_software.resume(context)
         while True:
             candidate = await self._find_server(context)
             try:
--- a/src/chivesaddle/forwarding/request_context.py
+++ b/src/chivesaddle/forwarding/request_context.py
@@ -65,7 +65,7 @@
         }
 
     def resumption_fields(self) -> dict[str, object]:
-        """Return log fields about the stream that the caller takes up."""
+        """Return log fields about the stream that the caller resumes."""
         if self.request.resume_after is None:
             return {}
         resumes = self.request.resumed_request
--- a/src/chivesaddle/forwarding/stream_origins.py
+++ b/src/chivesaddle/forwarding/stream_origins.py
@@ -1,7 +1,7 @@
 """Which software version each stream began at, as all daemons together know it.
 
 What two versions of a server's software write doesn't fit together, so a stream goes on
-only at servers of the version that began it. Its caller may take it up at any daemon.
+only at servers of the version that began it. Its caller may resume it at any daemon.
 While a service has servers of several versions, each daemon therefore tells a few
 others, chosen by the stream, where it begins; a daemon that does not know asks them.
 """
@@ -36,7 +36,7 @@
 def stream_key(account: AccountId | None, request: RequestId) -> int:
     """Return the key of the stream that a request of an account began.
 
-    The account is part of the key, so that no account takes up a stream of another.
+    The account is part of the key, so that no account resumes a stream of another.
     """
     return xxhash.xxh3_64_intdigest(f"{account or ''}\0{request}".encode())
 
@@ -57,7 +57,7 @@
     key : int
         See `stream_key`.
     valid_ms : int
-        Milliseconds for which the stream may still be taken up.
+        Milliseconds for which the stream may still be resumed.
     """
 
     key: int
@@ -73,7 +73,7 @@
     Attributes
     ----------
     valid_until : float
-        Until when the stream may be taken up, in seconds of the daemon's clock.
+        Until when the stream may be resumed, in seconds of the daemon's clock.
     """
 
     service: ServiceId
@@ -83,7 +83,7 @@
 
 
 class StreamOrigins:
-    """The origins of streams that may still be taken up.
+    """The origins of streams that may still be resumed.
 
     Parameters
     ----------
@@ -110,7 +110,7 @@
         self.on_report: Callable[[list[OriginReport]], None] = lambda reports: None
         # Called with the key of a stream whose origin other daemons may know.
         self.on_question: Callable[[int], None] = lambda key: None
-        self.taken_up_by_result: Counter[str] = Counter()
+        self.resumed_by_result: Counter[str] = Counter()
         software.on_mixed = self._report_all
 
     def __len__(self) -> int:
@@ -134,7 +134,7 @@
         resumed_request: RequestId | None,
         service: ServiceId,
     ) -> StreamOrigin:
-        """Return the origin of a stream that a caller takes up.
+        """Return the origin of a stream that a caller resumes.
 
         Parameters
         ----------
@@ -150,13 +150,13 @@
         """
         origin = await self._find(account, resumed_request, service)
         if origin is None:
-            self.taken_up_by_result["unknown"] += 1
+            self.resumed_by_result["unknown"] += 1
             raise NotRun(
                 "The software version at which the stream began is not known; "
                 f"versions of {service}: {sorted(self._software.versions(service))}",
                 retry_after_s=UNKNOWN_RETRY_AFTER_S,
             )
-        self.taken_up_by_result[origin.source.value] += 1
+        self.resumed_by_result[origin.source.value] += 1
         return origin
 
     async def _find(
--- a/src/chivesaddle/forwarding/stream_software.py
+++ b/src/chivesaddle/forwarding/stream_software.py
@@ -25,8 +25,8 @@
         self._origins = origins
         self._servers = servers
 
-    async def take_up(self, context: RequestContext) -> None:
-        """Set version and service if the caller takes up a stream.
+    async def resume(self, context: RequestContext) -> None:
+        """Set version and service if the caller resumes a stream.
 
         Raises
         ------
@@ -45,7 +45,7 @@
             context.service = origin.service
         servers = self._servers.of_service(context.service)
         log.info(
-            "stream taken up",
+            "stream resumed by its caller",
             extra={
                 "request": request.id,
                 **context.resumption_fields(),
--- a/src/chivesaddle/placement/software.py
+++ b/src/chivesaddle/placement/software.py
@@ -12,7 +12,7 @@
 from chivesaddle.core.serving_model import ServerEntry
 from chivesaddle.placement.table import ServerTable
 
-# Callers take streams up again for at most their time limit; the longest in use are
+# Callers resume streams for at most their time limit; the longest in use are
 # 15 s.
 GONE_VERSION_RETENTION_S = 60.0
 
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -497,8 +497,8 @@
             self.metrics.set_value("working_set", len(self._working_set.daemons()))
             self.metrics.set_value("limited_servers", self._limits.in_force())
             self.metrics.set_value("stream_origins", len(self._origins))
-            for result, count in self._origins.taken_up_by_result.items():
-                self.metrics.set_value(f"streams_taken_up_{result}", count)
+            for result, count in self._origins.resumed_by_result.items():
+                self.metrics.set_value(f"streams_resumed_{result}", count)
             self.metrics.set_value("in_flight", self._caller_listener.in_flight)
             self.metrics.set_value("callers", len(self._caller_listener.connections))
 
--- a/src/chivesaddle/tools/soak/callers.py
+++ b/src/chivesaddle/tools/soak/callers.py
@@ -13,8 +13,8 @@
 from chivesaddle.tools.platform_fleet import API_KEY, HOST_NAME
 
 REQUEST_TIMEOUT_MS = 3_000
-# Times that a caller takes up a stream that was broken off.
-MAX_TAKEN_UP = 2
+# Times that a caller resumes a stream that was broken off.
+MAX_RESUMPTIONS = 2
 EVENT = re.compile(r"id: (\d+)\ndata: \d+ (\S+)\n\n")
 # Response statuses after which an unsafe request must not have run.
 NOT_RUN_STATUSES = {408, 421, 429, 503}
@@ -122,10 +122,10 @@
         }
 
     async def _request_stream(self, client: httpx.AsyncClient, address: str) -> bool:
-        """Receive a stream; take it up at other daemons if it is broken off."""
+        """Receive a stream; resume it at other daemons if it is broken off."""
         events: list[tuple[str, str]] = []
         began, target = "", f"/stream/{self._name}-{self._sent_count}"
-        for _ in range(1 + MAX_TAKEN_UP):
+        for _ in range(1 + MAX_RESUMPTIONS):
             request_id, headers = self._start("stream")
             if events:
                 headers |= {RESUMES.decode(): began, LAST_EVENT.decode(): events[-1][0]}
--- a/tests/e2e_platform/test_software_versions.py
+++ b/tests/e2e_platform/test_software_versions.py
@@ -95,7 +95,7 @@
 
 def test_stream_goes_on_at_its_version_at_another_daemon(fleet):
     break_new_streams(fleet)
-    taken_up = []
+    resumed = []
     for number in range(STREAMS):
         first = f"two-{number}"
         target = f"/stream-once/{number}"
@@ -112,9 +112,9 @@
             events += more
             if is_whole(events):
                 break
-        taken_up.append(events)
-    assert [versions(events) for events in taken_up if len(versions(events)) > 1] == []
-    assert sum(map(is_whole, taken_up)) >= 0.9 * len(taken_up)
+        resumed.append(events)
+    assert [versions(events) for events in resumed if len(versions(events)) > 1] == []
+    assert sum(map(is_whole, resumed)) >= 0.9 * len(resumed)
 
 
 def test_stream_goes_on_at_its_version_after_its_daemon_was_killed(fleet):
--- a/tests/forwarding/test_software_versions.py
+++ b/tests/forwarding/test_software_versions.py
@@ -27,7 +27,7 @@
     return VERSION_BY_SERVER[int(connection.address[7])]
 
 
-def take_up(harness, resumes, after="1", request_id="a2", key="k1"):
+def resume(harness, resumes, after="1", request_id="a2", key="k1"):
     caller = harness.caller()
     caller.request(
         "/resumable/x",
@@ -98,7 +98,7 @@
         assert caller.received().endswith(b"0\r\n\r\n")
 
 
-class TestTakenUp:
+class TestResumedByCaller:
     def begin(self, harness, request_id="a1"):
         caller = harness.caller()
         caller.request("/resumable/x", request_id)
@@ -114,17 +114,17 @@
             for server in mixed.servers.all():
                 is_own = server.entry.software_version == version_of(first)
                 server.failure_rate = 0.9 if is_own else 0.0
-            take_up(mixed, f"a{number}", request_id=f"b{number}")
+            resume(mixed, f"a{number}", request_id=f"b{number}")
             second = mixed.connections[-1]
             assert version_of(second) == version_of(first)
             second.start_stream(EVENT_2)
             second.end_stream()
             close_pooled_connections(mixed)
 
-    def test_stream_that_is_taken_up_twice_stays_at_its_version(self, mixed):
+    def test_stream_that_is_resumed_twice_stays_at_its_version(self, mixed):
         first = self.begin(mixed)
         for request_id in ("a2", "a3"):
-            caller = take_up(mixed, "a1", request_id=request_id)
+            caller = resume(mixed, "a1", request_id=request_id)
             connection = mixed.connections[-1]
             assert version_of(connection) == version_of(first)
             connection.start_stream(EVENT_2)
@@ -134,7 +134,7 @@
     def test_unknown_stream_is_refused_as_not_run_with_the_time_to_return(
         self, mixed, resumes
     ):
-        caller = take_up(mixed, resumes)
+        caller = resume(mixed, resumes)
         mixed.advance(0.1)
         mixed.advance(0.1)
         assert caller.status == 503
@@ -143,26 +143,26 @@
 
     def test_stream_of_another_account_is_unknown(self, mixed):
         mixed.origins.record_start(stream_key("other", "a1"), "app", "v1", 1e9)
-        caller = take_up(mixed, "a1")
+        caller = resume(mixed, "a1")
         mixed.advance(0.1)
         mixed.advance(0.1)
         assert caller.status == 503
 
     def test_stream_is_refused_while_no_server_of_its_version_is_listed(self, mixed):
         mixed.origins.record_start(stream_key("acme", "a1"), "app", "v0", 1e9)
-        caller = take_up(mixed, "a1")
+        caller = resume(mixed, "a1")
         assert caller.status == 503
         assert b"retry-after" in caller.received().lower()
 
     def test_unknown_stream_goes_on_if_its_service_has_had_one_version(self, harness):
-        take_up(harness, "a0")
+        resume(harness, "a0")
         assert harness.connections[-1].header("last-event-id") == "1"
 
     def test_daemon_that_may_have_missed_a_version_refuses_unknown_streams(
         self, harness
     ):
         harness.knows_software_versions = False
-        caller = take_up(harness, "a0")
+        caller = resume(harness, "a0")
         harness.advance(0.1)
         harness.advance(0.1)
         assert caller.status == 503
@@ -170,12 +170,12 @@
     def test_version_that_left_within_a_minute_still_counts(self, harness):
         harness.add_server(1, version="v2")
         harness.add_server(2, version="v2")
-        caller = take_up(harness, "a0")
+        caller = resume(harness, "a0")
         harness.advance(0.1)
         harness.advance(0.1)
         assert caller.status == 503
         harness.advance(60)
-        take_up(harness, "a0", request_id="a3")
+        resume(harness, "a0", request_id="a3")
         assert harness.connections[-1].header("last-event-id") == "1"
 
     def test_request_that_resumes_nothing_is_placed_anywhere(self, mixed):
--- a/tests/serving/test_stream_sharing.py
+++ b/tests/serving/test_stream_sharing.py
@@ -106,7 +106,7 @@
         )
         return stream, id
 
-    def take_up(self, stream, daemon=None):
+    def resume(self, stream, daemon=None):
         """Return the version at which a daemon goes on with a stream, None if not."""
         id = daemon or self.random.choice(list(self.daemons))
         results = []
@@ -132,15 +132,15 @@
             self.clock.advance(0.01)
 
     def share_that_goes_on(self, streams):
-        """Take streams up; return the share that goes on, all at their versions."""
-        taken_up = {stream: self.take_up(stream) for stream in streams}
+        """Resume streams; return the share that goes on, all at their versions."""
+        resumed = {stream: self.resume(stream) for stream in streams}
         mixed = [
             stream
-            for stream, version in taken_up.items()
+            for stream, version in resumed.items()
             if version not in (None, self.version_by_stream[stream])
         ]
         assert mixed == []
-        return sum(version is not None for version in taken_up.values()) / len(streams)
+        return sum(version is not None for version in resumed.values()) / len(streams)
 
 
 @pytest.mark.parametrize("size", SIZES)
@@ -225,10 +225,10 @@
         streams = []
         for _ in range(data.draw(st.integers(5, 25))):
             listed = sorted({entry["version"] for entry in fleet.entries.values()})
-            match data.draw(st.sampled_from(["begin", "take up", "put", "remove"])):
+            match data.draw(st.sampled_from(["begin", "resume", "put", "remove"])):
                 case "begin":
                     streams.append(fleet.begin()[0])
-                case "take up" if streams:
+                case "resume" if streams:
                     fleet.share_that_goes_on([data.draw(st.sampled_from(streams))])
                 case "put":
                     fleet.put_servers(data.draw(st.sampled_from(["v1", "v2", "v3"])))
