--- a/src/chivesaddle/fleet/notices.py
+++ b/src/chivesaddle/fleet/notices.py
@@ -1,6 +1,7 @@
 """Datagrams with observations that the other daemons need at once.
 
-A datagram may be lost. What it reported is exchanged again by `GossipExchange`.
+A datagram may be lost. Crashes and limits are exchanged again by `GossipExchange`;
+origins of streams are asked for.
 """
 
 from collections.abc import Callable, Sequence
--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -442,7 +442,7 @@
         options = SendOptions(
             server=server.entry.id,
             time_left_s=context.deadline - now,
-            account=context.account.id if context.account else None,
+            account=context.account_id,
             weight_version=candidate.version,
             priority=self._priority(context),
             cache_scope=scope,
--- a/src/chivesaddle/forwarding/request_context.py
+++ b/src/chivesaddle/forwarding/request_context.py
@@ -3,6 +3,7 @@
 from dataclasses import asdict, dataclass, field
 
 from chivesaddle.core.ids import (
+    AccountId,
     BackendServerId,
     Fingerprint,
     ServiceId,
@@ -55,6 +56,11 @@
     framing: Framing | None = None
     unfinished_bytes: int = 0
 
+    @property
+    def account_id(self) -> AccountId | None:
+        """The client account of the request, if it has one."""
+        return None if self.account is None else self.account.id
+
     def response_fields(self) -> dict[str, object]:
         """Return log fields about how the last response was framed and ended."""
         if self.framing is None:
--- a/src/chivesaddle/forwarding/stream_origins.py
+++ b/src/chivesaddle/forwarding/stream_origins.py
@@ -15,7 +15,8 @@
 import xxhash
 from twisted.internet.defer import Deferred
 
-from chivesaddle.core.aio import Clock, sleep_until
+from chivesaddle.core.aio import Clock, with_deadline
+from chivesaddle.core.errors import DeadlineExceeded
 from chivesaddle.core.ids import AccountId, RequestId, ServiceId, SoftwareVersion
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.forwarding.errors import NotRun
@@ -181,18 +182,13 @@
             answered: Deferred[None] = Deferred()
             waiters = self._waiters_by_key.setdefault(key, [])
             waiters.append(answered)
-            timeout = sleep_until(
-                self._clock, self._clock.seconds() + QUESTION_TIMEOUT_S
-            )
-            timeout.addCallbacks(
-                lambda _, answered=answered: answered.called or answered.callback(None),
-                lambda failure: None,
-            )
+            deadline = self._clock.seconds() + QUESTION_TIMEOUT_S
             self.on_question(key)
             try:
-                await answered
+                await with_deadline(self._clock, deadline, answered, "stream origin")
+            except DeadlineExceeded:
+                log.info("stream origin not answered", extra={"key": key})
             finally:
-                timeout.cancel()
                 waiters.remove(answered)
                 if not waiters:
                     self._waiters_by_key.pop(key, None)
--- a/src/chivesaddle/forwarding/stream_software.py
+++ b/src/chivesaddle/forwarding/stream_software.py
@@ -36,9 +36,8 @@
         request = context.request
         if context.route.kind is not RouteKind.STREAM or request.resume_after is None:
             return
-        account = context.account.id if context.account else None
         origin = await self._origins.find(
-            account, request.resumed_request, context.service
+            context.account_id, request.resumed_request, context.service
         )
         context.software_version = origin.version
         if origin.service in context.route.weight_by_service:
@@ -70,9 +69,8 @@
         began = request.id
         if request.resume_after is not None and request.resumed_request is not None:
             began = request.resumed_request
-        account = context.account.id if context.account else None
         self._origins.record_start(
-            stream_key(account, began),
+            stream_key(context.account_id, began),
             context.service,
             version,
             context.caller_deadline or context.deadline,
