Log the parts of a request whose server broke, and how long it had answered

The relay now reports the first event of each server, not only the one that starts the caller's response; a server that resumes a stream therefore also stops counting as prefilling then.

Tests of forwarding and serving pass.

--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -468,13 +468,16 @@
         )
         software_version = server.entry.software_version
 
-        def record_first_event() -> None:
-            self._servers.record_first_event(server.entry.id, serial)
-            self._stream_software.record_start(context, software_version)
+        def record_progress() -> None:
+            if context.server_began_at is None:
+                context.server_began_at = self._clock.seconds()
+                self._servers.record_first_event(server.entry.id, serial)
+                self._stream_software.record_start(context, software_version)
 
-        relay.on_start = record_first_event
+        relay.on_progress = record_progress
         outcome: ExchangeOutcome | None = None
         context.framing, context.unfinished_bytes = None, 0
+        context.server_began_at = None
         self._crashes.start_run(context.fingerprint)
         try:
             headers = self._codec.encode_server_headers(context.request, options)
--- a/src/chivesaddle/forwarding/relay.py
+++ b/src/chivesaddle/forwarding/relay.py
@@ -31,6 +31,11 @@
         Whether responses are event streams.
     clock : Clock
         Clock of ``started_at``, the time at which the response to the caller began.
+
+    Attributes
+    ----------
+    on_progress : callable
+        Called before complete events, or the begin of another body, go to the caller.
     """
 
     def __init__(self, responder: Responder, is_stream: bool, clock: Clock) -> None:
@@ -38,7 +43,7 @@
         self._is_stream = is_stream
         self._splitter = EventSplitter()
         self.started_at: float | None = None
-        self.on_start: Callable[[], None] | None = None
+        self.on_progress: Callable[[], None] = lambda: None
         self._clock = clock
 
     @property
@@ -79,9 +84,11 @@
             buffered.append(chunk)
             size += len(chunk)
             if size > MAX_BUFFERED_BYTES:
+                self.on_progress()
                 self._start(response, response.content_length)
                 await self._write(b"".join(buffered))
         if not self.has_started:
+            self.on_progress()
             self._start(response, size)
             await self._write(b"".join(buffered))
         self._responder.finish()
@@ -100,6 +107,7 @@
             if not events:
                 continue
             has_event = True
+            self.on_progress()
             if not self.has_started:
                 self._start(response, None)
             await self._write(events)
@@ -110,6 +118,8 @@
                 # The kernel closes the connections of a process that crashed.
                 may_be_crash=response.framing is Framing.CONNECTION,
             )
+        if not has_event:
+            self.on_progress()
         if not self.has_started:
             self._start(response, None)
         await self._write(self._splitter.remainder)
@@ -120,8 +130,6 @@
         if length is not None:
             headers.append((b"content-length", str(length).encode()))
         self.started_at = self._clock.seconds()
-        if self.on_start is not None:
-            self.on_start()
         self._responder.start(response.status, response.reason, headers)
 
     async def _write(self, data: bytes) -> None:
--- a/src/chivesaddle/forwarding/request_context.py
+++ b/src/chivesaddle/forwarding/request_context.py
@@ -16,6 +16,8 @@
 
 # Ids of callers in log lines are cut to this length.
 MAX_LOGGED_ID_CHARS = 64
+# Parts of a prompt in one log line.
+MAX_LOGGED_PARTS = 8
 
 
 @dataclass(slots=True)
@@ -35,6 +37,8 @@
         What marks the end of the last response, None before a response.
     unfinished_bytes : int
         Bytes of an event at the end of the last response that had no end.
+    server_began_at : float or None
+        When the last server's first event arrived, None before it.
     """
 
     request: CallerRequest
@@ -55,6 +59,7 @@
     software_version: SoftwareVersion | None = None
     framing: Framing | None = None
     unfinished_bytes: int = 0
+    server_began_at: float | None = None
 
     @property
     def account_id(self) -> AccountId | None:
@@ -70,6 +75,14 @@
             "unfinished_bytes": self.unfinished_bytes,
         }
 
+    def break_fields(self, now: float) -> dict[str, object]:
+        """Return log fields about what a server had begun when it broke."""
+        began_at = self.server_began_at
+        return {
+            "parts": [part.id for part in self.request.parts[:-1][:MAX_LOGGED_PARTS]],
+            "answered_ms": None if began_at is None else round((now - began_at) * 1e3),
+        }
+
     def resumption_fields(self) -> dict[str, object]:
         """Return log fields about the stream that the caller resumes."""
         if self.request.resume_after is None:
--- a/src/chivesaddle/forwarding/results.py
+++ b/src/chivesaddle/forwarding/results.py
@@ -65,6 +65,7 @@
                 "sends": context.sends,
                 "runs": context.runs,
                 **context.response_fields(),
+                **context.break_fields(self._clock.seconds()),
             },
         )
 
