--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -127,6 +127,10 @@
             return connector
 
         def open_connection():
+            if address in self.refusing_addresses:
+                failure = Failure(ConnectionRefusedError())
+                factory.clientConnectionFailed(None, failure)
+                return
             protocol = factory.buildProtocol(None)
             transport = Transport(self.clock)
             transport.protocol = protocol
@@ -177,10 +181,11 @@
         lines.append(f"Content-Length: {len(body)}")
         self.send("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
-    def start_stream(self, *events):
+    def start_stream(self, *events, request_id=None):
+        request_id = request_id or self.request_id
         self.send(
             b"HTTP/1.1 200 OK\r\nX-Chivesaddle-Server-Signature: sig\r\n"
-            + f"X-Chivesaddle-Attempt-Identifier: {self.request_id}\r\n".encode()
+            + f"X-Chivesaddle-Attempt-Identifier: {request_id}\r\n".encode()
             + b"Transfer-Encoding: chunked\r\n\r\n"
         )
         for event in events:
