Find the prompt part that crashes servers, and refuse requests with it

What callers saw: requests of one kind crashed the model servers one after the other, each generation of them again; most requests of these services were refused or failed meanwhile. Cause: a crash counted only against a whole request, recognized by path, account and body. Requests that share a crashing part and nothing else each started a count of their own.

Now each part but the last is a suspect of a crash unless the server had begun to answer it. The fewest parts that explain the crashes are refused on all daemons; a crash that one part explains counts against no other part or request. An answer clears a part, and a response that goes on after its server was said to have crashed clears the suspects of that crash. This works since a crashing part is at each of its crashes and is never answered, while a common part is answered elsewhere.

--- /dev/null
+++ b/src/chivesaddle/forwarding/crash_history.py
@@ -0,0 +1,104 @@
+"""The crashes that count against one request or prompt part, and reports of them."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from enum import IntEnum
+
+import msgspec
+
+from chivesaddle.forwarding.blame import CrashId
+
+# A confirmed crash counts for this long.
+CRASH_RETENTION_S = 3_600.0
+# A server that crashed refuses connections at once, but an ejected one is not contacted
+# for up to 4 s, and its entry expires after three heartbeats of 1.2 s and the list's
+# delay. A broken connection counts for this long unless the crash is confirmed.
+CONFIRMATION_WINDOW_S = 10.0
+
+
+class CrashState(IntEnum):
+    """What is known of a crash; of two reports, the higher state is true."""
+
+    SUSPECTED = 1
+    CONFIRMED = 2
+    CLEARED = 3
+
+
+class CrashReport(msgspec.Struct, array_like=True, frozen=True):
+    """What one daemon tells others about a server's crash under a request.
+
+    Attributes
+    ----------
+    fingerprint : str
+        Fingerprint of the request or of a part of its prompt.
+    server : str
+        Id of the server.
+    started_ms : int
+        Start of the server that crashed, in Unix milliseconds.
+    age_ms : int
+        Milliseconds since the connection broke.
+    was_answered : bool
+        Whether a server was seen to answer the part shortly before.
+    """
+
+    fingerprint: str
+    server: str
+    started_ms: int
+    state: CrashState
+    age_ms: int
+    was_answered: bool = False
+
+
+@dataclass(slots=True)
+class Crash:
+    """A server's crash as it counts against one request or part."""
+
+    state: CrashState
+    at: float
+
+    def counts_until(self) -> float:
+        """Return the time until which the crash counts against the request."""
+        match self.state:
+            case CrashState.SUSPECTED:
+                return self.at + CONFIRMATION_WINDOW_S
+            case CrashState.CONFIRMED:
+                return self.at + CRASH_RETENTION_S
+            case CrashState.CLEARED:
+                return float("-inf")
+
+
+@dataclass(slots=True)
+class CrashHistory:
+    """Crashes under one request or part, by id and start of the server."""
+
+    changed_at: float
+    crashes_by_server: OrderedDict[CrashId, Crash]
+    was_answered: bool = False
+
+    def counting(self, now: float) -> dict[CrashId, Crash]:
+        """Return the crashes that count now."""
+        return {
+            id: crash
+            for id, crash in self.crashes_by_server.items()
+            if crash.counts_until() > now
+        }
+
+    def count_ends(self, now: float) -> list[float]:
+        """Return when each crash that counts now stops counting, in order."""
+        return sorted(crash.counts_until() for crash in self.counting(now).values())
+
+    def is_confirmed(self) -> bool:
+        """Return whether any crash was confirmed and not cleared."""
+        return any(
+            crash.state is CrashState.CONFIRMED
+            for crash in self.crashes_by_server.values()
+        )
+
+
+__all__ = [
+    "CRASH_RETENTION_S",
+    "Crash",
+    "CrashHistory",
+    "CrashReport",
+    "CrashState",
+]
--- a/src/chivesaddle/forwarding/crashes.py
+++ b/src/chivesaddle/forwarding/crashes.py
@@ -1,40 +1,62 @@
-"""Detection of requests that crash the servers that run them.
+"""Detection of requests and prompt parts that crash the servers that run them.
 
 The caller repeats such a request with the same path, account and body. The request is
 recognized by a fingerprint of these, and blocked on all daemons once three servers have
-crashed under it. All daemons keep one count: they send each other every suspected and
+crashed under it. A prompt part that crashes servers comes in requests that are never
+alike, so that parts have fingerprints and crashes of their own; `blame` decides which
+part is the cause. All daemons keep one record: they send each other every suspected and
 every confirmed crash, and merge what they receive in any order.
 """
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass
-from enum import IntEnum
 from typing import Any
 
 import msgspec
-import xxhash
 
 from chivesaddle.core.aio import Clock
-from chivesaddle.core.ids import AccountId, BackendServerId, Fingerprint, RequestId
+from chivesaddle.core.ids import BackendServerId, Fingerprint, RequestId
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.core.serving_model import ServerEntry
+from chivesaddle.forwarding.blame import (
+    MIN_CRASHES,
+    CrashId,
+    CrashingParts,
+    PartEvidence,
+    find_crashing_parts,
+)
+from chivesaddle.forwarding.crash_history import (
+    CRASH_RETENTION_S,
+    Crash,
+    CrashHistory,
+    CrashReport,
+    CrashState,
+)
+from chivesaddle.forwarding.suspects import (
+    CrashSuspects,
+    fingerprint,
+    is_part,
+    part_fingerprint,
+)
 
 # Crashes after which a request is blocked. A harmless request may be running on one
 # server that crashes for another reason, rarely on two.
-BLOCK_AFTER_CRASHES = 3
-# A confirmed crash counts for this long.
-CRASH_RETENTION_S = 3_600.0
-# A server that crashed refuses connections at once, but an ejected one is not contacted
-# for up to 4 s, and its entry expires after three heartbeats of 1.2 s and the list's
-# delay. A broken connection counts for this long unless the crash is confirmed.
-CONFIRMATION_WINDOW_S = 10.0
+BLOCK_AFTER_CRASHES = MIN_CRASHES
 # Time after which a copy of a request that waits for the result of others may return.
 # Runs that crash a server do so within a fraction of a second.
 CONCURRENT_RETRY_AFTER_S = 0.3
 # Fingerprints that are kept, and crashes of each of them.
 MAX_FINGERPRINTS = 1_024
 MAX_CRASHES_PER_FINGERPRINT = 16
+# A part that a server answered within this time before a crash is a less likely cause.
+ANSWERED_RETENTION_S = 60.0
+MAX_ANSWERED_PARTS = 4_096
+# A response that goes on this long after a server is said to have crashed disproves
+# the crash. Clocks and delays of the daemons that report differ by less.
+DISPROVED_AFTER_S = 1.0
+# The crashing parts are determined again after this time, as crashes stop counting.
+BLAME_LIFETIME_S = 0.5
 # Peers are sent the blocked fingerprints and those that changed within this time, at
 # most so many. A daemon that missed several rounds of the exchange still gets them.
 SHARED_FOR_S = 30.0
@@ -43,122 +65,97 @@
 log = ComponentLogger("crashes")
 
 
-def fingerprint(target: bytes, account: AccountId | None, body: bytes) -> Fingerprint:
-    """Return a fingerprint that is equal for repetitions of a request."""
-    digest = xxhash.xxh3_64(target)
-    digest.update(b"\0" + (account or "").encode() + b"\0")
-    digest.update(body)
-    return Fingerprint(digest.hexdigest())
-
-
-class CrashState(IntEnum):
-    """What is known of a crash; of two reports, the higher state is true."""
-
-    SUSPECTED = 1
-    CONFIRMED = 2
-    CLEARED = 3
-
-
-class CrashReport(msgspec.Struct, array_like=True, frozen=True):
-    """What one daemon tells others about a server's crash under a request.
+@dataclass(frozen=True, slots=True)
+class CrashRefusal:
+    """Why a request must not be sent to a server.
 
     Attributes
     ----------
-    server : str
-        Id of the server.
-    started_ms : int
-        Start of the server that crashed, in Unix milliseconds.
-    age_ms : int
-        Milliseconds since the connection broke.
+    until : float
+        Until when, in seconds of the daemon's clock.
+    suspects : tuple of Fingerprint
+        The request, or the parts, that crash servers or may do so.
+    crashes : int
+        Number of crashes that count against them.
     """
 
-    fingerprint: str
-    server: str
-    started_ms: int
-    state: CrashState
-    age_ms: int
-
-
-@dataclass(slots=True)
-class _Crash:
-    state: CrashState
-    at: float
-
-    def counts_until(self) -> float:
-        """Return the time until which the crash counts against the request."""
-        match self.state:
-            case CrashState.SUSPECTED:
-                return self.at + CONFIRMATION_WINDOW_S
-            case CrashState.CONFIRMED:
-                return self.at + CRASH_RETENTION_S
-            case CrashState.CLEARED:
-                return float("-inf")
-
-
-@dataclass(slots=True)
-class _CrashHistory:
-    """Crashes under one request, by id and start of the server."""
-
-    changed_at: float
-    crashes_by_server: OrderedDict[tuple[BackendServerId, int], _Crash]
-
-    def count_ends(self, now: float) -> list[float]:
-        """Return when each crash that counts now stops counting, in order."""
-        ends = (crash.counts_until() for crash in self.crashes_by_server.values())
-        return sorted(end for end in ends if end > now)
-
-    def is_confirmed(self) -> bool:
-        """Return whether any crash was confirmed and not cleared."""
-        return any(
-            crash.state is CrashState.CONFIRMED
-            for crash in self.crashes_by_server.values()
-        )
+    until: float
+    suspects: tuple[Fingerprint, ...]
+    crashes: int
 
 
 class CrashRecord:
-    """Servers that crashed under each request, as all daemons have seen them.
+    """Servers that crashed under each request and part, as all daemons have seen them.
 
     A broken connection is a suspected crash. It is confirmed once any daemon finds the
     server unreachable, removed from the list or restarted, and expires otherwise: a
     server that only lost a response continues to run. A request that completes has
-    crashed nothing, so its crashes are cleared.
+    crashed nothing, so its crashes are cleared. So are those of the parts of a request
+    that a server answers, and all crashes of a server that continues its responses.
 
     Parameters
     ----------
     clock : Clock
         Clock of all times.
+
+    Attributes
+    ----------
+    refused : int
+        Number of refusals of requests and parts that crash servers.
     """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         # Called with what this daemon has observed, to send it to peers at once.
         self.on_report: Callable[[list[CrashReport]], None] = lambda reports: None
-        self._history_by_fingerprint: OrderedDict[Fingerprint, _CrashHistory] = (
+        self._history_by_fingerprint: OrderedDict[Fingerprint, CrashHistory] = (
             OrderedDict()
         )
-        # Suspected crashes that wait for a confirmation, by server.
-        self._suspected_by_server: dict[BackendServerId, set[Fingerprint]] = {}
+        # Suspects of the crashes that have not been cleared.
+        self._suspects_by_crash: dict[CrashId, set[Fingerprint]] = {}
         self._runs_by_fingerprint: dict[Fingerprint, int] = {}
+        # When a server last answered each part.
+        self._answered_at_by_part: OrderedDict[Fingerprint, float] = OrderedDict()
+        self._crashing_parts: list[CrashingParts] = []
+        self._determine_at = 0.0
+        self.refused = 0
 
     def __len__(self) -> int:
         return len(self._history_by_fingerprint)
 
-    def start_run(self, key: Fingerprint) -> None:
+    def start_run(self, *keys: Fingerprint) -> None:
         """Record that a copy of the request is sent to a server."""
-        self._runs_by_fingerprint[key] = self._runs_by_fingerprint.get(key, 0) + 1
+        for key in keys:
+            self._runs_by_fingerprint[key] = self._runs_by_fingerprint.get(key, 0) + 1
 
-    def end_run(self, key: Fingerprint) -> None:
-        """Record that a copy of the request ended."""
-        runs = self._runs_by_fingerprint.pop(key) - 1
-        if runs:
-            self._runs_by_fingerprint[key] = runs
+    def end_run(self, *keys: Fingerprint) -> None:
+        """Record that a copy of the request ended, or that its parts are answered."""
+        for key in keys:
+            runs = self._runs_by_fingerprint.pop(key) - 1
+            if runs:
+                self._runs_by_fingerprint[key] = runs
 
     def suspect(
-        self, key: Fingerprint, server: ServerEntry, request_id: RequestId
+        self,
+        key: Fingerprint,
+        server: ServerEntry,
+        request_id: RequestId,
+        parts: Sequence[Fingerprint] = (),
     ) -> None:
-        """Record that the connection to a server broke while it ran a request."""
+        """Record that the connection to a server broke while it ran a request.
+
+        ``parts`` are the parts that the server had not begun to answer.
+        """
         now = self._clock.seconds()
-        self._merge(key, server.id, server.started_ms, CrashState.SUSPECTED, now)
+        for suspect in (key, *parts):
+            if self._merge(
+                suspect,
+                (server.id, server.started_ms),
+                CrashState.SUSPECTED,
+                now,
+                was_answered=self._was_answered(suspect, now),
+            ):
+                self._report(suspect, (server.id, server.started_ms))
         log.info(
             "crash suspected",
             extra={
@@ -166,48 +163,85 @@
                 "server": server.id,
                 "fingerprint": key,
                 "crashes": self.count(key),
+                "crashes_by_part": {part: self.count(part) for part in parts},
             },
         )
-        self._report(key, server.id, server.started_ms)
 
     def confirm(self, server: BackendServerId) -> None:
         """Confirm the suspected crashes of a server that is found to be down."""
         now = self._clock.seconds()
-        for key in self._suspected_by_server.pop(server, ()):
-            history = self._history_by_fingerprint.get(key)
-            if history is None:
+        for crash_id, keys in list(self._suspects_by_crash.items()):
+            if crash_id[0] != server:
                 continue
-            for (server_id, started_ms), crash in list(
-                history.crashes_by_server.items()
-            ):
-                is_open = crash.state is CrashState.SUSPECTED
-                if server_id != server or not is_open or crash.counts_until() <= now:
-                    continue
-                self._merge(key, server, started_ms, CrashState.CONFIRMED, crash.at)
+            confirmed = [key for key in list(keys) if self._confirm(key, crash_id, now)]
+            if confirmed:
                 log.info(
                     "crash confirmed",
                     extra={
                         "server": server,
-                        "fingerprint": key,
-                        "age_ms": round((now - crash.at) * 1_000),
-                        "crashes": self.count(key),
+                        "crashes": {key: self.count(key) for key in confirmed[:16]},
+                        "suspects": len(confirmed),
                     },
                 )
-                self._report(key, server, started_ms)
+
+    def _confirm(self, key: Fingerprint, crash_id: CrashId, now: float) -> bool:
+        history = self._history_by_fingerprint.get(key)
+        crash = history and history.crashes_by_server.get(crash_id)
+        if (
+            not crash
+            or crash.state is not CrashState.SUSPECTED
+            or crash.counts_until() <= now
+        ):
+            return False
+        self._merge(key, crash_id, CrashState.CONFIRMED, crash.at)
+        self._report(key, crash_id)
+        return True
 
     def clear(self, key: Fingerprint) -> None:
         """Record that a server completed the request, so it does not crash servers."""
         history = self._history_by_fingerprint.get(key)
         if history is None or not history.count_ends(self._clock.seconds()):
             return
-        for (server, started_ms), crash in list(history.crashes_by_server.items()):
-            if crash.state is not CrashState.CLEARED:
-                self._merge(key, server, started_ms, CrashState.CLEARED, crash.at)
-                self._report(key, server, started_ms)
+        for crash_id, crash in list(history.crashes_by_server.items()):
+            self._clear_crash(key, crash_id, crash)
         log.info("crashes cleared", extra={"fingerprint": key})
 
+    def record_answered(self, parts: Iterable[Fingerprint]) -> None:
+        """Record that a server answers a request with these parts."""
+        now = self._clock.seconds()
+        for part in parts:
+            self._answered_at_by_part[part] = now
+            self._answered_at_by_part.move_to_end(part)
+            self.clear(part)
+        while len(self._answered_at_by_part) > MAX_ANSWERED_PARTS:
+            self._answered_at_by_part.popitem(last=False)
+
+    def disprove(
+        self, server: ServerEntry, connected_at: float, alive_at: float
+    ) -> None:
+        """Clear the crashes of a server that continued a response after them.
+
+        Parameters
+        ----------
+        connected_at, alive_at : float
+            When the response's connection was opened, and when bytes arrived on it.
+        """
+        crash_id = (server.id, server.started_ms)
+        for key in list(self._suspects_by_crash.get(crash_id, ())):
+            crash = self._history_by_fingerprint[key].crashes_by_server[crash_id]
+            if connected_at < crash.at < alive_at - DISPROVED_AFTER_S:
+                self._clear_crash(key, crash_id, crash)
+                log.info(
+                    "crash disproved", extra={"server": server.id, "fingerprint": key}
+                )
+
+    def _clear_crash(self, key: Fingerprint, crash_id: CrashId, crash: Crash) -> None:
+        if crash.state is not CrashState.CLEARED:
+            self._merge(key, crash_id, CrashState.CLEARED, crash.at)
+            self._report(key, crash_id)
+
     def count(self, key: Fingerprint) -> int:
-        """Return the number of crashes that count against the request."""
+        """Return the number of crashes that count against the request or part."""
         history = self._history_by_fingerprint.get(key)
         return 0 if history is None else len(history.count_ends(self._clock.seconds()))
 
@@ -217,34 +251,114 @@
         While a crash counts against the request, its running copies on this daemon are
         counted as if they crashed their servers as well.
         """
+        return self._blocked_until(key, frozenset())
+
+    def count_crashing_parts(self) -> int:
+        """Return the number of prompt parts that are refused."""
+        groups = self._determine_crashing_parts(self._clock.seconds())
+        return sum(len(group.parts) for group in groups)
+
+    def find_refusal(self, suspects: CrashSuspects) -> CrashRefusal | None:
+        """Return why the request must not be sent to a server, None if it may."""
+        refusal = self._find_refusal(suspects)
+        self.refused += refusal is not None
+        return refusal
+
+    def _find_refusal(self, suspects: CrashSuspects) -> CrashRefusal | None:
+        if not self._history_by_fingerprint:
+            return None
+        now = self._clock.seconds()
+        crashing = self._determine_crashing_parts(now)
+        for group in crashing:
+            if group.parts.issubset(suspects.parts):
+                until = max(self._counts_until(part, now) for part in group.parts)
+                parts = tuple(sorted(group.parts))
+                return CrashRefusal(until, parts, len(group.crashes))
+        explained = frozenset().union(*(group.crashes for group in crashing))
+        for key in (suspects.request, *suspects.parts):
+            history = self._history_by_fingerprint.get(key)
+            if history is None or (history.was_answered and is_part(key)):
+                continue
+            blocked_until = self._blocked_until(key, explained)
+            if blocked_until is not None:
+                return CrashRefusal(blocked_until, (key,), self.count(key))
+        return None
+
+    def _blocked_until(
+        self, key: Fingerprint, explained: Collection[CrashId]
+    ) -> float | None:
         history = self._history_by_fingerprint.get(key)
         if history is None:
             return None
         now = self._clock.seconds()
-        ends = history.count_ends(now)
-        if len(ends) >= BLOCK_AFTER_CRASHES:
+        ends = sorted(
+            crash.counts_until()
+            for id, crash in history.counting(now).items()
+            if id not in explained
+        )
+        if len(ends) >= BLOCK_AFTER_CRASHES and not is_part(key):
             return ends[-BLOCK_AFTER_CRASHES]
         running = self._runs_by_fingerprint.get(key, 0)
         if ends and len(ends) + running >= BLOCK_AFTER_CRASHES:
             return now + CONCURRENT_RETRY_AFTER_S
         return None
 
+    def _counts_until(self, part: Fingerprint, now: float) -> float:
+        ends = self._history_by_fingerprint[part].count_ends(now)
+        return ends[-MIN_CRASHES] if len(ends) >= MIN_CRASHES else now
+
+    def _determine_crashing_parts(self, now: float) -> list[CrashingParts]:
+        if now < self._determine_at:
+            return self._crashing_parts
+        evidence_by_part = {
+            key: PartEvidence(
+                {id: crash.at for id, crash in history.counting(now).items()},
+                history.was_answered,
+            )
+            for key, history in self._history_by_fingerprint.items()
+            if is_part(key) and len(history.crashes_by_server) >= MIN_CRASHES
+        }
+        known = {group.parts for group in self._crashing_parts}
+        self._crashing_parts = find_crashing_parts(evidence_by_part)
+        self._determine_at = now + BLAME_LIFETIME_S
+        found = {group.parts for group in self._crashing_parts}
+        for group in self._crashing_parts:
+            if group.parts not in known:
+                log.warning(
+                    "parts refused",
+                    extra={
+                        "parts": sorted(group.parts),
+                        "servers": sorted(server for server, _ in group.crashes),
+                    },
+                )
+        for parts in known - found:
+            log.info("parts no longer refused", extra={"parts": sorted(parts)})
+        return self._crashing_parts
+
+    def _was_answered(self, key: Fingerprint, now: float) -> bool:
+        answered_at = self._answered_at_by_part.get(key)
+        return answered_at is not None and answered_at > now - ANSWERED_RETENTION_S
+
     def collect(self) -> list[list[Any]]:
         """Return the crashes of blocked and of recently changed requests, for peers."""
         now = self._clock.seconds()
         self._remove_expired(now)
+        crashing = {
+            part
+            for group in self._determine_crashing_parts(now)
+            for part in group.parts
+        }
         shared = [
             key
             for key, history in reversed(self._history_by_fingerprint.items())
             if history.changed_at > now - SHARED_FOR_S
             or len(history.count_ends(now)) >= BLOCK_AFTER_CRASHES
         ]
+        shared.sort(key=lambda key: key not in crashing)
         return [
-            msgspec.to_builtins(self._build_report(key, server, started_ms))
+            msgspec.to_builtins(self._build_report(key, crash_id))
             for key in shared[:MAX_SHARED_FINGERPRINTS]
-            for server, started_ms in self._history_by_fingerprint[
-                key
-            ].crashes_by_server
+            for crash_id in self._history_by_fingerprint[key].crashes_by_server
         ]
 
     def apply_remote(self, hint: Any) -> None:
@@ -256,15 +370,18 @@
         now = self._clock.seconds()
         for report in reports:
             key = Fingerprint(report.fingerprint)
+            at = now - report.age_ms / 1_000
             is_new = self._merge(
                 key,
-                BackendServerId(report.server),
-                report.started_ms,
+                (BackendServerId(report.server), report.started_ms),
                 report.state,
-                now - report.age_ms / 1_000,
+                at,
+                was_answered=report.was_answered or self._was_answered(key, at),
             )
             if is_new:
-                log.info(
+                # A crash has many parts as suspects; its requests are logged as well.
+                write = log.debug if is_part(key) else log.info
+                write(
                     "crash reported by a peer",
                     extra={
                         "server": report.server,
@@ -278,36 +395,50 @@
     def _merge(
         self,
         key: Fingerprint,
-        server: BackendServerId,
-        started_ms: int,
+        crash_id: CrashId,
         state: CrashState,
         at: float,
+        *,
+        was_answered: bool = False,
     ) -> bool:
         """Apply one observation; return whether it was new."""
         now = self._clock.seconds()
         history = self._history_by_fingerprint.get(key)
-        known = history and history.crashes_by_server.get((server, started_ms))
-        crash = _Crash(state, at)
+        if history is not None and was_answered and not history.was_answered:
+            history.was_answered = True
+            self._determine_at = now
+        known = history and history.crashes_by_server.get(crash_id)
+        crash = Crash(state, at)
         is_expired = state is CrashState.SUSPECTED and crash.counts_until() <= now
         if (known and known.state >= state) or at <= now - CRASH_RETENTION_S:
             return False
         if known is None and is_expired:
             return False
         if history is None:
-            history = self._history_by_fingerprint[key] = _CrashHistory(
-                now, OrderedDict()
+            history = self._history_by_fingerprint[key] = CrashHistory(
+                now, OrderedDict(), was_answered
             )
-        history.crashes_by_server[server, started_ms] = crash
+        history.crashes_by_server[crash_id] = crash
         history.changed_at = now
         while len(history.crashes_by_server) > MAX_CRASHES_PER_FINGERPRINT:
-            history.crashes_by_server.popitem(last=False)
+            removed, _ = history.crashes_by_server.popitem(last=False)
+            self._forget_suspect(key, removed)
         self._history_by_fingerprint.move_to_end(key)
-        if state is CrashState.SUSPECTED:
-            self._suspected_by_server.setdefault(server, set()).add(key)
+        if state is CrashState.CLEARED:
+            self._forget_suspect(key, crash_id)
+        else:
+            self._suspects_by_crash.setdefault(crash_id, set()).add(key)
         while len(self._history_by_fingerprint) > MAX_FINGERPRINTS:
             self._evict()
+        self._determine_at = now
         return True
 
+    def _forget_suspect(self, key: Fingerprint, crash_id: CrashId) -> None:
+        keys = self._suspects_by_crash.get(crash_id, set())
+        keys.discard(key)
+        if not keys:
+            self._suspects_by_crash.pop(crash_id, None)
+
     def _evict(self) -> None:
         """Remove the oldest request without a confirmed crash, or the oldest one.
 
@@ -315,41 +446,44 @@
         """
         *older, _newest = self._history_by_fingerprint.items()
         unconfirmed = (key for key, history in older if not history.is_confirmed())
-        evicted = next(unconfirmed, older[0][0])
-        del self._history_by_fingerprint[evicted]
+        self._remove(next(unconfirmed, older[0][0]))
+
+    def _remove(self, key: Fingerprint) -> None:
+        history = self._history_by_fingerprint.pop(key)
+        for crash_id in history.crashes_by_server:
+            self._forget_suspect(key, crash_id)
 
     def _remove_expired(self, now: float) -> None:
         for key, history in list(self._history_by_fingerprint.items()):
-            for server, crash in list(history.crashes_by_server.items()):
+            for crash_id, crash in list(history.crashes_by_server.items()):
                 is_open = crash.state is CrashState.SUSPECTED
                 if crash.at <= now - CRASH_RETENTION_S or (
                     is_open and crash.counts_until() <= now
                 ):
-                    del history.crashes_by_server[server]
+                    del history.crashes_by_server[crash_id]
+                    self._forget_suspect(key, crash_id)
             if not history.crashes_by_server:
-                del self._history_by_fingerprint[key]
-        for server_id, keys in list(self._suspected_by_server.items()):
-            keys &= self._history_by_fingerprint.keys()
-            if not keys:
-                del self._suspected_by_server[server_id]
-
-    def _report(
-        self, key: Fingerprint, server: BackendServerId, started_ms: int
-    ) -> None:
-        self.on_report([self._build_report(key, server, started_ms)])
+                self._remove(key)
+
+    def _report(self, key: Fingerprint, crash_id: CrashId) -> None:
+        self.on_report([self._build_report(key, crash_id)])
 
-    def _build_report(
-        self, key: Fingerprint, server: BackendServerId, started_ms: int
-    ) -> CrashReport:
-        crash = self._history_by_fingerprint[key].crashes_by_server[server, started_ms]
+    def _build_report(self, key: Fingerprint, crash_id: CrashId) -> CrashReport:
+        history = self._history_by_fingerprint[key]
+        crash = history.crashes_by_server[crash_id]
         age_s = self._clock.seconds() - crash.at
-        return CrashReport(key, server, started_ms, crash.state, round(age_s * 1_000))
+        return CrashReport(
+            key, *crash_id, crash.state, round(age_s * 1_000), history.was_answered
+        )
 
 
 __all__ = [
     "BLOCK_AFTER_CRASHES",
     "CrashRecord",
+    "CrashRefusal",
     "CrashReport",
     "CrashState",
+    "CrashSuspects",
     "fingerprint",
+    "part_fingerprint",
 ]
--- a/src/chivesaddle/forwarding/exchange.py
+++ b/src/chivesaddle/forwarding/exchange.py
@@ -155,6 +155,12 @@
         self._check_response(request, response)
         return response
 
+    @property
+    def connected_at(self) -> float:
+        """When the connection was opened, in seconds of the daemon's clock."""
+        assert self._connection is not None
+        return self._connection.connected_at
+
     async def read_chunk(self) -> bytes | None:
         """Read body bytes; raises `NoUsableResponse`."""
         assert self._connection is not None
--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -10,7 +10,6 @@
 from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded
 from chivesaddle.core.ids import (
     BackendServerId,
-    Fingerprint,
     RequestId,
     ServiceId,
     ZoneId,
@@ -18,7 +17,7 @@
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.core.serving_model import Account, Configuration, Route, RouteKind
 from chivesaddle.forwarding.budget import RetryBudget
-from chivesaddle.forwarding.crashes import CrashRecord, fingerprint
+from chivesaddle.forwarding.crashes import CrashRecord
 from chivesaddle.forwarding.errors import (
     MayHaveRun,
     NoRoute,
@@ -40,9 +39,11 @@
 from chivesaddle.forwarding.relay import Relay
 from chivesaddle.forwarding.request_context import RequestContext
 from chivesaddle.forwarding.results import ResultReporter
+from chivesaddle.forwarding.run import Run
 from chivesaddle.forwarding.serving_state import ServingState
 from chivesaddle.forwarding.stream_origins import StreamOrigins
 from chivesaddle.forwarding.stream_software import StreamSoftware
+from chivesaddle.forwarding.suspects import CrashSuspects
 from chivesaddle.http1 import (
     ConnectionPool,
     HeaderList,
@@ -211,10 +212,8 @@
         if caller_request.time_limit_s is not None:
             caller_deadline = received_at + caller_request.time_limit_s
             limit_s = min(limit_s, caller_request.time_limit_s)
-        request_fingerprint = fingerprint(
-            caller_request.target, account.id if account else None, caller_request.body
-        )
-        self._check_not_blocked(request_fingerprint, caller_request.id)
+        suspects = CrashSuspects.from_request(caller_request, account)
+        self._check_not_blocked(suspects, caller_request.id)
         return RequestContext(
             request=caller_request,
             route=route,
@@ -224,25 +223,28 @@
             received_at=received_at,
             deadline=received_at + limit_s,
             caller_deadline=caller_deadline,
-            fingerprint=request_fingerprint,
+            suspects=suspects,
         )
 
-    def _check_not_blocked(self, key: Fingerprint, request_id: RequestId) -> None:
-        """Raise `NotRun` if the request has crashed several servers."""
-        blocked_until = self._crashes.blocked_until(key)
-        if blocked_until is None:
+    def _check_not_blocked(
+        self, suspects: CrashSuspects, request_id: RequestId
+    ) -> None:
+        """Raise `NotRun` if the request, or a part of its prompt, crashes servers."""
+        refusal = self._crashes.find_refusal(suspects)
+        if refusal is None:
             return
         log.info(
             "request blocked",
             extra={
                 "request": request_id,
-                "fingerprint": key,
-                "crashes": self._crashes.count(key),
+                "fingerprint": suspects.request,
+                "suspects": refusal.suspects,
+                "crashes": refusal.crashes,
             },
         )
         raise NotRun(
-            "The request broke several servers",
-            retry_after_s=blocked_until - self._clock.seconds(),
+            "The request or a part of its prompt broke several servers",
+            retry_after_s=refusal.until - self._clock.seconds(),
         )
 
     def _authenticate(
@@ -293,7 +295,7 @@
         while True:
             candidate = await self._find_server(context)
             try:
-                self._check_not_blocked(context.fingerprint, context.request.id)
+                self._check_not_blocked(context.suspects, context.request.id)
             except NotRun as error:
                 if context.runs:
                     raise MayHaveRun(error.message) from error
@@ -468,17 +470,30 @@
         )
         software_version = server.entry.software_version
 
+        run = Run(
+            self._clock,
+            self._crashes,
+            context.suspects,
+            server.entry,
+            context.request.id,
+        )
+
         def record_progress() -> None:
-            if context.server_began_at is None:
-                context.server_began_at = self._clock.seconds()
+            if run.first_event_at is None:
                 self._servers.record_first_event(server.entry.id, serial)
                 self._stream_software.record_start(context, software_version)
+            run.record_events()
+            context.server_began_at = run.first_event_at
+
+        async def read_chunk() -> bytes | None:
+            chunk = await exchange.read_chunk()
+            run.record_bytes(exchange.connected_at)
+            return chunk
 
         relay.on_progress = record_progress
         outcome: ExchangeOutcome | None = None
         context.framing, context.unfinished_bytes = None, 0
         context.server_began_at = None
-        self._crashes.start_run(context.fingerprint)
         try:
             headers = self._codec.encode_server_headers(context.request, options)
             response = await exchange.send(
@@ -503,7 +518,7 @@
                 )
             context.framing = response.framing
             try:
-                await relay.forward(response, exchange.read_chunk)
+                await relay.forward(response, read_chunk)
             finally:
                 context.unfinished_bytes = relay.unfinished_bytes
             context.first_event_at = relay.started_at
@@ -513,8 +528,7 @@
                 else ExchangeOutcome.ANSWERED
             )
             exchange.finish(response)
-            if outcome is ExchangeOutcome.ANSWERED:
-                self._crashes.clear(context.fingerprint)
+            run.record_complete(response.status)
         except ServerDidNotRun as error:
             context.runs -= exchange.was_sent
             outcome = error.outcome
@@ -524,12 +538,10 @@
             if outcome is None:
                 outcome = ExchangeOutcome.BROKEN
             if error.may_be_crash:
-                self._crashes.suspect(
-                    context.fingerprint, server.entry, context.request.id
-                )
+                run.record_break()
             raise
         finally:
-            self._crashes.end_run(context.fingerprint)
+            run.end()
             exchange.close()
             self._servers.record_end(server.entry.id, serial, outcome)
 
--- a/src/chivesaddle/forwarding/request_context.py
+++ b/src/chivesaddle/forwarding/request_context.py
@@ -5,12 +5,12 @@
 from chivesaddle.core.ids import (
     AccountId,
     BackendServerId,
-    Fingerprint,
     ServiceId,
     SoftwareVersion,
 )
 from chivesaddle.core.serving_model import Account, Route
 from chivesaddle.forwarding.messages import CallerRequest
+from chivesaddle.forwarding.suspects import CrashSuspects
 from chivesaddle.http1 import Framing
 from chivesaddle.placement import Candidate
 
@@ -49,7 +49,7 @@
     received_at: float
     deadline: float
     caller_deadline: float | None
-    fingerprint: Fingerprint
+    suspects: CrashSuspects
     sends: int = 0
     runs: int = 0
     excluded: set[BackendServerId] = field(default_factory=set)
--- a/src/chivesaddle/http1/client.py
+++ b/src/chivesaddle/http1/client.py
@@ -88,6 +88,8 @@
         Fires with the connection when it is open; fails with `NotSent`.
     lost : bool
         Whether the connection is closed, aborted or failed.
+    connected_at : float
+        When the connection was opened, in seconds on the connector's clock.
     idle_since : float
         When the last exchange ended, in seconds on the pool's clock; set by the pool.
     requests_sent : int
@@ -107,6 +109,7 @@
         self._paused = False
         self.when_connected: Deferred[ServerConnection] = Deferred()
         self.lost = False
+        self.connected_at = 0.0
         self.idle_since = 0.0
         self.requests_sent = 0
         self.on_idle_loss: Callable[[ServerConnection], None] | None = None
@@ -370,12 +373,14 @@
             bindAddress=self._bind_address,
         )
         try:
-            return await with_deadline(
+            await with_deadline(
                 self._clock,
                 deadline,
                 connection.when_connected,
                 f"connect to {address}",
             )
+            connection.connected_at = self._clock.seconds()
+            return connection
         except DeadlineExceeded as error:
             raise NotSent(f"Connection to {address} was not open in time") from error
         finally:
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -188,7 +188,7 @@
             lambda: [DaemonId(member.id) for member in self._working_set.peers()],
         )
         self._limits = limits
-        crashes = CrashRecord(reactor)
+        self._crashes = crashes = CrashRecord(reactor)
         self._servers.on_down = crashes.confirm
         self._exchange = GossipExchange(
             reactor,
@@ -497,6 +497,9 @@
             self.metrics.set_value("working_set", len(self._working_set.daemons()))
             self.metrics.set_value("limited_servers", self._limits.in_force())
             self.metrics.set_value("stream_origins", len(self._origins))
+            crashing_parts = self._crashes.count_crashing_parts()
+            self.metrics.set_value("crashing_parts", crashing_parts)
+            self.metrics.set_value("refused_as_crashing", self._crashes.refused)
             for result, count in self._origins.resumed_by_result.items():
                 self.metrics.set_value(f"streams_resumed_{result}", count)
             self.metrics.set_value("in_flight", self._caller_listener.in_flight)
--- a/src/chivesaddle/standins/platform_server.py
+++ b/src/chivesaddle/standins/platform_server.py
@@ -51,6 +51,9 @@
         Say in all responses that the server leaves.
     crash_marker : str
         End the process when it runs a request whose path contains this; "" disables it.
+    crash_part : str
+        End the process when it begins to answer a stream whose prompt has this part; ""
+        disables it.
     """
 
     shed: bool = False
@@ -65,6 +68,7 @@
     refuse_s: float = 0.0
     is_leaving: bool = False
     crash_marker: str = ""
+    crash_part: str = ""
 
     def headers(self) -> HeaderList:
         """Return what the server says of itself in each response."""
@@ -165,6 +169,11 @@
             responder = UnframedResponder(responder)
         first_event_id = int(request.headers.get("last-event-id") or 0) + 1
         responder.start(200, b"OK", headers)
+        if self.faults.crash_part:
+            prompt = request.headers.get("x-chivesaddle-prompt-prefix") or ""
+            parts = [entry.partition(":")[0] for entry in prompt.split(",")]
+            if self.faults.crash_part in parts[:-1]:
+                os._exit(1)
         for event_id in range(first_event_id, STREAM_EVENT_COUNT + 1):
             limit = self.faults.break_stream_after
             if first_event_id == 1:
--- a/tests/e2e_platform/test_server_headers.py
+++ b/tests/e2e_platform/test_server_headers.py
@@ -28,7 +28,7 @@
         platform_fleet.stop()
 
 
-def send(fleet, number, target):
+def send(fleet, number, target, parts=None):
     daemon = list(fleet.listeners)[number % len(fleet.listeners)]
     headers = {
         "Host": HOST_NAME,
@@ -36,6 +36,8 @@
         "X-Chivesaddle-Attempt-Identifier": f"{target}-{number}",
         "X-Chivesaddle-Deadline-Milliseconds": "3000",
     }
+    if parts is not None:
+        headers["X-Chivesaddle-Prompt-Prefix"] = f"{parts},{number:x}:10"
     url = f"http://{fleet.listeners[daemon]['callers']}{target}"
     return httpx.post(url, headers=headers, content=b"x", timeout=5).status_code
 
@@ -82,14 +84,35 @@
         fleet.set_faults(name, crash_marker="bad")
     for number in range(12):
         send(fleet, number, "/unsafe/bad")
-        time.sleep(0.2)
-        for name in list(fleet.servers):
-            if fleet.processes.wait_for_exit(name, 0) is None:
-                continue
-            crashes += 1
-            fleet.processes.restart(name)
-            fleet.set_faults(name, crash_marker="bad")
-            fleet.put_restarted_server(name)
-        time.sleep(0.3)
+        crashes += restart_crashed(fleet, crash_marker="bad")
     assert crashes == MAX_CRASHES
     assert send(fleet, 0, "/safe/good") == 200
+
+
+def restart_crashed(fleet, **faults):
+    """Start crashed servers again, with these faults; return their number."""
+    crashes = 0
+    time.sleep(0.2)
+    for name in list(fleet.servers):
+        if fleet.processes.wait_for_exit(name, 0) is None:
+            continue
+        crashes += 1
+        fleet.processes.restart(name)
+        fleet.set_faults(name, **faults)
+        fleet.put_restarted_server(name)
+    time.sleep(0.3)
+    return crashes
+
+
+def test_part_of_different_requests_ends_five_processes_at_most(fleet):
+    crashes = 0
+    served = []
+    for name in fleet.servers:
+        fleet.set_faults(name, crash_part="dd")
+    for number in range(10):
+        send(fleet, 2 * number, f"/stream/{number}", parts="aa:9,dd:9")
+        crashes += restart_crashed(fleet, crash_part="dd")
+        target = f"/stream/sound-{number}"
+        served.append(send(fleet, 2 * number + 1, target, parts="aa:9,b1:9"))
+    assert MAX_CRASHES <= crashes <= 5
+    assert served[-3:] == [200] * 3
