Log when a daemon loses the path to a server, and when it is back

The server table now has the state of each path, which decides nothing yet. A path that is lost again within 10 s counts as regained only after three connections in a row.

--- a/src/chivesaddle/forwarding/exchange.py
+++ b/src/chivesaddle/forwarding/exchange.py
@@ -133,7 +133,10 @@
             )
             self._connection.send(request.method, request.target, headers, request.body)
         except NotSent as error:
+            self._servers.record_connection_failure(self._server.id, error.message)
             raise ServerDidNotRun(error.message, ExchangeOutcome.UNREACHABLE) from error
+        if self._connection.requests_sent == 1:
+            self._servers.record_connected(self._server.id)
         self.was_sent = True
         on_sent()
         try:
--- /dev/null
+++ b/src/chivesaddle/placement/paths.py
@@ -0,0 +1,58 @@
+"""Whether this daemon can open connections to a server.
+
+The path is part of what a daemon knows of a server, and says nothing about the server
+itself: other daemons may reach it.
+"""
+
+import math
+from dataclasses import dataclass
+
+# A path that was regained less than this time ago is unstable if it is lost again.
+STABLE_AFTER_S = 10.0
+# Connections in a row that must be opened before an unstable path is used again.
+UNSTABLE_CONNECTIONS = 3
+
+
+@dataclass(slots=True)
+class ServerPath:
+    """The state of one path; times are of the daemon's clock.
+
+    Attributes
+    ----------
+    lost_at : float or None
+        When the path was lost, None while it is usable.
+    connected_at, failed_at : float
+        When a connection was last opened, and when it last could not be opened.
+    """
+
+    lost_at: float | None = None
+    connected_at: float = -math.inf
+    failed_at: float = -math.inf
+    _regained_at: float = -math.inf
+    _connections_needed: int = 1
+
+    def record_connected(self, now: float) -> bool:
+        """Record that a connection was opened; return whether the path is regained."""
+        self.connected_at = now
+        if self.lost_at is None:
+            return False
+        self._connections_needed -= 1
+        if self._connections_needed > 0:
+            return False
+        self.lost_at, self._regained_at = None, now
+        return True
+
+    def record_failure(self, now: float) -> bool:
+        """Record that no connection could be opened; return whether it is lost now."""
+        self.failed_at = now
+        is_unstable = now - self._regained_at < STABLE_AFTER_S
+        if self.lost_at is None:
+            self._connections_needed = UNSTABLE_CONNECTIONS if is_unstable else 1
+            self.lost_at = now
+            return True
+        if self._connections_needed > 0 and is_unstable:
+            self._connections_needed = UNSTABLE_CONNECTIONS
+        return False
+
+
+__all__ = ["ServerPath"]
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -11,6 +11,7 @@
 from chivesaddle.core.ids import BackendServerId, ModelId, ServiceId
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.core.serving_model import PromptPartId, ServerEntry, ServerState
+from chivesaddle.placement.paths import ServerPath
 from chivesaddle.placement.server_limit import ServerLimit
 
 # Consecutive failures after which a server is ejected. The duration of the ejection
@@ -101,6 +102,8 @@
         Exponential moving average of failed exchanges, 0 to 1.
     running, waiting : int
         Requests that the server last reported, as of ``load_at``.
+    path : ServerPath
+        Whether this daemon can open connections to the server.
     """
 
     entry: ServerEntry
@@ -124,6 +127,7 @@
     sent_parts: OrderedDict[tuple[str, PromptPartId], float] = field(
         default_factory=OrderedDict
     )
+    path: ServerPath = field(default_factory=ServerPath)
 
     @property
     def closed_until(self) -> float:
@@ -387,6 +391,44 @@
         if request is not None:
             request.unread_tokens = 0
 
+    def record_connected(self, server: BackendServerId) -> None:
+        """Record that the server accepted a connection of this daemon."""
+        tracked = self._by_id.get(server)
+        if tracked is None:
+            return
+        now = self._clock.seconds()
+        lost_at = tracked.path.lost_at
+        if tracked.path.record_connected(now) and lost_at is not None:
+            log.info(
+                "path to server regained",
+                extra={"server": server, "after_ms": round((now - lost_at) * 1_000)},
+            )
+
+    def record_connection_failure(self, server: BackendServerId, cause: str) -> None:
+        """Record that this daemon could not open a connection to the server."""
+        tracked = self._by_id.get(server)
+        if tracked is None or not tracked.path.record_failure(self._clock.seconds()):
+            return
+        log.warning(
+            "path to server lost",
+            extra={
+                "server": server,
+                "cause": cause,
+                "in_flight": len(tracked.in_flight),
+                "lost": len(self.lost_servers()),
+                "listed": len(self._by_id),
+            },
+        )
+
+    def lost_servers(self) -> list[TrackedServer]:
+        """Return the ready servers that accept no connection of this daemon."""
+        return [
+            tracked
+            for tracked in self._by_id.values()
+            if tracked.path.lost_at is not None
+            and tracked.entry.state is ServerState.READY
+        ]
+
     def record_load(
         self, server: BackendServerId, running: int, waiting: int, age_s: float = 0.0
     ) -> None:
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -502,6 +502,7 @@
             self.metrics.set_value("refused_as_crashing", self._crashes.refused)
             for result, count in self._origins.resumed_by_result.items():
                 self.metrics.set_value(f"streams_resumed_{result}", count)
+            self.metrics.set_value("lost_paths", len(self._servers.lost_servers()))
             self.metrics.set_value("in_flight", self._caller_listener.in_flight)
             self.metrics.set_value("callers", len(self._caller_listener.connections))
 
