--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -357,7 +357,7 @@
         self.daemons[number] = Harness(self.reactor)
         self.start(self.daemons[number])
 
-    def list_server(self, daemon, number):
+    def list_server(self, daemon, number, **fields):
         life = self.lives[number]
         entry = {
             "service": "app",
@@ -366,6 +366,7 @@
             "slots": 4,
             "state": "ready",
             "born": 1_000 + life,
+            **fields,
         }
         daemon.servers.put(decode_server(f"i-{number}-{life}", entry))
 
