--- a/src/chivesaddle/fleet/beacons.py
+++ b/src/chivesaddle/fleet/beacons.py
@@ -73,6 +73,10 @@
         Processor time that callers' requests need at the sender, in cores.
     reaches_store : bool
         Whether the sender's watches of the platform's store are answered.
+    lost : list of int
+        Hashes of servers that accept no connection of the sender.
+    is_cut_off : bool
+        Whether the sender reaches no server, while another daemon does.
     """
 
     daemon: str
@@ -85,6 +89,8 @@
     is_leaving: bool = False
     demand: float = 0.0
     reaches_store: bool = True
+    lost: list[int] = []
+    is_cut_off: bool = False
 
 
 @functools.lru_cache(maxsize=4_096)
@@ -111,6 +117,12 @@
     def reaches_store(self) -> bool:
         """Return whether this daemon's watches of the store are answered."""
 
+    def lost_servers(self) -> tuple[list[int], bool]:
+        """Return hashes of servers that this daemon does not reach.
+
+        The second value is whether it reaches none, while another daemon does.
+        """
+
 
 class BeaconReceiver(Protocol):
     """What a daemon does with the beacons of others."""
@@ -130,6 +142,11 @@
     def observe_store(self, peer: str, reaches_store: bool) -> None:
         """Record whether a working daemon reaches the store."""
 
+    def apply_lost_servers(
+        self, peer: str, lost: Sequence[int], valid_s: float
+    ) -> None:
+        """Replace the servers that a peer does not reach."""
+
 
 class Beacons:
     """Sends this daemon's beacons and applies those of its peers.
@@ -166,7 +183,7 @@
         self._source = source
         self._receiver = receiver
         self._sequence = 0
-        self._last_sent: tuple[list[ServerLoadShare], list[int]] = ([], [])
+        self._last_sent: tuple[Any, ...] = ()
         self._last_sent_at = 0.0
         self._sign_of_life_at = 0.0
         self._report_idle_until = 0.0
@@ -204,11 +221,13 @@
             is_working=beacon.is_working and not self._working_set.is_whole_fleet,
             is_leaving=beacon.is_leaving,
             demand=beacon.demand,
+            is_cut_off=beacon.is_cut_off,
         )
         valid_s = 3 * max(self._send_period_s(), RESEND_INTERVAL_S)
         self._receiver.apply_shares(
             beacon.daemon, beacon.shares, beacon.loading, valid_s
         )
+        self._receiver.apply_lost_servers(beacon.daemon, beacon.lost, valid_s)
         if beacon.is_working:
             self._receiver.observe_store(beacon.daemon, beacon.reaches_store)
         version, age_ms = beacon.lease
@@ -226,9 +245,11 @@
 
     def _send_when_due(self) -> None:
         self._timer = self._clock.callLater(self._send_period_s(), self._send_when_due)
-        shares, loading = current = self._source.load_shares()
+        shares, loading = self._source.load_shares()
+        lost = self._source.lost_servers()
+        current = (shares, loading, lost)
         now = self._clock.seconds()
-        is_empty = not shares and not loading and not self._source.lease()[0]
+        is_empty = not any((shares, loading, lost[0], self._source.lease()[0]))
         is_repeat = current == self._last_sent and (
             is_empty or now - self._last_sent_at < RESEND_INTERVAL_S
         )
@@ -269,6 +290,7 @@
             self._members.is_leaving,
             self._source.demand(),
             self._source.reaches_store(),
+            *self._source.lost_servers(),
         )
 
 
--- a/src/chivesaddle/fleet/members.py
+++ b/src/chivesaddle/fleet/members.py
@@ -22,6 +22,8 @@
 WORKING_TIMEOUT_S = 3.0
 # News of a daemon without callers travels by exchanges alone, a few entries in each.
 IDLE_TIMEOUT_S = 30.0
+# A daemon that is cut off says so twice a second.
+CUT_OFF_TIMEOUT_S = 3.0
 # A daemon that has just started takes registered daemons for running until it has heard
 # from them.
 ASSUME_RUNNING_S = 4.0
@@ -59,6 +61,8 @@
         Whether it sends beacons regularly, according to its last beacon.
     demand : float
         Processor time that it uses for requests, in cores, as of ``beacon_at``.
+    is_cut_off : bool
+        Whether it reaches no server, while another daemon does.
     """
 
     incarnation: str
@@ -67,6 +71,7 @@
     beacon_at: float = -math.inf
     is_working: bool = False
     demand: float = 0.0
+    is_cut_off: bool = False
 
 
 class Members:
@@ -168,6 +173,7 @@
         is_working: bool,
         is_leaving: bool,
         demand: float,
+        is_cut_off: bool,
     ) -> None:
         """Record a beacon that has just arrived."""
         self.record_seen(daemon, incarnation, 0.0, is_leaving)
@@ -176,12 +182,20 @@
             last_seen.beacon_at = self._clock.seconds()
             last_seen.is_working = is_working
             last_seen.demand = demand
+            last_seen.is_cut_off = is_cut_off
 
     def last_beacon_at(self, daemon: str) -> float:
         """Return when a daemon's last beacon arrived; minus infinity without any."""
         last_seen = self._last_seen_by_id.get(daemon)
         return -math.inf if last_seen is None else last_seen.beacon_at
 
+    def is_cut_off(self, daemon: str) -> bool:
+        """Return whether a daemon said that it reaches no server."""
+        last_seen = self._last_seen_by_id.get(daemon)
+        if last_seen is None or not last_seen.is_cut_off:
+            return False
+        return self._clock.seconds() - last_seen.beacon_at <= CUT_OFF_TIMEOUT_S
+
     def unseen_s(self, daemon: str) -> float:
         """Return the seconds since a daemon was seen, or since this one started."""
         last_seen = self._last_seen_by_id.get(daemon)
@@ -268,7 +282,12 @@
             ]
         if include_own:
             candidates = [*candidates, self.own]
-        return caller_addresses_in_zone(candidates, zone)
+        return caller_addresses_in_zone(self.prefer_connected(candidates), zone)
+
+    def prefer_connected(self, candidates: Sequence[Member]) -> Sequence[Member]:
+        """Return the daemons that reach servers, or all if none does."""
+        connected = [member for member in candidates if not self.is_cut_off(member.id)]
+        return connected or candidates
 
     def _timeout_s(self, last_seen: _LastSeen) -> float:
         timeout_s = self._liveness_timeout_s()
--- a/src/chivesaddle/fleet/working_set.py
+++ b/src/chivesaddle/fleet/working_set.py
@@ -204,13 +204,15 @@
 
         Without any working daemon, all daemons that may be running are named.
         """
-        own = self._members.own
+        members = self._members
         working = [
-            member for member in self.daemons() if include_own or member.id != own.id
+            member
+            for member in self.daemons()
+            if include_own or member.id != members.own.id
         ]
         if self.is_whole_fleet or not working:
-            return self._members.caller_addresses(zone, include_own)
-        return caller_addresses_in_zone(working, zone)
+            return members.caller_addresses(zone, include_own)
+        return caller_addresses_in_zone(members.prefer_connected(working), zone)
 
     def _refresh(self, now: float) -> None:
         members = self._members
--- a/src/chivesaddle/forwarding/__init__.py
+++ b/src/chivesaddle/forwarding/__init__.py
@@ -12,6 +12,7 @@
     ServerLoad,
     ServerResponse,
 )
+from chivesaddle.forwarding.passing import PeerDaemon, PeerPaths
 from chivesaddle.forwarding.prompts import PromptPlanner
 from chivesaddle.forwarding.serving_state import ServingState
 from chivesaddle.forwarding.stream_origins import (
@@ -28,6 +29,8 @@
     "InvalidValue",
     "MessageCodec",
     "OriginReport",
+    "PeerDaemon",
+    "PeerPaths",
     "PromptPart",
     "PromptPlanner",
     "RequestLimit",
--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -1,8 +1,8 @@
 """Forwarding of a caller's request: routing, sends to servers, and the response."""
 
 import random
-from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from collections.abc import Callable, Collection, Mapping, Sequence
+from dataclasses import dataclass, replace
 
 from twisted.internet.defer import CancelledError
 
@@ -32,9 +32,16 @@
 )
 from chivesaddle.forwarding.messages import (
     CallerRequest,
+    PassOptions,
     SendOptions,
     ServerResponse,
 )
+from chivesaddle.forwarding.passing import (
+    NotPassedOn,
+    PeerDaemon,
+    PeerPaths,
+    RequestPasser,
+)
 from chivesaddle.forwarding.prompts import PromptPlanner, cache_scope
 from chivesaddle.forwarding.relay import Relay
 from chivesaddle.forwarding.request_context import RequestContext
@@ -65,6 +72,8 @@
 
 # Maximum number of sends per request, including those that a server refused.
 MAX_SENDS = 4
+# Daemons to which one request is passed on, one after the other.
+MAX_PEERS = 3
 # Share of the remaining time after which an unresponsive server is given up while
 # another attempt is allowed.
 FIRST_ATTEMPT_TIME_SHARE = 0.5
@@ -90,6 +99,14 @@
     decode_request: Callable[[Request], CallerRequest]
     decode_response: Callable[[ResponseHead], ServerResponse]
     encode_server_headers: Callable[[CallerRequest, SendOptions], HeaderList]
+    encode_peer_headers: Callable[[CallerRequest, PassOptions], HeaderList]
+
+
+class NoPath(ChivesaddleError):
+    """Only other daemons reach servers of the service."""
+
+    code = "no_path"
+    status = 503
 
 
 class Forwarder:
@@ -111,6 +128,10 @@
         Limits that backend servers name.
     pool : ConnectionPool
         Connections to backend servers.
+    peer_paths : PeerPaths
+        Which other daemons reach servers.
+    peer_pool : ConnectionPool
+        Connections to other daemons.
     budget : RetryBudget
         Limits retries.
     crashes : CrashRecord
@@ -132,6 +153,8 @@
         servers: ServerTable,
         limits: RateLimits,
         pool: ConnectionPool,
+        peer_paths: PeerPaths,
+        peer_pool: ConnectionPool,
         budget: RetryBudget,
         crashes: CrashRecord,
         prompts: PromptPlanner,
@@ -145,6 +168,10 @@
         self._servers = servers
         self._limits = limits
         self._pool = pool
+        self._peer_paths = peer_paths
+        self._passer = RequestPasser(
+            clock, peer_pool, codec.encode_peer_headers, codec.decode_response
+        )
         self._budget = budget
         self._crashes = crashes
         self._prompts = prompts
@@ -157,6 +184,14 @@
     def handle(self, request: Request, responder: Responder) -> None:
         """Handle a request from the callers' listener."""
         caller_request = self._codec.decode_request(request)
+        if caller_request.earlier_runs is not None and not self._peer_paths.is_member(
+            request.sender_host
+        ):
+            log.warning(
+                "header of daemons ignored",
+                extra={"request": caller_request.id, "from": request.sender_host},
+            )
+            caller_request = replace(caller_request, earlier_runs=None)
         task = start(self._serve(caller_request, request.received_at, responder))
         responder.disconnected.addCallback(lambda _: task.cancel())
         task.addErrback(
@@ -224,6 +259,7 @@
             deadline=received_at + limit_s,
             caller_deadline=caller_deadline,
             suspects=suspects,
+            runs=caller_request.earlier_runs or 0,
         )
 
     def _check_not_blocked(
@@ -291,15 +327,17 @@
             raise TimedOut(f"No complete response in time: {error.message}") from error
 
     async def _send_with_retries(self, context: RequestContext, relay: Relay) -> None:
-        await self._stream_software.resume(context)
+        if not self._peers_to_pass_to(context):
+            await self._stream_software.resume(context)
         while True:
-            candidate = await self._find_server(context)
+            if peers := self._peers_to_pass_to(context):
+                await self._pass_on(context, relay, peers)
+                return
             try:
-                self._check_not_blocked(context.suspects, context.request.id)
-            except NotRun as error:
-                if context.runs:
-                    raise MayHaveRun(error.message) from error
-                raise
+                candidate = await self._find_server(context)
+            except NoPath:
+                continue
+            self._check_may_send(context)
             if context.sends == 0:
                 self._budget.record_request(context.service)
             elif not self._budget.try_acquire(context.service):
@@ -312,7 +350,7 @@
             except ServerDidNotRun as error:
                 self._reporter.log_retry(context, candidate, error)
                 context.excluded.add(candidate.server.entry.id)
-                if context.sends >= MAX_SENDS:
+                if context.sends >= MAX_SENDS and not self._peers_to_pass_to(context):
                     raise self._final_error(context, relay, error.message) from error
             except NoUsableResponse as error:
                 self._reporter.log_retry(context, candidate, error)
@@ -320,6 +358,53 @@
                 if not self._may_retry(context):
                     raise self._final_error(context, relay, error.message) from error
 
+    def _check_may_send(self, context: RequestContext) -> None:
+        try:
+            self._check_not_blocked(context.suspects, context.request.id)
+        except NotRun as error:
+            if context.runs:
+                raise MayHaveRun(error.message) from error
+            raise
+
+    def _peers_to_pass_to(self, context: RequestContext) -> Sequence[PeerDaemon]:
+        """Return the daemons to pass the request on to; none if servers are reached."""
+        if context.request.earlier_runs is not None:
+            return ()
+        return self._peer_paths.reaching(context.service)
+
+    async def _pass_on(
+        self, context: RequestContext, relay: Relay, peers: Sequence[PeerDaemon]
+    ) -> None:
+        """Pass the request on to one of the daemons and forward its response."""
+        reason = ""
+        for peer in peers[:MAX_PEERS]:
+            self._check_may_send(context)
+            if self._has_timed_out(context):
+                break
+            # The other daemon records the request as one of its own.
+            if context.runs and not self._budget.try_acquire(context.service):
+                raise self._final_error(context, relay, "the retry budget is used up")
+            context.passed_to.append(peer.id)
+            try:
+                await self._passer.send(
+                    context, relay, peer, self._response_deadline(context)
+                )
+                context.first_event_at = relay.started_at
+                return
+            except NotPassedOn as error:
+                reason = error.message
+                self._reporter.log_not_passed_on(context, error)
+            except NotRun as error:
+                if context.runs or relay.has_started:
+                    raise MayHaveRun(error.message) from error
+                raise
+            except NoUsableResponse as error:
+                reason = error.message
+                self._reporter.log_not_passed_on(context, error)
+                if not self._may_retry(context):
+                    break
+        raise self._final_error(context, relay, reason)
+
     async def _find_server(self, context: RequestContext) -> Candidate:
         """Return a server, after waiting for one with capacity if necessary.
 
@@ -362,13 +447,17 @@
         if queue is None:
             queue = self._queues_by_service[service] = AdmissionQueue(
                 self._clock,
-                lambda: self._servers.free_memory(
-                    service, self._server_memory_tokens(service)
-                ),
+                lambda: self._free_memory(service),
                 lambda ahead: self._minimum_wait(service, ahead),
             )
         return queue
 
+    def _free_memory(self, service: ServiceId) -> Mapping[BackendServerId, int] | None:
+        if self._peer_paths.reaching(service):
+            # Waiting requests are passed on.
+            return None
+        return self._servers.free_memory(service, self._server_memory_tokens(service))
+
     def _minimum_wait(self, service: ServiceId, ahead: int) -> float:
         """Return the wait that limits and refusals of all servers cause, in seconds."""
         wait_s = self._servers.opens_at(service) - self._clock.seconds()
@@ -385,7 +474,17 @@
     def _choose(
         self, context: RequestContext, reserved: Collection[BackendServerId] = ()
     ) -> Candidate:
-        """Choose a server; raises `NotRun` or `MayHaveRun` if there is none."""
+        """Choose a server.
+
+        Raises
+        ------
+        NotRun, MayHaveRun
+            If there is none.
+        NoPath
+            If the request must be passed on instead.
+        """
+        if self._peers_to_pass_to(context):
+            raise NoPath(f"No server of {context.service} is reached")
         now = self._clock.seconds()
         servers = self._servers.of_service(context.service)
         requirements = self._requirements(context)
@@ -605,7 +704,11 @@
         if context.runs and self._has_timed_out(context):
             return TimedOut(f"No complete response in time: {reason}")
         if context.runs or relay.has_started:
-            return MayHaveRun(f"Sent to {context.sends} servers: {reason}")
+            passed = f", passed on {len(context.passed_to)} times"
+            return MayHaveRun(
+                f"Sent to {context.sends} servers{passed if context.passed_to else ''}"
+                f": {reason}"
+            )
         return NotRun(
             f"{context.sends} sends were refused: {reason}",
             retry_after_s=self._random_retry_after(),
--- a/src/chivesaddle/forwarding/messages.py
+++ b/src/chivesaddle/forwarding/messages.py
@@ -32,6 +32,9 @@
         Id of the last event that the caller has received of an interrupted stream.
     resumed_request : RequestId or None
         The request whose response had the first event of that stream.
+    earlier_runs : int or None
+        Servers that may have run the request already, if another daemon passed it on;
+        None if it comes from a caller.
     """
 
     id: RequestId
@@ -48,6 +51,7 @@
     parts: tuple[PromptPart, ...]
     resume_after: str | None
     resumed_request: RequestId | None
+    earlier_runs: int | None = None
 
     @property
     def memory_tokens(self) -> int:
@@ -91,6 +95,27 @@
     resume_after: str | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class PassOptions:
+    """What the daemon adds to a request that it passes on to another daemon.
+
+    Attributes
+    ----------
+    time_left_s : float
+        Time that the caller still waits.
+    runs : int
+        Servers that may have run the request already.
+    resume_after, resumed_request : str or None
+        Id of the last event already delivered, and the request that began the stream,
+        if an interrupted stream is resumed.
+    """
+
+    time_left_s: float
+    runs: int
+    resume_after: str | None = None
+    resumed_request: RequestId | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class ServerLoad:
     """Requests that a backend server runs and queues, and its slots."""
@@ -170,6 +195,7 @@
     "CallerRequest",
     "HeaderList",
     "InvalidValue",
+    "PassOptions",
     "PromptPart",
     "RequestLimit",
     "RetryAfter",
--- /dev/null
+++ b/src/chivesaddle/forwarding/passing.py
@@ -0,0 +1,190 @@
+"""Passes a request on to a daemon that reaches servers which this one does not.
+
+The other daemon handles the request as one of its own callers' and never passes it on
+again, so that a request takes one more hop at most. It authenticates the caller again
+and applies all limits and budgets.
+"""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from chivesaddle.core.aio import Clock, start, with_deadline
+from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded
+from chivesaddle.core.ids import DaemonId, ServiceId
+from chivesaddle.forwarding.errors import NotRun
+from chivesaddle.forwarding.exchange import NoUsableResponse
+from chivesaddle.forwarding.messages import (
+    CallerRequest,
+    PassOptions,
+    RetryAfter,
+    ServerResponse,
+)
+from chivesaddle.forwarding.relay import Relay
+from chivesaddle.forwarding.request_context import RequestContext
+from chivesaddle.http1 import (
+    ConnectionPool,
+    HeaderList,
+    NotSent,
+    ResponseBroken,
+    ResponseHead,
+)
+
+# Daemons are on the same network and accept connections within milliseconds.
+CONNECT_TIMEOUT_S = 0.35
+# A daemon closes idle connections of callers, and itself when it restarts.
+MAX_IDLE_S = 0.25
+# Statuses by which a daemon states that no server has run the request.
+NOT_RUN_STATUSES = frozenset({400, 401, 403, 404, 408, 413, 421, 429, 431, 503})
+
+
+@dataclass(frozen=True, slots=True)
+class PeerDaemon:
+    """A daemon to which requests can be passed on.
+
+    Attributes
+    ----------
+    address : str
+        Where it accepts callers, ``ip:port``.
+    """
+
+    id: DaemonId
+    address: str
+
+
+class PeerPaths(Protocol):
+    """Knows which daemons reach the servers."""
+
+    def reaching(self, service: ServiceId) -> Sequence[PeerDaemon]:
+        """Return the daemons to pass on requests for a service to, best first.
+
+        Empty if this daemon reaches a server of the service itself.
+        """
+
+    def is_member(self, host: str) -> bool:
+        """Return whether an IP address is that of a daemon of the fleet."""
+
+
+class NotPassedOn(ChivesaddleError):
+    """The other daemon did not get the request."""
+
+    code = "not_passed_on"
+    status = 503
+
+
+class RequestPasser:
+    """Sends requests to other daemons and forwards their responses.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of all deadlines.
+    pool : ConnectionPool
+        Connections to other daemons.
+    encode_headers : callable
+        Encodes the headers of a request that is passed on.
+    decode_response : callable
+        Decodes the head of a response.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        pool: ConnectionPool,
+        encode_headers: Callable[[CallerRequest, PassOptions], HeaderList],
+        decode_response: Callable[[ResponseHead], ServerResponse],
+    ) -> None:
+        self._clock = clock
+        self._pool = pool
+        self._encode_headers = encode_headers
+        self._decode_response = decode_response
+
+    async def send(
+        self,
+        context: RequestContext,
+        relay: Relay,
+        peer: PeerDaemon,
+        response_deadline: float,
+    ) -> None:
+        """Pass the request on and forward the response.
+
+        Raises
+        ------
+        NotPassedOn
+            If the daemon did not get the request.
+        NotRun
+            If the daemon states that no server has run or will run the request.
+        NoUsableResponse
+            If the response is missing or incomplete, so that the request may have run.
+        """
+        now = self._clock.seconds()
+        headers = self._encode_headers(context.request, self._options(context, relay))
+        request = context.request
+        try:
+            connection = await self._pool.acquire(
+                peer.address,
+                min(response_deadline, now + CONNECT_TIMEOUT_S),
+                max_idle_s=MAX_IDLE_S,
+            )
+            connection.send(request.method, request.target, headers, request.body)
+        except NotSent as error:
+            raise NotPassedOn(f"Daemon {peer.id}: {error.message}") from error
+        context.runs += 1
+        is_complete = False
+        try:
+            head = await with_deadline(
+                self._clock,
+                response_deadline,
+                start(connection.read_head()),
+                "response",
+            )
+            response = self._decode_response(head)
+            context.framing = response.framing
+            self._check(context, response, peer)
+            await relay.forward(response, connection.read_chunk)
+            is_complete = True
+        except ResponseBroken as error:
+            raise NoUsableResponse(f"Daemon {peer.id}: {error.message}") from error
+        except DeadlineExceeded as error:
+            raise NoUsableResponse(
+                f"Daemon {peer.id} did not respond in time"
+            ) from error
+        finally:
+            context.unfinished_bytes = relay.unfinished_bytes
+            if is_complete:
+                self._pool.release(peer.address, connection, response.keep_alive_s)
+            else:
+                connection.abort()
+
+    def _options(self, context: RequestContext, relay: Relay) -> PassOptions:
+        time_left_s = context.deadline - self._clock.seconds()
+        if relay.last_event_id is None:
+            return PassOptions(time_left_s, context.runs)
+        return PassOptions(
+            time_left_s, context.runs, relay.last_event_id, context.began_as
+        )
+
+    def _check(
+        self, context: RequestContext, response: ServerResponse, peer: PeerDaemon
+    ) -> None:
+        if response.is_signed and response.request_id == context.request.id:
+            return
+        if response.status in NOT_RUN_STATUSES:
+            context.runs -= 1
+            match response.retry_after:
+                case RetryAfter(seconds):
+                    retry_after_s: float | None = seconds
+                case _:
+                    retry_after_s = None
+            raise NotRun(
+                f"Daemon {peer.id} answered {response.status}",
+                retry_after_s=retry_after_s,
+            )
+        if response.status < 500 or response.is_signed:
+            raise NoUsableResponse(
+                f"Daemon {peer.id} answered {response.status} without the request's id"
+            )
+        raise NoUsableResponse(f"Daemon {peer.id} answered {response.status}")
+
+
+__all__ = ["NotPassedOn", "PeerDaemon", "PeerPaths", "RequestPasser"]
--- a/src/chivesaddle/forwarding/request_context.py
+++ b/src/chivesaddle/forwarding/request_context.py
@@ -5,6 +5,8 @@
 from chivesaddle.core.ids import (
     AccountId,
     BackendServerId,
+    DaemonId,
+    RequestId,
     ServiceId,
     SoftwareVersion,
 )
@@ -39,6 +41,8 @@
         Bytes of an event at the end of the last response that had no end.
     server_began_at : float or None
         When the last server's first event arrived, None before it.
+    passed_to : list of DaemonId
+        Daemons that the request was passed on to.
     """
 
     request: CallerRequest
@@ -60,6 +64,15 @@
     framing: Framing | None = None
     unfinished_bytes: int = 0
     server_began_at: float | None = None
+    passed_to: list[DaemonId] = field(default_factory=list)
+
+    @property
+    def began_as(self) -> RequestId:
+        """Id of the request whose response has the first event of the stream."""
+        request = self.request
+        if request.resume_after is not None and request.resumed_request is not None:
+            return request.resumed_request
+        return request.id
 
     @property
     def account_id(self) -> AccountId | None:
@@ -100,6 +113,10 @@
             "waited_ms": round(self.waited_s * 1_000),
         }
         fields |= self.resumption_fields()
+        if self.passed_to:
+            fields["passed_to"] = self.passed_to
+        if self.request.earlier_runs is not None:
+            fields["earlier_runs"] = self.request.earlier_runs
         candidate = self.last_candidate
         if candidate is None:
             return fields
--- a/src/chivesaddle/forwarding/results.py
+++ b/src/chivesaddle/forwarding/results.py
@@ -7,6 +7,7 @@
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.forwarding.exchange import NoUsableResponse, ServerDidNotRun
 from chivesaddle.forwarding.messages import CallerRequest
+from chivesaddle.forwarding.passing import NotPassedOn
 from chivesaddle.forwarding.request_context import RequestContext
 from chivesaddle.http1 import HeaderList, Responder
 from chivesaddle.placement import Candidate
@@ -69,6 +70,20 @@
             },
         )
 
+    def log_not_passed_on(
+        self, context: RequestContext, error: NotPassedOn | NoUsableResponse
+    ) -> None:
+        """Log that another daemon did not get the request, or did not respond."""
+        log.info(
+            "passing on failed",
+            extra={
+                "request": context.request.id,
+                "passed_to": context.passed_to,
+                "cause": error.message,
+                "runs": context.runs,
+            },
+        )
+
     def log_result(
         self,
         result: str,
--- a/src/chivesaddle/forwarding/stream_software.py
+++ b/src/chivesaddle/forwarding/stream_software.py
@@ -65,12 +65,8 @@
         context.software_version = version
         if not context.route.may_resume:
             return
-        request = context.request
-        began = request.id
-        if request.resume_after is not None and request.resumed_request is not None:
-            began = request.resumed_request
         self._origins.record_start(
-            stream_key(context.account_id, began),
+            stream_key(context.account_id, context.began_as),
             context.service,
             version,
             context.caller_deadline or context.deadline,
--- a/src/chivesaddle/http1/pool.py
+++ b/src/chivesaddle/http1/pool.py
@@ -55,6 +55,10 @@
                 connection.on_idle_loss = None
                 return connection
             connection.abort()
+        return await self.open(address, deadline)
+
+    async def open(self, address: str, deadline: float) -> ServerConnection:
+        """Open a new connection; raises `NotSent`."""
         self.connections_opened += 1
         return await self._connector.connect(address, deadline)
 
--- a/src/chivesaddle/http1/server.py
+++ b/src/chivesaddle/http1/server.py
@@ -39,6 +39,8 @@
     ----------
     received_at : float
         When the whole request had been read, in seconds on the listener's clock.
+    sender_host : str
+        IP address that the request came from.
     """
 
     method: bytes
@@ -46,6 +48,7 @@
     headers: Headers
     body: bytes
     received_at: float
+    sender_host: str = ""
 
 
 @dataclass(slots=True)
@@ -328,6 +331,7 @@
             Headers(list(self._head.headers)),
             b"".join(self._body),
             self._listener.clock.seconds(),
+            self.transport.getPeer().host,
         )
         self._body = []
         self.responder = Responder(self)
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -36,6 +36,12 @@
 # Time for which a server counts as busy after it refused a request because it is full
 # or executes a load order. Loading weights takes 0.4 s.
 BUSY_DURATION_S = 0.3
+# A request without a byte for this long on a lost path does not load the server: either
+# the request or its response is lost.
+SILENT_ON_LOST_PATH_S = 0.5
+# A server that does not accept a connection counts as down only if this daemon has had
+# contact with another one this long afterwards. Otherwise its own link may be down.
+DOWN_AFTER_S = 0.5
 
 log = ComponentLogger("servers")
 
@@ -60,11 +66,14 @@
         Prompt tokens that the server has to prefill; 0 after the first event.
     memory_tokens : int
         Tokens of server memory that the request takes at most.
+    last_byte_at : float
+        When the last byte of the response arrived, or the request was sent.
     """
 
     sent_at: float
     unread_tokens: int
     memory_tokens: int
+    last_byte_at: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,7 +120,7 @@
     in_flight: dict[int, InFlightRequest] = field(default_factory=dict)
     peer_loads: dict[str, tuple[Load, float]] = field(default_factory=dict)
     unanswered: dict[int, float] = field(default_factory=dict)
-    last_byte_at: float = 0.0
+    last_byte_at: float = -math.inf
     running: int = 0
     waiting: int = 0
     load_at: float = -1e9
@@ -140,9 +149,20 @@
             return 0.0
         return max(0.0, now - max(self.last_byte_at, min(self.unanswered.values())))
 
-    def own_load(self) -> Load:
+    @property
+    def last_contact_at(self) -> float:
+        """When the server last sent a byte or accepted a connection."""
+        return max(self.last_byte_at, self.path.connected_at)
+
+    def own_load(self, now: float) -> Load:
         """Return the load that this daemon has at the server."""
-        in_flight_requests = self.in_flight.values()
+        in_flight_requests = list(self.in_flight.values())
+        if self.path.lost_at is not None:
+            in_flight_requests = [
+                request
+                for request in in_flight_requests
+                if request.last_byte_at > now - SILENT_ON_LOST_PATH_S
+            ]
         return Load(
             len(in_flight_requests),
             sum(request.unread_tokens for request in in_flight_requests),
@@ -155,7 +175,7 @@
         The request count is the server's own report, weighted by age, where that is
         higher than the count over all known daemons.
         """
-        own = self.own_load()
+        own = self.own_load(now)
         requests, unread_tokens, memory_tokens = (
             own.requests,
             own.unread_tokens,
@@ -199,6 +219,10 @@
         self._clock = clock
         # Called for each server that is found to be down or restarted.
         self.on_down: Callable[[BackendServerId], None] = lambda server: None
+        # Called when a server does not accept connections of this daemon any more.
+        self.on_path_lost: Callable[[ServerEntry], None] = lambda entry: None
+        # Called when a server's response broke.
+        self.on_broken: Callable[[TrackedServer], None] = lambda server: None
         # Called when a server of the service may have free capacity.
         self.on_capacity_freed: Callable[[ServiceId], None] = lambda service: None
         # Called with the entry before and the new one when a server is listed, removed
@@ -372,7 +396,7 @@
         if tracked is not None:
             now = self._clock.seconds()
             tracked.in_flight[self._serial] = InFlightRequest(
-                now, unread_tokens, memory_tokens
+                now, unread_tokens, memory_tokens, now
             )
             tracked.unanswered[self._serial] = now
         return self._serial
@@ -382,7 +406,10 @@
         tracked = self._by_id.get(server)
         if tracked is not None:
             tracked.unanswered.pop(serial, None)
-            tracked.last_byte_at = self._clock.seconds()
+            tracked.last_byte_at = now = self._clock.seconds()
+            request = tracked.in_flight.get(serial)
+            if request is not None:
+                request.last_byte_at = now
 
     def record_first_event(self, server: BackendServerId, serial: int) -> None:
         """Record that a request's prompt has been prefilled."""
@@ -403,6 +430,7 @@
                 "path to server regained",
                 extra={"server": server, "after_ms": round((now - lost_at) * 1_000)},
             )
+            self._clock.callLater(0, self.on_capacity_freed, tracked.entry.service)
 
     def record_connection_failure(self, server: BackendServerId, cause: str) -> None:
         """Record that this daemon could not open a connection to the server."""
@@ -419,6 +447,8 @@
                 "listed": len(self._by_id),
             },
         )
+        self.on_path_lost(tracked.entry)
+        self._clock.callLater(0, self.on_capacity_freed, tracked.entry.service)
 
     def lost_servers(self) -> list[TrackedServer]:
         """Return the ready servers that accept no connection of this daemon."""
@@ -429,6 +459,14 @@
             and tracked.entry.state is ServerState.READY
         ]
 
+    def _check_down(self, unreachable: TrackedServer, since: float) -> None:
+        """Report a server as down that other servers have outlived."""
+        if unreachable.last_contact_at > since:
+            return
+        others = (s for s in self._by_id.values() if s is not unreachable)
+        if any(server.last_contact_at > since for server in others):
+            self.on_down(unreachable.entry.id)
+
     def record_load(
         self, server: BackendServerId, running: int, waiting: int, age_s: float = 0.0
     ) -> None:
@@ -525,11 +563,15 @@
             case ExchangeOutcome.BROKEN | ExchangeOutcome.UNREACHABLE:
                 failed = 1.0
                 tracked.failures_in_row += 1
+                if outcome is ExchangeOutcome.BROKEN:
+                    self.on_broken(tracked)
                 if outcome is ExchangeOutcome.UNREACHABLE:
                     tracked.failures_in_row = max(
                         EJECT_AFTER_FAILURES, tracked.failures_in_row
                     )
-                    self.on_down(server)
+                    self._clock.callLater(
+                        DOWN_AFTER_S, self._check_down, tracked, self._clock.seconds()
+                    )
                 self._eject(tracked)
         rate = tracked.failure_rate
         tracked.failure_rate = rate + LATEST_OUTCOME_WEIGHT * (failed - rate)
--- a/src/chivesaddle/platform/__init__.py
+++ b/src/chivesaddle/platform/__init__.py
@@ -23,6 +23,7 @@
 from chivesaddle.platform.headers import (
     decode_request,
     decode_response,
+    encode_peer_headers,
     encode_server_headers,
 )
 from chivesaddle.platform.store import StoreClient
@@ -44,5 +45,6 @@
     "decode_weight_version",
     "document_version",
     "encode_addresses",
+    "encode_peer_headers",
     "encode_server_headers",
 ]
--- a/src/chivesaddle/platform/headers.py
+++ b/src/chivesaddle/platform/headers.py
@@ -7,6 +7,7 @@
 from chivesaddle.forwarding.messages import (
     CallerRequest,
     InvalidValue,
+    PassOptions,
     PromptPart,
     RequestLimit,
     RetryAfter,
@@ -52,6 +53,8 @@
 LAST_EVENT = b"last-event-id"
 # Id of the caller's request whose response had the first event of the stream.
 RESUMES = b"resumes"
+# Between daemons: how many servers may have run a request that is passed on.
+EARLIER_RUNS = b"passed-on-after-runs"
 
 _HOP_BY_HOP_HEADERS = {
     b"connection",
@@ -82,6 +85,7 @@
     PIN_DURATION,
     HOLD,
     EXPECTED_VERSION,
+    EARLIER_RUNS,
 }
 # A server that refuses for longer than a day is not refusing for lack of capacity.
 MAX_RETRY_AFTER_S = 24 * 3_600.0
@@ -114,6 +118,7 @@
         parts=_parse_parts(header_value(headers.items, PROMPT_PARTS)),
         resume_after=header_value(headers.items, LAST_EVENT) or None,
         resumed_request=_parse_request_id(header_value(headers.items, RESUMES)),
+        earlier_runs=_parse_integer(header_value(headers.items, EARLIER_RUNS)),
     )
 
 
@@ -142,6 +147,22 @@
     return headers
 
 
+def encode_peer_headers(request: CallerRequest, options: PassOptions) -> HeaderList:
+    """Return the headers of a request that is passed on to another daemon."""
+    replaced = set() if options.resume_after is None else {LAST_EVENT, RESUMES}
+    headers = [item for item in request.passed_headers if item[0] not in replaced]
+    time_left_ms = max(1, int(options.time_left_s * 1_000))
+    headers.append((TIME_LIMIT, str(time_left_ms).encode()))
+    headers.append((EARLIER_RUNS, str(options.runs).encode()))
+    if request.key is not None:
+        headers.append((b"authorization", f"Bearer {request.key}".encode("latin-1")))
+    if options.resume_after is not None:
+        headers.append((LAST_EVENT, options.resume_after.encode("latin-1")))
+        if options.resumed_request is not None:
+            headers.append((RESUMES, options.resumed_request.encode("latin-1")))
+    return headers
+
+
 def decode_response(head: ResponseHead) -> ServerResponse:
     """Decode the head of a backend server's response."""
     keep_alive = _KEEP_ALIVE_TIMEOUT.search(head.get(b"keep-alive") or "")
@@ -256,4 +277,9 @@
     return int(value) if value and value.isdigit() else None
 
 
-__all__ = ["decode_request", "decode_response", "encode_server_headers"]
+__all__ = [
+    "decode_request",
+    "decode_response",
+    "encode_peer_headers",
+    "encode_server_headers",
+]
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -14,6 +14,7 @@
 from chivesaddle.core.aio import log_failure, sleep_until, start
 from chivesaddle.core.ids import DaemonId, ZoneId
 from chivesaddle.core.logs import ComponentLogger
+from chivesaddle.core.serving_model import ServerEntry
 from chivesaddle.fleet import (
     Beacon,
     Beacons,
@@ -65,6 +66,7 @@
     decode_response,
     document_version,
     encode_addresses,
+    encode_peer_headers,
     encode_server_headers,
 )
 from chivesaddle.serving.beacon_content import BeaconContent
@@ -78,6 +80,8 @@
     OriginNotice,
     OriginQuestion,
 )
+from chivesaddle.serving.path_probe import PathProbe
+from chivesaddle.serving.peer_paths import FleetPaths
 from chivesaddle.serving.registration import Registration
 from chivesaddle.serving.settings import ServingSettings, SettingsError
 from chivesaddle.serving.software_view import SoftwareView
@@ -118,9 +122,10 @@
         self._is_leaving = False
         bounds = settings.bounds
         self.metrics = ServingMetrics()
-        connector = Connector(reactor)
+        connector = Connector(reactor, settings.connect_from)
         self._server_pool = ConnectionPool(connector, reactor)
         self._store_pool = ConnectionPool(connector, reactor)
+        self._peer_pool = ConnectionPool(connector, reactor)
         self._era = StoreEra(reactor)
         self.store = StoreClient(
             settings.store.address,
@@ -160,6 +165,12 @@
         )
         self._members = Members(reactor, own, self._replicas[MEMBERS_KIND])
         self._working_set = WorkingSet(reactor, self._members)
+        self._paths = FleetPaths(
+            reactor, self._members, self._working_set, self._servers
+        )
+        self._path_probe = PathProbe(reactor, self._servers, self._server_pool)
+        self._servers.on_path_lost = self._give_up_connections
+        self._servers.on_broken = self._path_probe.check
         watch_role = WatchRole(reactor, self._members, self._working_set)
         self._watchers = [
             Watcher(
@@ -262,6 +273,7 @@
             self._demand,
             self._reachability,
             watch_role,
+            self._paths,
         )
         self._beacons = Beacons(
             reactor, self._members, self._working_set, self._datagrams, content, content
@@ -283,11 +295,18 @@
         self._forwarder = Forwarder(
             reactor,
             ZoneId(settings.zone),
-            MessageCodec(decode_request, decode_response, encode_server_headers),
+            MessageCodec(
+                decode_request,
+                decode_response,
+                encode_server_headers,
+                encode_peer_headers,
+            ),
             self._serving_state,
             self._servers,
             limits,
             self._server_pool,
+            self._paths,
+            self._peer_pool,
             RetryBudget(
                 reactor,
                 bounds.retry_ratio,
@@ -326,6 +345,7 @@
         self._exchange.start()
         self._registration.start()
         self._rollout.start()
+        self._path_probe.start()
         start(self._run_housekeeping()).addErrback(
             log_failure(log, "housekeeping ended")
         )
@@ -358,6 +378,7 @@
             await sleep_until(self._reactor, self._reactor.seconds() + 0.05)
         self._exchange.stop()
         self._feeds.stop()
+        self._path_probe.stop()
         self._beacons.stop()
         self._updates.stop()
         self._crash_notices.stop()
@@ -411,7 +432,8 @@
             name, _, value = pair.partition("=")
             if name == "zone":
                 zone = value
-        addresses = self._working_set.caller_addresses(zone, self.is_ready)
+        include_own = self.is_ready and not self._paths.is_cut_off
+        addresses = self._working_set.caller_addresses(zone, include_own)
         if not addresses:
             responder.answer(503)
             return
@@ -435,6 +457,11 @@
         self.metrics.observe_request(result, seconds)
         self._demand.record_request()
 
+    def _give_up_connections(self, server: ServerEntry) -> None:
+        """Close the idle connections of a lost path, and probe similar ones."""
+        self._server_pool.close_address(server.address)
+        self._path_probe.probe_service(server.service)
+
     def _order_rank(self) -> int:
         """Return this daemon's position among those that may give weight orders."""
         if self._working_set.is_whole_fleet:
@@ -490,6 +517,7 @@
             await self._departed.step(self._rollout.holds_lease)
             self._server_pool.close_expired()
             self._store_pool.close_expired()
+            self._peer_pool.close_expired()
             self.metrics.set_value("store_calls", self.store.calls)
             self.metrics.set_value(
                 "connections_opened", self._server_pool.connections_opened
@@ -503,6 +531,8 @@
             for result, count in self._origins.resumed_by_result.items():
                 self.metrics.set_value(f"streams_resumed_{result}", count)
             self.metrics.set_value("lost_paths", len(self._servers.lost_servers()))
+            self.metrics.set_value("is_cut_off", self._paths.is_cut_off)
+            self.metrics.set_value("path_probes", self._path_probe.probes)
             self.metrics.set_value("in_flight", self._caller_listener.in_flight)
             self.metrics.set_value("callers", len(self._caller_listener.connections))
 
--- a/src/chivesaddle/serving/beacon_content.py
+++ b/src/chivesaddle/serving/beacon_content.py
@@ -9,6 +9,7 @@
     WatchRole,
 )
 from chivesaddle.serving.hints import ServerLoadShares
+from chivesaddle.serving.peer_paths import FleetPaths
 from chivesaddle.weights import Rollout
 
 
@@ -27,6 +28,8 @@
         Whether this daemon reaches the store.
     watch_role : WatchRole
         Receives the same of others.
+    paths : FleetPaths
+        Which daemon reaches which servers.
     """
 
     def __init__(
@@ -36,12 +39,14 @@
         demand: RequestDemand,
         reachability: StoreReachability,
         watch_role: WatchRole,
+        paths: FleetPaths,
     ) -> None:
         self._shares = shares
         self._rollout = rollout
         self._demand = demand
         self._reachability = reachability
         self._watch_role = watch_role
+        self._paths = paths
 
     def load_shares(self) -> tuple[list[ServerLoadShare], list[int]]:
         """Return load shares, and hashes of servers loading weights on its order."""
@@ -59,6 +64,16 @@
         """Return whether this daemon's watches of the store are answered."""
         return self._reachability.unreachable_since is None
 
+    def lost_servers(self) -> tuple[list[int], bool]:
+        """Return hashes of servers not reached, and whether only peers reach any."""
+        return self._paths.lost_servers()
+
+    def apply_lost_servers(
+        self, peer: str, lost: Sequence[int], valid_s: float
+    ) -> None:
+        """Replace the servers that a peer does not reach."""
+        self._paths.apply_lost_servers(peer, lost, valid_s)
+
     def apply_shares(
         self,
         peer: str,
--- a/src/chivesaddle/serving/hints.py
+++ b/src/chivesaddle/serving/hints.py
@@ -86,9 +86,10 @@
     def collect(self) -> tuple[list[ServerLoadShare], list[int]]:
         """Return this daemon's load shares, and hashes of servers loading weights."""
         shares = []
+        now = self._clock.seconds()
         for tracked in self._servers.all():
             if tracked.in_flight:
-                own = tracked.own_load()
+                own = tracked.own_load(now)
                 shares.append(
                     ServerLoadShare(
                         server_hash(tracked.entry.id),
--- /dev/null
+++ b/src/chivesaddle/serving/peer_paths.py
@@ -0,0 +1,124 @@
+"""Which servers each daemon reaches, as daemons tell each other in their beacons."""
+
+import random
+from collections.abc import Collection, Sequence
+
+from chivesaddle.core.aio import Clock
+from chivesaddle.core.ids import DaemonId, ServiceId
+from chivesaddle.core.serving_model import ServerState
+from chivesaddle.fleet import Member, Members, WorkingSet
+from chivesaddle.fleet.beacons import server_hash
+from chivesaddle.forwarding import PeerDaemon
+from chivesaddle.placement import ServerTable
+
+# A daemon of the own zone is this much more likely to get a request that is passed on:
+# traffic between zones is billed, but one daemon must not get all requests of others.
+OWN_ZONE_WEIGHT = 3.0
+# A daemon that reaches servers again is named to callers after this time.
+NAMED_AGAIN_AFTER_S = 1.0
+
+
+class FleetPaths:
+    """The paths of this daemon and of its peers to the servers.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock on which reports expire.
+    members : Members
+        Registered daemons.
+    working_set : WorkingSet
+        The daemons that take callers.
+    servers : ServerTable
+        Servers and this daemon's paths.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        members: Members,
+        working_set: WorkingSet,
+        servers: ServerTable,
+    ) -> None:
+        self._clock = clock
+        self._members = members
+        self._working_set = working_set
+        self._servers = servers
+        self._random = random.Random()
+        # Hashes of the servers that each peer does not reach, and until when the
+        # report is valid.
+        self._lost_by_peer: dict[str, tuple[frozenset[int], float]] = {}
+        self._cut_off_until = 0.0
+
+    def reaching(self, service: ServiceId) -> Sequence[PeerDaemon]:
+        """Return the daemons to pass on requests for a service to, in random order.
+
+        Empty if this daemon reaches a server of the service itself.
+        """
+        if not self._servers.lost_servers():
+            return ()
+        servers = self._servers.of_service(service)
+        if any(server.path.lost_at is None for server in servers):
+            return ()
+        members = self._reaching_any({server_hash(s.entry.id) for s in servers})
+        return [
+            PeerDaemon(DaemonId(member.id), member.callers)
+            for member in sorted(members, key=self._random_rank)
+        ]
+
+    def is_member(self, host: str) -> bool:
+        """Return whether an IP address is that of a daemon of the fleet."""
+        return any(
+            member.callers.rpartition(":")[0] == host
+            for member in self._members.registered()
+        )
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether this daemon reaches no server, or did so only for a moment."""
+        now = self._clock.seconds()
+        ready = [
+            server
+            for server in self._servers.all()
+            if server.entry.state is ServerState.READY
+        ]
+        if ready and all(server.path.lost_at is not None for server in ready):
+            hashes = {server_hash(server.entry.id) for server in ready}
+            if self._reaching_any(hashes):
+                self._cut_off_until = now + NAMED_AGAIN_AFTER_S
+        return now < self._cut_off_until
+
+    def lost_servers(self) -> tuple[list[int], bool]:
+        """Return hashes of the servers that this daemon does not reach.
+
+        The second value is whether it reaches none, while another daemon does.
+        """
+        lost = sorted(server_hash(s.entry.id) for s in self._servers.lost_servers())
+        return lost, self.is_cut_off
+
+    def apply_lost_servers(
+        self, peer: str, lost: Sequence[int], valid_s: float
+    ) -> None:
+        """Replace the servers that a peer does not reach."""
+        if lost:
+            until = self._clock.seconds() + valid_s
+            self._lost_by_peer[peer] = (frozenset(lost), until)
+        else:
+            self._lost_by_peer.pop(peer, None)
+
+    def _reaching_any(self, servers: Collection[int]) -> list[Member]:
+        """Return the daemons that reach one of the servers."""
+        now = self._clock.seconds()
+        reaching = []
+        for member in self._working_set.peers():
+            lost, until = self._lost_by_peer.get(member.id, (frozenset(), 0.0))
+            if until <= now or not lost.issuperset(servers):
+                reaching.append(member)
+        return reaching if servers else []
+
+    def _random_rank(self, member: Member) -> float:
+        weight = OWN_ZONE_WEIGHT if member.zone == self._members.own.zone else 1.0
+        return self._random.expovariate(weight)
+
+
+__all__ = ["FleetPaths"]
--- a/src/chivesaddle/serving/settings.py
+++ b/src/chivesaddle/serving/settings.py
@@ -129,6 +129,9 @@
         Peer addresses to call while no other daemon is known.
     capacity : InstanceCapacity
         Size of this instance.
+    connect_from : str or None
+        IP address from which connections are opened, on an instance with several; None
+        lets the system choose.
     log_lines_per_s : float
         Average limit of log lines per second; short bursts may exceed it.
     """
@@ -140,6 +143,7 @@
     bounds: Bounds
     seeds: list[Address] = []
     capacity: InstanceCapacity = InstanceCapacity()
+    connect_from: str | None = None
     log_level: str = "INFO"
     log_lines_per_s: Positive = 100.0
 
--- a/src/chivesaddle/tools/platform_fleet.py
+++ b/src/chivesaddle/tools/platform_fleet.py
@@ -46,10 +46,19 @@
     proxy_address : callable or None
         Maps the name and address of a fake to the address that daemons connect to,
         such as that of a fault-injecting proxy; None connects them directly.
+    has_own_hosts : bool
+        Whether each daemon listens on, and connects from, a loopback address of its
+        own, so that proxies can tell them apart.
     """
 
     def __init__(
-        self, build_dir: Path, daemons: int, servers: int, proxy_address: Any = None
+        self,
+        build_dir: Path,
+        daemons: int,
+        servers: int,
+        proxy_address: Any = None,
+        *,
+        has_own_hosts: bool = False,
     ) -> None:
         self._build_dir = build_dir
         self.processes = Processes(build_dir / "logs")
@@ -59,10 +68,14 @@
         self.servers = {
             f"server-{n}": f"127.0.0.1:{next(ports)}" for n in range(servers)
         }
-        self.listeners = {
-            f"daemon-{n}": {name: f"127.0.0.1:{next(ports)}" for name in LISTENERS}
+        self.host_by_daemon = {
+            f"daemon-{n}": f"127.0.1.{n + 1}" if has_own_hosts else "127.0.0.1"
             for n in range(daemons)
         }
+        self.listeners = {
+            daemon: {name: f"{host}:{next(ports)}" for name in LISTENERS}
+            for daemon, host in self.host_by_daemon.items()
+        }
         self._version = 0
         # Start times of backend servers as their entries name them.
         self._start_by_server: dict[str, int] = {}
@@ -196,6 +209,7 @@
                 "address_valid_most_s": 5,
             },
             "seeds": [listeners["peers"] for listeners in self.listeners.values()],
+            "connect_from": self.host_by_daemon[name],
         }
         path = self.settings_path(name)
         path.write_text(json.dumps(settings))
--- a/src/chivesaddle/tools/soak/proxy.py
+++ b/src/chivesaddle/tools/soak/proxy.py
@@ -35,6 +35,8 @@
         self.listen = listen
         self._target = target
         self.mode = ProxyMode.PASS
+        # Modes of connections from some IP addresses only.
+        self._mode_by_source: dict[str, ProxyMode] = {}
         self._open_writers: set[asyncio.StreamWriter] = set()
         self._silenced_writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
@@ -58,6 +60,14 @@
         if mode is ProxyMode.SILENCE_OPEN:
             self._silenced_writers |= self._open_writers
 
+    def set_source_mode(self, source: str, mode: ProxyMode) -> None:
+        """Pass or reset the connections from one IP address."""
+        self._mode_by_source[source] = mode
+        if mode is ProxyMode.RESET:
+            for writer in list(self._open_writers):
+                if writer.get_extra_info("peername")[0] == source:
+                    writer.transport.abort()
+
     def _reset_all(self) -> None:
         for writer in list(self._open_writers):
             writer.transport.abort()
@@ -65,7 +75,8 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self.mode is ProxyMode.RESET:
+        source = writer.get_extra_info("peername")[0]
+        if ProxyMode.RESET in (self.mode, self._mode_by_source.get(source)):
             writer.transport.abort()
             return
         host, _, port = self._target.rpartition(":")
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -56,6 +56,8 @@
         )
         self.cores = 0.0
         self.has_store = True
+        self.lost = ([], False)
+        self.lost_by_peer = {}
         self.shares_by_peer = {}
         self.pulls = []
 
@@ -71,6 +73,12 @@
     def reaches_store(self):
         return self.has_store
 
+    def lost_servers(self):
+        return self.lost
+
+    def apply_lost_servers(self, peer, lost, valid_s):
+        self.lost_by_peer[peer] = lost
+
     def apply_shares(self, peer, shares, loading, valid_s):
         self.shares_by_peer[peer] = shares
 
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -34,6 +34,7 @@
     decode_request,
     decode_response,
     decode_server,
+    encode_peer_headers,
     encode_server_headers,
 )
 
@@ -198,6 +199,17 @@
         self.send(b"0\r\n\r\n")
 
 
+class PeerPaths:
+    """The daemons that a test says reach the servers."""
+
+    def __init__(self):
+        self.peers = []
+        self.is_member = lambda host: True
+
+    def reaching(self, service):
+        return self.peers
+
+
 class Harness:
     """A forwarder with two servers of a service without a model."""
 
@@ -220,6 +232,7 @@
         self.servers.on_down = self.crashes.confirm
         self.budget = RetryBudget(clock, 0.2, 50, 10, lambda: 1)
         transfers = TransferPlanner(clock, CacheIndex(clock))
+        self.peer_paths = PeerPaths()
         self.results = []
         self.transfers = transfers
         self.forwarder = self.make_forwarder()
@@ -232,11 +245,18 @@
         return Forwarder(
             clock,
             ZoneId("z"),
-            MessageCodec(decode_request, decode_response, encode_server_headers),
+            MessageCodec(
+                decode_request,
+                decode_response,
+                encode_server_headers,
+                encode_peer_headers,
+            ),
             self.serving_state,
             self.servers,
             self.limits,
             self.pool,
+            self.peer_paths,
+            self.pool,
             self.budget,
             self.crashes,
             PromptPlanner(clock, self.serving_state, self.servers, self.transfers),
--- a/tests/forwarding/test_lost_paths.py
+++ b/tests/forwarding/test_lost_paths.py
@@ -5,12 +5,15 @@
 from types import SimpleNamespace
 
 import pytest
-from twisted.internet.error import ConnectionRefusedError
+from twisted.internet.error import ConnectionLost, ConnectionRefusedError
 from twisted.python.failure import Failure
 
+from chivesaddle.fleet import Member
 from chivesaddle.serving.hints import ServerLoadShares
+from chivesaddle.serving.path_probe import PathProbe
+from chivesaddle.serving.peer_paths import FleetPaths
 
-from .conftest import CrashFleet, Harness
+from .conftest import CrashFleet, Harness, Transport
 
 # Time after which the platform's rules judge a daemon that is cut off.
 STABLE_WINDOW_S = 3.0
@@ -19,6 +22,8 @@
 RESPONSE_S = 0.05
 BEACON_INTERVAL_S = 0.1
 EVENTS = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
+# Host of all connections that StringTransport accepts.
+HOST = "192.168.1.1"
 
 
 class Cut(Enum):
@@ -30,6 +35,27 @@
     REFUSE_NEW = "refuse new"
 
 
+class LinkTransport(Transport):
+    """One end of a connection between two daemons."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.other = None
+
+    def write(self, data):
+        super().write(data)
+        self.clock.callLater(0.001, self.other.deliver, data)
+
+    def deliver(self, data):
+        if not self.is_lost:
+            self.protocol.dataReceived(data)
+
+    def lose_connection(self, reason=ConnectionLost):
+        super().lose_connection(reason)
+        if not self.other.is_lost:
+            self.clock.callLater(0.001, self.other.lose_connection, reason)
+
+
 class DaemonReactor:
     """The network as one daemon sees it."""
 
@@ -43,8 +69,11 @@
         self.own_connections = []
 
     def connectTCP(self, host, port, factory, **options):  # noqa: N802
+        address = f"{host}:{port}"
         connector = SimpleNamespace(disconnect=lambda: None)
-        if self.cut in (Cut.RESET, Cut.REFUSE_NEW):
+        if host == HOST:
+            self.clock.callLater(0, self._connect_to_daemon, address, factory)
+        elif self.cut in (Cut.RESET, Cut.REFUSE_NEW):
             failure = Failure(ConnectionRefusedError())
             self.clock.callLater(0, factory.clientConnectionFailed, None, failure)
         elif self.cut is Cut.NONE:
@@ -58,6 +87,19 @@
             if connection.protocol.transport is connection.transport:
                 self.own_connections.append(connection)
 
+    def _connect_to_daemon(self, address, factory):
+        daemon = self.fleet.daemon_by_address[address]
+        if daemon.is_down:
+            factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+            return
+        near, far = LinkTransport(self.clock), LinkTransport(self.clock)
+        near.other, far.other = far, near
+        near.protocol = factory.buildProtocol(None)
+        far.protocol = daemon.listener_protocol()
+        far.protocol.makeConnection(far)
+        near.protocol.makeConnection(near)
+        daemon.links.append(far)
+
     def set_cut(self, cut):
         self.cut = cut
         connections = [c for c in self.own_connections if not c.transport.is_lost]
@@ -78,13 +120,43 @@
     def __init__(self, fleet, number):
         self.own_reactor = DaemonReactor(fleet)
         super().__init__(self.own_reactor)
-        self.name = f"d{number}"
+        self.is_down = False
+        self.links = []
+        self.member = Member(
+            f"d{number}", "1", f"z{number % 3}", f"{HOST}:{8_000 + number}", "peers"
+        )
+        working_set = SimpleNamespace(
+            peers=lambda: [
+                d.member for d in fleet.daemons if d is not self and not d.is_down
+            ]
+        )
+        members = SimpleNamespace(
+            own=self.member,
+            registered=lambda: [d.member for d in fleet.daemons],
+        )
+        self.paths = FleetPaths(self.reactor, members, working_set, self.servers)
+        self.peer_paths = self.paths
+        self.forwarder = self.make_forwarder()
+        self.probe = PathProbe(self.reactor, self.servers, self.pool)
+        self.servers.on_path_lost = self._lose_path
         self.shares = ServerLoadShares(self.reactor, self.servers, lambda: [])
+        self.probe.start()
+
+    def _lose_path(self, entry):
+        self.pool.close_address(entry.address)
+        self.probe.probe_service(entry.service)
+
+    def listener_protocol(self):
+        from chivesaddle.http1.server import CallerConnection
+
+        return CallerConnection(self.listener)
 
     def send_beacon(self, peers):
+        lost, _ = self.paths.lost_servers()
         shares, loading = self.shares.collect()
         for peer in peers:
-            peer.shares.apply_remote(self.name, shares, loading, 1.5)
+            peer.paths.apply_lost_servers(self.member.id, lost, 1.5)
+            peer.shares.apply_remote(self.member.id, shares, loading, 1.5)
 
 
 @dataclass
@@ -110,9 +182,11 @@
 
     def __init__(self, size):
         super().__init__(0)
+        self.daemon_by_address = {}
         for number in range(size):
             daemon = PathDaemon(self, number)
             self.daemons.append(daemon)
+            self.daemon_by_address[daemon.member.callers] = daemon
             self.start(daemon)
         self.runs = []
         self.finished = []
@@ -121,8 +195,9 @@
 
     def _beacon(self):
         for daemon in self.daemons:
-            peers = [d for d in self.daemons if d is not daemon]
-            daemon.send_beacon(peers)
+            if not daemon.is_down:
+                peers = [d for d in self.daemons if d is not daemon]
+                daemon.send_beacon(peers)
         self.reactor.callLater(BEACON_INTERVAL_S, self._beacon)
 
     def cut(self, number, cut):
@@ -224,3 +299,170 @@
         now = fleet.reactor.seconds()
         if cut is not Cut.REFUSE_NEW:
             assert {s.load(now).memory_tokens for s in servers} == {0}
+
+    def test_serve_by_themselves_again_within_a_second(self):
+        fleet = PathFleet(4)
+        fleet.play(2)
+        fleet.cut(1, Cut.RESET)
+        fleet.play(2)
+        fleet.cut(1, Cut.NONE)
+        fleet.play(1)
+        assert fleet.daemons[0].paths.reaching("app") == ()
+
+    def test_refuse_at_once_if_nobody_reaches_a_server(self):
+        fleet = PathFleet(3)
+        fleet.play(2)
+        fleet.cut(3, Cut.RESET)
+        fleet.play(3)
+        run = fleet.send(fleet.daemons[0])
+        fleet.advance(0.1)
+        assert run.caller.status == 503
+
+    def test_pass_on_to_another_daemon_if_one_has_ended(self):
+        fleet = PathFleet(4)
+        fleet.play(2)
+        fleet.cut(1, Cut.RESET)
+        fleet.play(2)
+        address = fleet.daemons[1].member.callers
+        fleet.daemon_by_address[address] = SimpleNamespace(is_down=True)
+        since = fleet.reactor.seconds()
+        fleet.play(3)
+        at_cut, _ = fleet.served_shares(1, since)
+        assert at_cut == 1.0
+
+
+class TestPartialCuts:
+    def test_servers_that_are_reached_serve(self):
+        fleet = PathFleet(4)
+        fleet.play(2)
+        reactor = fleet.daemons[0].own_reactor
+        connect = reactor.connectTCP
+
+        def connect_some(host, port, factory, **options):
+            cut, reactor.cut = reactor.cut, Cut.NONE
+            if host in ("10.0.0.1", "10.0.0.2", "10.0.0.3"):
+                reactor.cut = Cut.RESET
+            try:
+                return connect(host, port, factory, **options)
+            finally:
+                reactor.cut = cut
+
+        reactor.connectTCP = connect_some
+        reactor.set_cut(Cut.RESET)
+        reactor.cut = Cut.NONE
+        since = fleet.reactor.seconds() + 1
+        fleet.play(4)
+        assert fleet.served_shares(1, since)[0] >= 0.98
+        assert fleet.daemons[0].paths.reaching("app") == ()
+
+
+class TestPassedOnRequests:
+    @pytest.fixture
+    def fleet(self):
+        fleet = PathFleet(3)
+        fleet.play(2)
+        fleet.cut(1, Cut.RESET)
+        fleet.play(2, target="/unsafe/")
+        assert fleet.daemons[0].paths.is_cut_off
+        return fleet
+
+    def pass_one(self, fleet, target, **options):
+        run = fleet.send(fleet.daemons[0], target, **options)
+        fleet.advance(0.05)
+        return run, fleet.connection_of(run.id)
+
+    def test_server_gets_the_callers_request(self, fleet):
+        run, connection = self.pass_one(fleet, "/unsafe/x?y=1&n=")
+        text = connection.transport.value().decode()
+        head = text[text.rindex("POST /unsafe/x?y=1&n=") :].lower()
+        assert f"x-chivesaddle-attempt-identifier: {run.id}" in head
+        assert "x-chivesaddle-tenant: acme" in head
+        assert "host: h.example" in head
+        assert "authorization" not in head
+        assert "passed-on" not in head
+        assert text.endswith(run.id)
+
+    def test_request_is_not_passed_on_twice(self, fleet):
+        fleet.cut(3, Cut.RESET)
+        run, connection = self.pass_one(fleet, "/unsafe/")
+        fleet.advance(1)
+        assert connection is None
+        assert run.caller.status == 503
+
+    def test_callers_header_of_daemons_changes_nothing(self, fleet):
+        daemon = fleet.daemons[0]
+        daemon.paths.is_member = lambda host: False
+        run, connection = self.pass_one(
+            fleet, "/unsafe/", headers="Passed-On-After-Runs: 1"
+        )
+        assert connection is not None
+        fleet.play(0.3)
+        assert run.is_served
+
+    def test_caller_that_leaves_ends_the_run(self, fleet):
+        run, connection = self.pass_one(fleet, "/stream/")
+        run.caller.close_connection()
+        fleet.advance(0.1)
+        assert connection.transport.is_lost
+
+    def test_unsafe_request_that_the_peer_may_have_sent_is_not_repeated(self, fleet):
+        run, _connection = self.pass_one(fleet, "/unsafe/")
+        for daemon in fleet.daemons[1:]:
+            for link in daemon.links:
+                link.lose_connection()
+        fleet.advance(0.5)
+        assert run.caller.status == 502
+        marker = run.id.encode()
+        sends = sum(marker in c.transport.value() for c in fleet.reactor.connections)
+        assert sends == 1
+
+    def test_stream_that_may_be_resumed_goes_on_through_another_daemon(self, fleet):
+        run, connection = self.pass_one(fleet, "/resumable/")
+        connection.start_stream(EVENTS[0], request_id=run.id)
+        fleet.advance(0.05)
+        for daemon in fleet.daemons[1:]:
+            for link in daemon.links:
+                link.lose_connection()
+        fleet.advance(0.2)
+        resumed = fleet.connection_of(run.id)
+        head = resumed.transport.value().decode().lower()
+        assert resumed is not connection
+        assert "last-event-id: 1" in head
+        resumed.start_stream(EVENTS[1], request_id=run.id)
+        resumed.end_stream()
+        fleet.advance(0.05)
+        assert run.caller.received().count(b"data: a") == 1
+        assert run.caller.received().endswith(b"0\r\n\r\n")
+
+    @pytest.mark.parametrize("status", [500, 404])
+    def test_servers_own_failure_reaches_the_caller_unchanged(self, fleet, status):
+        run, connection = self.pass_one(fleet, "/unsafe/")
+        connection.respond(status, b"no", request_id=run.id)
+        fleet.advance(0.05)
+        assert run.caller.status == status
+        assert b"signature: sig" in run.caller.received().lower()
+
+    def test_broken_response_is_not_completed(self, fleet):
+        run, connection = self.pass_one(fleet, "/stream/")
+        connection.start_stream(EVENTS[0], request_id=run.id)
+        fleet.advance(0.05)
+        connection.transport.lose_connection()
+        fleet.advance(0.1)
+        assert run.caller.transport.is_lost
+        assert not run.caller.received().endswith(b"0\r\n\r\n")
+
+    def test_unknown_key_is_refused_where_the_request_enters(self, fleet):
+        run, connection = self.pass_one(fleet, "/unsafe/", key="wrong")
+        assert run.caller.status == 401 and connection is None
+
+
+class TestCrashEvidence:
+    def test_daemon_that_is_cut_off_confirms_no_crash(self):
+        fleet = PathFleet(3)
+        fleet.play(3)
+        confirmed = []
+        for daemon in fleet.daemons:
+            daemon.servers.on_down = confirmed.append
+        fleet.cut(1, Cut.HANG)
+        fleet.play(6)
+        assert confirmed == []
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -57,6 +57,12 @@
     def observe_lease(self, version, age_s):
         pass
 
+    def lost_servers(self):
+        return [], False
+
+    def apply_lost_servers(self, peer, lost, valid_s):
+        pass
+
     def observe_store(self, peer, reaches_store):
         self._daemon.watch_role.observe_store(peer, reaches_store)
 
