Count against the retry budget only sends that reached a server

What callers saw: at a daemon whose connections were not opened in time, requests were refused with 'the retry budget is used up' after one send that no server had got. Cause: each further send cost a retry, also if the one before it had no connection. The budget limits what servers get beyond the first arrival of each request. The new test of a connection that was not opened failed before: with an empty budget the second server got nothing. Tests of the forwarder pass.

--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -340,7 +340,7 @@
             self._check_may_send(context)
             if context.sends == 0:
                 self._budget.record_request(context.service)
-            elif not self._budget.try_acquire(context.service):
+            elif context.arrivals and not self._budget.try_acquire(context.service):
                 raise self._final_error(context, relay, "the retry budget is used up")
             context.sends += 1
             context.last_candidate = candidate
@@ -646,6 +646,7 @@
 
     def _record_run(self, context: RequestContext) -> None:
         context.runs += 1
+        context.arrivals += 1
 
     def _response_deadline(self, context: RequestContext) -> float:
         """Return the time at which to give up on this server and try another one."""
--- a/src/chivesaddle/forwarding/request_context.py
+++ b/src/chivesaddle/forwarding/request_context.py
@@ -30,6 +30,8 @@
 
     Attributes
     ----------
+    arrivals : int
+        Sends for which a connection was open, so that the request reached a server.
     waited_s : float
         Time in the admission queue, in seconds.
     software_version : SoftwareVersion or None
@@ -55,6 +57,7 @@
     caller_deadline: float | None
     suspects: CrashSuspects
     sends: int = 0
+    arrivals: int = 0
     runs: int = 0
     excluded: set[BackendServerId] = field(default_factory=set)
     first_event_at: float | None = None
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -1,6 +1,6 @@
 import pytest
 
-from chivesaddle.forwarding import stream_key
+from chivesaddle.forwarding import RetryBudget, stream_key
 
 EVENT_1 = b"id: 1\ndata: a\n\n"
 EVENT_2 = b"id: 2\ndata: b\n\n"
@@ -270,6 +270,33 @@
         assert record.resumes == 64 * "a"
 
 
+class TestRetryBudget:
+    @pytest.fixture
+    def harness(self, harness):
+        harness.budget = RetryBudget(harness.reactor, 0.0, 0.0, 10, lambda: 1)
+        harness.forwarder = harness.make_forwarder()
+        return harness
+
+    def test_connection_that_was_not_opened_costs_nothing(self, harness, caller):
+        """Guards against a budget that servers use up which got no request."""
+        harness.reactor.refusing_addresses.add("10.0.0.1:80")
+        harness.servers.record_load("i-2", 3, 0)
+        caller.request("/safe/x")
+        harness.advance(0.1)
+        assert [c.address for c in harness.connections] == ["10.0.0.2:80"]
+        harness.connections[0].respond()
+        assert caller.status == 200
+
+    def test_request_that_a_server_refused_costs_one_retry(self, harness, caller):
+        caller.request("/safe/x")
+        harness.connections[0].respond(
+            503, extra_header="X-Chivesaddle-Not-Executed: 1"
+        )
+        harness.advance(0.1)
+        assert len(harness.connections) == 1
+        assert caller.status == 503
+
+
 class TestCallerDisconnects:
     @pytest.mark.parametrize("target", ["/safe/x", "/unsafe/x", "/stream/x"])
     def test_server_connection_is_closed_at_once(self, harness, caller, target):
