Continue through another daemon what ran here when the paths were lost

A stream that ran at a server when its daemon lost all paths was given up after four connections that were not opened, before the other paths were known to be lost. A daemon that refuses a request that is passed on, such as one that is cut off as well, is followed by the next one, at the cost of a retry. Events from another daemon are not taken for those of the server that ran the request before; this would have failed the request.

--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -16,6 +16,7 @@
 )
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.core.serving_model import Account, Configuration, Route, RouteKind
+from chivesaddle.forwarding.attempts import TARGET_TIMEOUT_FACTOR, Attempts
 from chivesaddle.forwarding.budget import RetryBudget
 from chivesaddle.forwarding.crashes import CrashRecord
 from chivesaddle.forwarding.errors import (
@@ -36,12 +37,7 @@
     SendOptions,
     ServerResponse,
 )
-from chivesaddle.forwarding.passing import (
-    NotPassedOn,
-    PeerDaemon,
-    PeerPaths,
-    RequestPasser,
-)
+from chivesaddle.forwarding.passing import PeerDaemon, PeerPaths, RequestPasser
 from chivesaddle.forwarding.prompts import PromptPlanner, cache_scope
 from chivesaddle.forwarding.relay import Relay
 from chivesaddle.forwarding.request_context import RequestContext
@@ -70,24 +66,8 @@
     choose,
 )
 
-# Maximum number of sends per request, including those that a server refused.
-MAX_SENDS = 4
-# Daemons to which one request is passed on, one after the other.
-MAX_PEERS = 3
-# Share of the remaining time after which an unresponsive server is given up while
-# another attempt is allowed.
-FIRST_ATTEMPT_TIME_SHARE = 0.5
-# Multiple of the route's target latency within which a loaded server responds to a
-# repeatable request, and for which a caller waits.
-TARGET_TIMEOUT_FACTOR = 4.0
 # By the platform's protocol, callers wait at least this long for events of a stream.
 MIN_CALLER_TIMEOUT_S = 2.0
-# Range of the random retry-after delay, so that callers that are rejected together do
-# not retry together.
-MIN_RETRY_AFTER_S = 0.2
-MAX_RETRY_AFTER_S = 0.6
-# With less time than this, no response can reach the caller before the deadline.
-MIN_REMAINING_TIME_S = 0.02
 
 log = ComponentLogger("forward")
 
@@ -169,15 +149,23 @@
         self._limits = limits
         self._pool = pool
         self._peer_paths = peer_paths
-        self._passer = RequestPasser(
-            clock, peer_pool, codec.encode_peer_headers, codec.decode_response
-        )
         self._budget = budget
         self._crashes = crashes
         self._prompts = prompts
         self._stream_software = StreamSoftware(origins, servers)
         self._reporter = ResultReporter(clock, observe)
         self._random = random.Random()
+        self._attempts = Attempts(clock)
+        self._passer = RequestPasser(
+            clock,
+            peer_pool,
+            codec.encode_peer_headers,
+            codec.decode_response,
+            self._attempts,
+            budget,
+            self._check_may_send,
+            self._reporter,
+        )
         self._queues_by_service: dict[ServiceId, AdmissionQueue] = {}
         servers.on_capacity_freed = self._dispatch_waiting
 
@@ -331,7 +319,7 @@
             await self._stream_software.resume(context)
         while True:
             if peers := self._peers_to_pass_to(context):
-                await self._pass_on(context, relay, peers)
+                await self._passer.pass_on(context, relay, peers)
                 return
             try:
                 candidate = await self._find_server(context)
@@ -341,7 +329,9 @@
             if context.sends == 0:
                 self._budget.record_request(context.service)
             elif context.arrivals and not self._budget.try_acquire(context.service):
-                raise self._final_error(context, relay, "the retry budget is used up")
+                raise self._attempts.final_error(
+                    context, relay, "the retry budget is used up"
+                )
             context.sends += 1
             context.last_candidate = candidate
             try:
@@ -350,15 +340,21 @@
             except ServerDidNotRun as error:
                 self._reporter.log_retry(context, candidate, error)
                 context.excluded.add(candidate.server.entry.id)
-                if context.sends >= MAX_SENDS and not self._peers_to_pass_to(context):
-                    raise self._final_error(context, relay, error.message) from error
+                may_go_on = self._attempts.may_send_again(context)
+                if not may_go_on and not self._peers_to_pass_to(context):
+                    raise self._attempts.final_error(
+                        context, relay, error.message
+                    ) from error
             except NoUsableResponse as error:
                 self._reporter.log_retry(context, candidate, error)
                 context.excluded.add(candidate.server.entry.id)
-                if not self._may_retry(context):
-                    raise self._final_error(context, relay, error.message) from error
+                if not self._attempts.may_retry(context):
+                    raise self._attempts.final_error(
+                        context, relay, error.message
+                    ) from error
 
     def _check_may_send(self, context: RequestContext) -> None:
+        """Raise `NotRun` or `MayHaveRun` if the request must not be sent."""
         try:
             self._check_not_blocked(context.suspects, context.request.id)
         except NotRun as error:
@@ -372,39 +368,6 @@
             return ()
         return self._peer_paths.reaching(context.service)
 
-    async def _pass_on(
-        self, context: RequestContext, relay: Relay, peers: Sequence[PeerDaemon]
-    ) -> None:
-        """Pass the request on to one of the daemons and forward its response."""
-        reason = ""
-        for peer in peers[:MAX_PEERS]:
-            self._check_may_send(context)
-            if self._has_timed_out(context):
-                break
-            # The other daemon records the request as one of its own.
-            if context.runs and not self._budget.try_acquire(context.service):
-                raise self._final_error(context, relay, "the retry budget is used up")
-            context.passed_to.append(peer.id)
-            try:
-                await self._passer.send(
-                    context, relay, peer, self._response_deadline(context)
-                )
-                context.first_event_at = relay.started_at
-                return
-            except NotPassedOn as error:
-                reason = error.message
-                self._reporter.log_not_passed_on(context, error)
-            except NotRun as error:
-                if context.runs or relay.has_started:
-                    raise MayHaveRun(error.message) from error
-                raise
-            except NoUsableResponse as error:
-                reason = error.message
-                self._reporter.log_not_passed_on(context, error)
-                if not self._may_retry(context):
-                    break
-        raise self._final_error(context, relay, reason)
-
     async def _find_server(self, context: RequestContext) -> Candidate:
         """Return a server, after waiting for one with capacity if necessary.
 
@@ -437,7 +400,8 @@
                 raise MayHaveRun(error.message) from error
             wait_s = error.retry_after_s or 0.0
             raise NotRun(
-                error.message, retry_after_s=wait_s + self._random_retry_after()
+                error.message,
+                retry_after_s=wait_s + self._attempts.random_retry_after(),
             ) from error
         finally:
             context.waited_s += self._clock.seconds() - now
@@ -503,7 +467,7 @@
                 message += f" for software version {context.software_version!r}"
             if context.runs:
                 raise MayHaveRun(message)
-            raise NotRun(message, retry_after_s=self._random_retry_after())
+            raise NotRun(message, retry_after_s=self._attempts.random_retry_after())
         return candidate
 
     def _requirements(self, context: RequestContext) -> ServerRequirements:
@@ -536,7 +500,7 @@
         """Send to one server and forward its response."""
         server = candidate.server
         now = self._clock.seconds()
-        if self._has_timed_out(context):
+        if self._attempts.has_timed_out(context):
             raise DeadlineExceeded("no time left to send")
         version, plan = candidate.version, candidate.plan
         scope = None if version is None else cache_scope(version, context.account)
@@ -600,7 +564,7 @@
                 headers,
                 serial,
                 is_repeatable=context.route.is_repeatable,
-                response_deadline=self._response_deadline(context),
+                response_deadline=self._attempts.response_deadline(context),
                 on_sent=lambda: self._record_run(context),
             )
             if (
@@ -648,29 +612,16 @@
         context.runs += 1
         context.arrivals += 1
 
-    def _response_deadline(self, context: RequestContext) -> float:
-        """Return the time at which to give up on this server and try another one."""
-        if not self._may_retry(context, additional=1):
-            return context.deadline
-        now = self._clock.seconds()
-        attempt_timeout_s = TARGET_TIMEOUT_FACTOR * context.route.target_s
-        return now + min(
-            attempt_timeout_s, FIRST_ATTEMPT_TIME_SHARE * (context.deadline - now)
-        )
-
-    def _may_retry(self, context: RequestContext, additional: int = 0) -> bool:
-        return (
-            context.route.is_repeatable
-            and context.runs + additional < context.route.attempts
-            and context.sends + additional < MAX_SENDS
-        )
-
     def _may_retry_server_error(self, context: RequestContext, relay: Relay) -> bool:
         """Return whether to retry on another server instead of forwarding an error."""
         has_other_servers = (
             len(self._servers.of_service(context.service)) > len(context.excluded) + 1
         )
-        return has_other_servers and not relay.has_started and self._may_retry(context)
+        return (
+            has_other_servers
+            and not relay.has_started
+            and self._attempts.may_retry(context)
+        )
 
     def _apply_refusal(
         self, context: RequestContext, candidate: Candidate, error: ServerDidNotRun
@@ -699,27 +650,5 @@
             return max(0, min(9, context.account.priority))
         return max(0, min(9, context.route.priority))
 
-    def _final_error(
-        self, context: RequestContext, relay: Relay, reason: str
-    ) -> ChivesaddleError:
-        if context.runs and self._has_timed_out(context):
-            return TimedOut(f"No complete response in time: {reason}")
-        if context.runs or relay.has_started:
-            passed = f", passed on {len(context.passed_to)} times"
-            return MayHaveRun(
-                f"Sent to {context.sends} servers{passed if context.passed_to else ''}"
-                f": {reason}"
-            )
-        return NotRun(
-            f"{context.sends} sends were refused: {reason}",
-            retry_after_s=self._random_retry_after(),
-        )
-
-    def _has_timed_out(self, context: RequestContext) -> bool:
-        return context.deadline - self._clock.seconds() < MIN_REMAINING_TIME_S
-
-    def _random_retry_after(self) -> float:
-        return self._random.uniform(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S)
-
 
 __all__ = ["Forwarder", "MessageCodec"]
--- a/src/chivesaddle/forwarding/passing.py
+++ b/src/chivesaddle/forwarding/passing.py
@@ -12,6 +12,8 @@
 from chivesaddle.core.aio import Clock, start, with_deadline
 from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded
 from chivesaddle.core.ids import DaemonId, ServiceId
+from chivesaddle.forwarding.attempts import Attempts
+from chivesaddle.forwarding.budget import RetryBudget
 from chivesaddle.forwarding.errors import NotRun
 from chivesaddle.forwarding.exchange import NoUsableResponse
 from chivesaddle.forwarding.messages import (
@@ -22,6 +24,7 @@
 )
 from chivesaddle.forwarding.relay import Relay
 from chivesaddle.forwarding.request_context import RequestContext
+from chivesaddle.forwarding.results import ResultReporter
 from chivesaddle.http1 import (
     ConnectionPool,
     HeaderList,
@@ -36,6 +39,8 @@
 MAX_IDLE_S = 0.25
 # Statuses by which a daemon states that no server has run the request.
 NOT_RUN_STATUSES = frozenset({400, 401, 403, 404, 408, 413, 421, 429, 431, 503})
+# Daemons to which one request is passed on, one after the other.
+MAX_PEERS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +90,14 @@
         Encodes the headers of a request that is passed on.
     decode_response : callable
         Decodes the head of a response.
+    attempts : Attempts
+        Rules for further attempts.
+    budget : RetryBudget
+        Limits retries.
+    check_may_send : callable
+        Raises the error of a request that must not be sent any more.
+    reporter : ResultReporter
+        Logs attempts that failed.
     """
 
     def __init__(
@@ -93,20 +106,58 @@
         pool: ConnectionPool,
         encode_headers: Callable[[CallerRequest, PassOptions], HeaderList],
         decode_response: Callable[[ResponseHead], ServerResponse],
+        attempts: Attempts,
+        budget: RetryBudget,
+        check_may_send: Callable[[RequestContext], None],
+        reporter: ResultReporter,
     ) -> None:
         self._clock = clock
         self._pool = pool
         self._encode_headers = encode_headers
         self._decode_response = decode_response
+        self._attempts = attempts
+        self._budget = budget
+        self._check_may_send = check_may_send
+        self._reporter = reporter
 
-    async def send(
-        self,
-        context: RequestContext,
-        relay: Relay,
-        peer: PeerDaemon,
-        response_deadline: float,
+    async def pass_on(
+        self, context: RequestContext, relay: Relay, peers: Sequence[PeerDaemon]
+    ) -> None:
+        """Pass the request on to the first daemon that handles it.
+
+        Raises the error of a failed request.
+        """
+        # Servers of other daemons are not observed here.
+        relay.on_progress = lambda: None
+        error: ChivesaddleError = NotPassedOn("No daemon reaches a server")
+        for peer in peers[:MAX_PEERS]:
+            self._check_may_send(context)
+            if self._attempts.has_timed_out(context):
+                break
+            # The other daemon counts the first attempt as one of its own requests.
+            is_repeat = bool(context.runs) or isinstance(error, NotRun)
+            if is_repeat and not self._budget.try_acquire(context.service):
+                break
+            context.passed_to.append(peer.id)
+            try:
+                await self._send(context, relay, peer)
+                context.first_event_at = relay.started_at
+                return
+            except (NotPassedOn, NotRun) as refusal:
+                error = refusal
+            except NoUsableResponse as failure:
+                error = failure
+            self._reporter.log_not_passed_on(context, error)
+            if context.runs and not self._attempts.may_retry(context):
+                break
+        if isinstance(error, NotRun) and not context.runs and not relay.has_started:
+            raise error
+        raise self._attempts.final_error(context, relay, error.message) from error
+
+    async def _send(
+        self, context: RequestContext, relay: Relay, peer: PeerDaemon
     ) -> None:
-        """Pass the request on and forward the response.
+        """Pass the request on to one daemon and forward its response.
 
         Raises
         ------
@@ -117,6 +168,7 @@
         NoUsableResponse
             If the response is missing or incomplete, so that the request may have run.
         """
+        response_deadline = self._attempts.response_deadline(context)
         now = self._clock.seconds()
         headers = self._encode_headers(context.request, self._options(context, relay))
         request = context.request
--- a/src/chivesaddle/forwarding/results.py
+++ b/src/chivesaddle/forwarding/results.py
@@ -7,7 +7,6 @@
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.forwarding.exchange import NoUsableResponse, ServerDidNotRun
 from chivesaddle.forwarding.messages import CallerRequest
-from chivesaddle.forwarding.passing import NotPassedOn
 from chivesaddle.forwarding.request_context import RequestContext
 from chivesaddle.http1 import HeaderList, Responder
 from chivesaddle.placement import Candidate
@@ -71,7 +70,7 @@
         )
 
     def log_not_passed_on(
-        self, context: RequestContext, error: NotPassedOn | NoUsableResponse
+        self, context: RequestContext, error: ChivesaddleError
     ) -> None:
         """Log that another daemon did not get the request, or did not respond."""
         log.info(
--- a/src/chivesaddle/serving/peer_paths.py
+++ b/src/chivesaddle/serving/peer_paths.py
@@ -14,6 +14,8 @@
 # A daemon of the own zone is this much more likely to get a request that is passed on:
 # traffic between zones is billed, but one daemon must not get all requests of others.
 OWN_ZONE_WEIGHT = 3.0
+# Lost servers that a beacon names; one datagram takes some 250.
+MAX_NAMED_SERVERS = 128
 # A daemon that reaches servers again is named to callers after this time.
 NAMED_AGAIN_AFTER_S = 1.0
 
@@ -94,7 +96,7 @@
         The second value is whether it reaches none, while another daemon does.
         """
         lost = sorted(server_hash(s.entry.id) for s in self._servers.lost_servers())
-        return lost, self.is_cut_off
+        return lost[:MAX_NAMED_SERVERS], self.is_cut_off
 
     def apply_lost_servers(
         self, peer: str, lost: Sequence[int], valid_s: float
@@ -112,7 +114,8 @@
         reaching = []
         for member in self._working_set.peers():
             lost, until = self._lost_by_peer.get(member.id, (frozenset(), 0.0))
-            if until <= now or not lost.issuperset(servers):
+            is_known = until > now and lost.issuperset(servers)
+            if not is_known and not self._members.is_cut_off(member.id):
                 reaching.append(member)
         return reaching if servers else []
 
--- a/src/chivesaddle/tools/platform_model/fleet.py
+++ b/src/chivesaddle/tools/platform_model/fleet.py
@@ -15,7 +15,7 @@
     ServerEntry,
     ServerState,
 )
-from chivesaddle.forwarding.forwarder import MAX_RETRY_AFTER_S, MIN_RETRY_AFTER_S
+from chivesaddle.forwarding.attempts import MAX_RETRY_AFTER_S, MIN_RETRY_AFTER_S
 from chivesaddle.forwarding.prompts import CACHE_EVENT_DELAY_S
 from chivesaddle.placement import (
     AdmissionQueue,
--- a/tests/forwarding/test_lost_paths.py
+++ b/tests/forwarding/test_lost_paths.py
@@ -132,6 +132,7 @@
         )
         members = SimpleNamespace(
             own=self.member,
+            is_cut_off=lambda daemon: False,
             registered=lambda: [d.member for d in fleet.daemons],
         )
         self.paths = FleetPaths(self.reactor, members, working_set, self.servers)
@@ -139,6 +140,7 @@
         self.forwarder = self.make_forwarder()
         self.probe = PathProbe(self.reactor, self.servers, self.pool)
         self.servers.on_path_lost = self._lose_path
+        self.servers.on_broken = self.probe.check
         self.shares = ServerLoadShares(self.reactor, self.servers, lambda: [])
         self.probe.start()
 
@@ -434,6 +436,32 @@
         assert run.caller.received().count(b"data: a") == 1
         assert run.caller.received().endswith(b"0\r\n\r\n")
 
+    def test_stream_that_ran_here_goes_on_through_another_daemon(self):
+        fleet = PathFleet(3)
+        fleet.play(2)
+        run, connection = self.pass_one(fleet, "/resumable/")
+        connection.start_stream(EVENTS[0], request_id=run.id)
+        fleet.advance(0.05)
+        fleet.cut(1, Cut.RESET)
+        fleet.advance(0.3)
+        resumed = fleet.connection_of(run.id)
+        assert "last-event-id: 1" in resumed.transport.value().decode().lower()
+        resumed.start_stream(EVENTS[1], request_id=run.id)
+        fleet.advance(0.3)
+        resumed.chunk(b"id: 3\ndata: c\n\n")
+        resumed.end_stream()
+        fleet.advance(0.05)
+        assert fleet.daemons[0].results[-1] == "answered"
+        events = [line for line in run.caller.received().split() if line in b"abc"]
+        assert events == [b"a", b"b", b"c"]
+
+    def test_next_daemon_gets_a_request_that_the_first_one_refuses(self, fleet):
+        fleet.daemons[1].serving_state.configuration = None
+        for _ in range(6):
+            run, _ = self.pass_one(fleet, "/unsafe/")
+            fleet.play(0.3)
+            assert run.is_served
+
     @pytest.mark.parametrize("status", [500, 404])
     def test_servers_own_failure_reaches_the_caller_unchanged(self, fleet, status):
         run, connection = self.pass_one(fleet, "/unsafe/")
