Play crashing parts and daemons without servers in the soak

The soak now also cuts one or two of three daemons off from all servers, and sends different requests with a part that ends servers; without another fault at the time, more than 8 ended servers are a violation. Each daemon has a loopback address of its own, so that the proxies tell the daemons apart.

--- a/src/chivesaddle/tools/soak/run.py
+++ b/src/chivesaddle/tools/soak/run.py
@@ -11,7 +11,8 @@
 
 import httpx
 
-from chivesaddle.tools.platform_fleet import ROUTES, PlatformFleet, route
+from chivesaddle.platform.headers import PROMPT_PARTS, REQUEST_ID, TIME_LIMIT
+from chivesaddle.tools.platform_fleet import API_KEY, ROUTES, PlatformFleet, route
 from chivesaddle.tools.processes import free_ports, wait_until
 from chivesaddle.tools.soak.callers import Caller, RequestLog, check_runs
 from chivesaddle.tools.soak.proxy import Proxy, ProxyMode
@@ -28,6 +29,13 @@
 MIN_SERVED_SHARE_AFTER_RECOVERY = 0.9
 # A configuration must be active on each daemon this long after it was written.
 CONFIGURATION_TIMEOUT_S = 2.0
+# Requests with a crashing part are sent for this long, at this interval.
+CRASHING_REQUESTS_S = 3.0
+CRASHING_REQUEST_INTERVAL_S = 0.15
+# A crashed server is started again after this time.
+SERVER_DOWN_S = 0.5
+# Servers that a crashing part may end while no other fault is injected.
+MAX_CRASHES = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,7 +69,11 @@
         self._proxies: dict[str, Proxy] = {}
         self._ports = iter(free_ports(1 + SERVER_COUNT))
         self.fleet = PlatformFleet(
-            build_dir, DAEMON_COUNT, SERVER_COUNT, self._proxy_address
+            build_dir,
+            DAEMON_COUNT,
+            SERVER_COUNT,
+            self._proxy_address,
+            has_own_hosts=True,
         )
         self.fleet.software_by_server = SOFTWARE_BY_SERVER
         self.request_log = RequestLog()
@@ -69,6 +81,9 @@
         self._recovered_by = 0.0
         self._restarting: set[str] = set()
         self._is_store_in_use = asyncio.Lock()
+        self._are_servers_in_use = asyncio.Lock()
+        self._faults_begun = 0
+        self._faults_active = 0
 
     def _proxy_address(self, name: str, address: str) -> str:
         if name not in self._proxies:
@@ -127,7 +142,9 @@
                     self._pause_process,
                     self._terminate_daemon,
                     self._disturb_connections,
+                    self._cut_off_daemons,
                     self._inject_server_faults,
+                    self._send_crashing_part,
                     self._return_store_older,
                 )
             )
@@ -163,7 +180,10 @@
     @contextlib.contextmanager
     def _log_fault(self, description: str) -> Iterator[None]:
         self.fault_log.append(f"{time.monotonic():.2f} {description}")
+        self._faults_begun += 1
+        self._faults_active += 1
         yield
+        self._faults_active -= 1
         self.fault_log.append(f"{time.monotonic():.2f} end of {description}")
 
     async def _restart_daemon(self, name: str) -> None:
@@ -217,7 +237,105 @@
             await asyncio.sleep(self._random.uniform(0.3, 3.0))
             self._proxies[name].set_mode(ProxyMode.PASS)
 
+    async def _cut_off_daemons(self) -> None:
+        """Reset the connections of some daemons to all servers."""
+        names = list(self.fleet.listeners)
+        names = self._random.sample(names, self._random.randint(1, len(names) - 1))
+        proxies = [self._proxies[name] for name in self.fleet.servers]
+
+        def set_mode(mode: ProxyMode) -> None:
+            for proxy in proxies:
+                for name in names:
+                    proxy.set_source_mode(self.fleet.host_by_daemon[name], mode)
+
+        with self._log_fault(f"cut off {' '.join(names)}"):
+            set_mode(ProxyMode.RESET)
+            await asyncio.sleep(self._random.uniform(0.3, 4.0))
+            set_mode(ProxyMode.PASS)
+
+    async def _send_crashing_part(self) -> None:
+        """Send different requests with one part that ends servers."""
+        async with self._are_servers_in_use:
+            part = f"dead{self._faults_begun}"
+            with self._log_fault(f"crashing part {part}"):
+                begun, was_alone = self._faults_begun, self._faults_active == 1
+                crashes = await self._end_servers_with(part)
+                is_alone = was_alone and begun == self._faults_begun
+                if is_alone and crashes > MAX_CRASHES:
+                    self.request_log.violations.append(
+                        f"{crashes} servers ended under {part}"
+                    )
+
+    async def _end_servers_with(self, part: str) -> int:
+        """Return how many servers ended."""
+        loop = asyncio.get_running_loop()
+        for name in self.fleet.servers:
+            await loop.run_in_executor(
+                None, functools.partial(self.fleet.set_faults, name, crash_part=part)
+            )
+        crashes = 0
+        sending = asyncio.create_task(self._send_requests_with(part))
+        restart_at_by_server: dict[str, float] = {}
+        while not sending.done() or restart_at_by_server:
+            now = time.monotonic()
+            for name in self.fleet.servers:
+                is_running = name in self.fleet.processes.pids
+                if not is_running and name not in restart_at_by_server:
+                    crashes += 1
+                    restart_at_by_server[name] = now + SERVER_DOWN_S
+                if restart_at_by_server.get(name, now + 1) <= now:
+                    del restart_at_by_server[name]
+                    await loop.run_in_executor(None, self.fleet.processes.restart, name)
+                    if not sending.done():
+                        await loop.run_in_executor(
+                            None,
+                            functools.partial(
+                                self.fleet.set_faults, name, crash_part=part
+                            ),
+                        )
+                    async with self._is_store_in_use:
+                        await loop.run_in_executor(
+                            None, self.fleet.put_restarted_server, name
+                        )
+            await asyncio.sleep(0.05)
+        for name in self.fleet.servers:
+            await loop.run_in_executor(None, self.fleet.set_faults, name)
+        return crashes
+
+    async def _send_requests_with(self, part: str) -> None:
+        """Send requests with a part to all daemons, and ignore the responses."""
+        deadline = time.monotonic() + CRASHING_REQUESTS_S
+        async with httpx.AsyncClient(timeout=5.0) as client:
+
+            async def send(number: int) -> None:
+                request_id = f"{part}-{number}"
+                self.request_log.route_by_id[request_id] = "stream"
+                self.request_log.status_by_id[request_id] = None
+                listeners = self._random.choice(list(self.fleet.listeners.values()))
+                headers = {
+                    "Host": ROUTES[0]["host"],
+                    "Authorization": f"Bearer {API_KEY}",
+                    REQUEST_ID.decode(): request_id,
+                    TIME_LIMIT.decode(): "3000",
+                    PROMPT_PARTS.decode(): f"aa:9,{part}:9,{number:x}:9",
+                }
+                url = f"http://{listeners['callers']}/stream/{request_id}"
+                with contextlib.suppress(httpx.HTTPError):
+                    await client.post(url, headers=headers, content=request_id.encode())
+
+            tasks: list[asyncio.Task[None]] = []
+            while time.monotonic() < deadline:
+                tasks.append(asyncio.create_task(send(len(tasks))))
+                await asyncio.sleep(CRASHING_REQUEST_INTERVAL_S)
+            await asyncio.gather(*tasks)
+
     async def _inject_server_faults(self) -> None:
+        if self._are_servers_in_use.locked():
+            return
+        async with self._are_servers_in_use:
+            await self._inject_one_server_fault()
+
+    async def _inject_one_server_fault(self) -> None:
         # With few faulty servers, daemons soon avoid them.
         names = list(self.fleet.servers)
         names = self._random.sample(names, self._random.randint(1, len(names)))
