Find out about the paths of all services when one has lost all

A daemon without requests for a service did not notice that it had lost its servers as well, and stayed in the address lists. Requests go on to further servers after four sends only while one of them may accept a connection. A test of the first failed before.

--- a/src/chivesaddle/forwarding/attempts.py
+++ b/src/chivesaddle/forwarding/attempts.py
@@ -50,9 +50,13 @@
             and context.arrivals + additional < MAX_ARRIVALS
         )
 
-    def may_send_again(self, context: RequestContext) -> bool:
-        """Return whether a request that no server has run may be sent once more."""
-        return context.arrivals < MAX_ARRIVALS and context.sends < MAX_SENDS
+    def may_send_again(self, context: RequestContext, has_path: bool) -> bool:
+        """Return whether a request that no server has run may be sent once more.
+
+        ``has_path`` is whether any server of the service may accept a connection.
+        """
+        max_sends = MAX_SENDS if has_path else MAX_ARRIVALS
+        return context.arrivals < MAX_ARRIVALS and context.sends < max_sends
 
     def response_deadline(self, context: RequestContext) -> float:
         """Return the time at which to give up on this attempt and make another one."""
--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -340,7 +340,8 @@
             except ServerDidNotRun as error:
                 self._reporter.log_retry(context, candidate, error)
                 context.excluded.add(candidate.server.entry.id)
-                may_go_on = self._attempts.may_send_again(context)
+                has_path = self._servers.has_path(context.service)
+                may_go_on = self._attempts.may_send_again(context, has_path)
                 if not may_go_on and not self._peers_to_pass_to(context):
                     raise self._attempts.final_error(
                         context, relay, error.message
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -450,6 +450,10 @@
         self.on_path_lost(tracked.entry)
         self._clock.callLater(0, self.on_capacity_freed, tracked.entry.service)
 
+    def has_path(self, service: ServiceId) -> bool:
+        """Return whether a server of the service accepts connections of this daemon."""
+        return any(s.path.lost_at is None for s in self.of_service(service))
+
     def lost_servers(self) -> list[TrackedServer]:
         """Return the ready servers that accept no connection of this daemon."""
         return [
--- a/src/chivesaddle/serving/path_probe.py
+++ b/src/chivesaddle/serving/path_probe.py
@@ -115,9 +115,15 @@
         self._pool.release(entry.address, connection, None)
 
     def probe_service(self, service: ServiceId) -> None:
-        """Probe the servers of a service of which one is not reached any more."""
+        """Probe the servers of a service of which one is not reached any more.
+
+        If none of them is reached, those of the other services are probed as well.
+        """
         now = self._clock.seconds()
-        for server in self._servers.of_service(service):
+        servers = self._servers.of_service(service)
+        if not self._servers.has_path(service):
+            servers = self._servers.all()
+        for server in servers:
             is_known = server.path.lost_at is not None
             if not is_known and now - server.last_contact_at > RECENT_CONTACT_S:
                 self._start_probe(server)
--- a/src/chivesaddle/serving/peer_paths.py
+++ b/src/chivesaddle/serving/peer_paths.py
@@ -59,9 +59,9 @@
         """
         if not self._servers.lost_servers():
             return ()
-        servers = self._servers.of_service(service)
-        if any(server.path.lost_at is None for server in servers):
+        if self._servers.has_path(service):
             return ()
+        servers = self._servers.of_service(service)
         members = self._reaching_any({server_hash(s.entry.id) for s in servers})
         return [
             PeerDaemon(DaemonId(member.id), member.callers)
--- a/tests/forwarding/test_lost_paths.py
+++ b/tests/forwarding/test_lost_paths.py
@@ -311,6 +311,16 @@
         fleet.play(1)
         assert fleet.daemons[0].paths.reaching("app") == ()
 
+    def test_find_out_about_services_without_requests(self):
+        """Guards against a daemon that stays in the address lists for their sake."""
+        fleet = PathFleet(4)
+        for daemon in fleet.daemons:
+            fleet.list_server(daemon, 8, service="other")
+        fleet.play(2)
+        fleet.cut(1, Cut.RESET)
+        fleet.play(1.5)
+        assert fleet.daemons[0].paths.is_cut_off
+
     def test_refuse_at_once_if_nobody_reaches_a_server(self):
         fleet = PathFleet(3)
         fleet.play(2)
