--- a/src/chivesaddle/forwarding/crashes.py
+++ b/src/chivesaddle/forwarding/crashes.py
@@ -227,13 +227,16 @@
             When the response's connection was opened, and when bytes arrived on it.
         """
         crash_id = (server.id, server.started_ms)
+        cleared = 0
         for key in list(self._suspects_by_crash.get(crash_id, ())):
             crash = self._history_by_fingerprint[key].crashes_by_server[crash_id]
             if connected_at < crash.at < alive_at - DISPROVED_AFTER_S:
                 self._clear_crash(key, crash_id, crash)
-                log.info(
-                    "crash disproved", extra={"server": server.id, "fingerprint": key}
-                )
+                cleared += 1
+        if cleared:
+            log.info(
+                "crash disproved", extra={"server": server.id, "suspects": cleared}
+            )
 
     def _clear_crash(self, key: Fingerprint, crash_id: CrashId, crash: Crash) -> None:
         if crash.state is not CrashState.CLEARED:
