Take paths for lost and servers for down only on conclusive evidence

A request with less time left than a connection may take lost the path to each server that it tried, so that its daemon could take itself for cut off; the first new test failed before. A server at whose address another one responds was, since the change of lost paths, reported as down half a second later or not at all; it is down at once, as before that change. Found by reading; tests of forwarding and of the server table pass.

--- a/src/chivesaddle/forwarding/exchange.py
+++ b/src/chivesaddle/forwarding/exchange.py
@@ -125,15 +125,17 @@
         max_idle_s = (
             MAX_IDLE_REPEATABLE_S if is_repeatable else MAX_IDLE_NON_REPEATABLE_S
         )
+        connect_deadline = min(response_deadline, now + CONNECT_TIMEOUT_S)
         try:
             self._connection = await self._pool.acquire(
-                self._server.address,
-                min(response_deadline, now + CONNECT_TIMEOUT_S),
-                max_idle_s=max_idle_s,
+                self._server.address, connect_deadline, max_idle_s=max_idle_s
             )
             self._connection.send(request.method, request.target, headers, request.body)
         except NotSent as error:
-            self._servers.record_connection_failure(self._server.id, error.message)
+            # Running out of the request's time says nothing about the server.
+            was_cut_short = self._clock.seconds() >= response_deadline
+            if not was_cut_short:
+                self._servers.record_connection_failure(self._server.id, error.message)
             raise ServerDidNotRun(error.message, ExchangeOutcome.UNREACHABLE) from error
         if self._connection.requests_sent == 1:
             self._servers.record_connected(self._server.id)
@@ -230,6 +232,8 @@
         if response.was_not_executed and is_own:
             # If another server uses the address, the expected one no longer exists.
             is_other_server = response.server not in (None, self._server.id)
+            if is_other_server:
+                self._servers.record_replaced(self._server.id)
             raise ServerDidNotRun(
                 f"Server answered {response.status} without running the request",
                 ExchangeOutcome.UNREACHABLE
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -450,6 +450,11 @@
         self.on_path_lost(tracked.entry)
         self._clock.callLater(0, self.on_capacity_freed, tracked.entry.service)
 
+    def record_replaced(self, server: BackendServerId) -> None:
+        """Record that another server responds at the server's address."""
+        if server in self._by_id:
+            self.on_down(server)
+
     def has_path(self, service: ServiceId) -> bool:
         """Return whether a server of the service accepts connections of this daemon."""
         return any(s.path.lost_at is None for s in self.of_service(service))
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -270,6 +270,33 @@
         assert record.resumes == 64 * "a"
 
 
+class TestServerPaths:
+    def test_request_without_time_left_loses_no_path(self, harness, caller):
+        """Guards against a daemon that takes itself for cut off."""
+        harness.reactor.unresponsive_addresses |= {"10.0.0.1:80", "10.0.0.2:80"}
+        caller.request("/safe/x", headers="X-Chivesaddle-Deadline-Milliseconds: 100")
+        harness.advance(0.11)
+        assert caller.status == 503
+        assert harness.servers.lost_servers() == []
+
+    def test_connection_that_is_not_open_in_time_loses_the_path(self, harness, caller):
+        harness.reactor.unresponsive_addresses |= {"10.0.0.1:80", "10.0.0.2:80"}
+        caller.request("/safe/x")
+        harness.advance(0.36)
+        assert len(harness.servers.lost_servers()) == 1
+
+    def test_server_whose_address_another_one_uses_is_down_at_once(
+        self, harness, caller
+    ):
+        down = []
+        harness.servers.on_down = down.append
+        caller.request("/safe/x")
+        connection = harness.connections[0]
+        number = connection.address[7]
+        connection.respond(421, extra_header="X-Chivesaddle-Instance: i-9")
+        assert down == [f"i-{number}"]
+
+
 class TestRetryBudget:
     @pytest.fixture
     def harness(self, harness):
