Serve the parts of a request that crashes servers, and tell causes apart by trials

Two faults of the search for crashing parts, each with a test that failed before. The copies of one request that crashed three servers made its parts refused for all other requests: none of the sound requests with them was served. Crashes under one blocked request now count against a part only if there is another one. A harmless part of another request that waited at the same three servers was refused only in requests with both, so that the cause was not refused: 10 servers crashed. Now both are refused, and one daemon after the other tries one request with some of the suspects; its answer clears them, its crash condemns them.

--- a/src/chivesaddle/forwarding/blame.py
+++ b/src/chivesaddle/forwarding/blame.py
@@ -2,11 +2,11 @@
 
 All parts that a crashed server had not begun to answer are suspects of the crash. A
 part that crashes servers is a suspect of every crash that it causes, while a harmless
-part is cleared by the first answer that begins on it. A crash that a crashing part
-explains counts against no other part.
+part is cleared by the first answer that begins on it. A crash counts against no other
+part if a crashing part explains it, or a request that crashes servers by itself.
 """
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
 from chivesaddle.core.ids import BackendServerId, Fingerprint
@@ -18,7 +18,7 @@
 MIN_CRASHES_OF_ANSWERED_PART = 5
 # Servers that crash within this time may have one cause, such as the loss of a zone.
 SAME_MOMENT_S = 0.5
-# Crashes that no other part explains, for a second crashing part.
+# Crashes of a part that nothing else explains, if something else explains the others.
 MIN_UNEXPLAINED_CRASHES = 2
 
 # Id of a server and its start in Unix milliseconds; each start crashes once at most.
@@ -51,26 +51,43 @@
 
 @dataclass(frozen=True, slots=True)
 class CrashingParts:
-    """Parts that crash the servers of requests that contain all of them.
+    """Parts of which one crashes servers.
 
-    There are several if they have been seen only together, so that it is not known
-    which of them crashes servers.
+    There are several if the same crashes count against them, so that it is not known
+    which of them is the cause. What becomes of a request with some of them, but not
+    all, tells more.
+
+    Attributes
+    ----------
+    last_crash_at : float
+        In seconds of the daemon's clock.
     """
 
     parts: frozenset[Fingerprint]
     crashes: frozenset[CrashId]
+    last_crash_at: float
 
 
 def find_crashing_parts(
     evidence_by_part: Mapping[Fingerprint, PartEvidence],
+    crashes_by_request: Iterable[frozenset[CrashId]] = (),
 ) -> list[CrashingParts]:
-    """Return the fewest parts that explain the crashes, the most certain ones first."""
+    """Return the fewest parts that explain the crashes, the most certain ones first.
+
+    Parameters
+    ----------
+    evidence_by_part : mapping
+        Crashes that count against each part.
+    crashes_by_request : iterable of frozenset
+        Crashes of each request that is refused because it crashes servers itself.
+    """
     candidates = {
         part: frozenset(evidence.time_by_crash)
         for part, evidence in evidence_by_part.items()
         if evidence.is_sufficient
     }
-    explained: frozenset[CrashId] = frozenset()
+    by_requests = list(crashes_by_request)
+    explained: frozenset[CrashId] = frozenset().union(*by_requests)
     found: list[CrashingParts] = []
 
     def certainty(part: Fingerprint) -> tuple[bool, int, str]:
@@ -80,7 +97,7 @@
     while candidates:
         best = max(candidates, key=certainty)
         crashes = candidates.pop(best)
-        if found and len(crashes - explained) < MIN_UNEXPLAINED_CRASHES:
+        if not _adds_explanation(crashes, by_requests, found):
             continue
         was_answered = evidence_by_part[best].was_answered
         together = {
@@ -91,10 +108,28 @@
         for part in together:
             del candidates[part]
         explained |= crashes
-        found.append(CrashingParts(frozenset({best, *together}), crashes))
+        last_crash_at = max(evidence_by_part[best].time_by_crash.values())
+        parts = frozenset({best, *together})
+        found.append(CrashingParts(parts, crashes, last_crash_at))
     return found
 
 
+def _adds_explanation(
+    crashes: frozenset[CrashId],
+    by_requests: Collection[frozenset[CrashId]],
+    found: Collection[CrashingParts],
+) -> bool:
+    """Return whether crashes are likely to have a cause besides the known ones.
+
+    A part that is at all crashes of a request and at one more explains both.
+    """
+    requests = [known for known in by_requests if known & crashes]
+    groups = [group.crashes for group in found if group.crashes & crashes]
+    is_wider = not groups and all(known <= crashes for known in requests)
+    new = crashes.difference(*requests, *groups)
+    return len(new) >= (1 if is_wider else MIN_UNEXPLAINED_CRASHES)
+
+
 def _count_moments(times: Collection[float]) -> int:
     count, since = 0, float("-inf")
     for time in sorted(times):
--- a/src/chivesaddle/forwarding/crashes.py
+++ b/src/chivesaddle/forwarding/crashes.py
@@ -55,6 +55,11 @@
 # A response that goes on this long after a server is said to have crashed disproves
 # the crash. Clocks and delays of the daemons that report differ by less.
 DISPROVED_AFTER_S = 1.0
+# Time after a crash until the first daemon tries a request with some of the parts that
+# may be its cause, and until each further one does if the cause is still not known.
+TRIAL_DELAY_S = 0.3
+# Time in which a trial shows its result.
+TRIAL_S = 1.0
 # The crashing parts are determined again after this time, as crashes stop counting.
 BLAME_LIFETIME_S = 0.5
 # Peers are sent the blocked fingerprints and those that changed within this time, at
@@ -84,6 +89,14 @@
     crashes: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Trial:
+    """A request that is sent to find out which of some parts is the cause."""
+
+    request: Fingerprint
+    until: float
+
+
 class CrashRecord:
     """Servers that crashed under each request and part, as all daemons have seen them.
 
@@ -117,6 +130,10 @@
         # When a server last answered each part.
         self._answered_at_by_part: OrderedDict[Fingerprint, float] = OrderedDict()
         self._crashing_parts: list[CrashingParts] = []
+        self._trials_by_part: dict[Fingerprint, _Trial] = {}
+        # Position of this daemon among those that may try a part, None if it may not.
+        self.trial_rank: Callable[[Fingerprint], int | None] = lambda part: 0
+        self._crashes_of_blocked_requests: list[frozenset[CrashId]] = []
         self._determine_at = 0.0
         self.refused = 0
 
@@ -273,20 +290,75 @@
         now = self._clock.seconds()
         crashing = self._determine_crashing_parts(now)
         for group in crashing:
-            if group.parts.issubset(suspects.parts):
-                until = max(self._counts_until(part, now) for part in group.parts)
-                parts = tuple(sorted(group.parts))
-                return CrashRefusal(until, parts, len(group.crashes))
+            parts = group.parts.intersection(suspects.parts)
+            if parts and not self._may_try(group, parts, suspects.request, now):
+                until = now + CONCURRENT_RETRY_AFTER_S
+                if parts == group.parts:
+                    until = max(self._counts_until(part, now) for part in parts)
+                return CrashRefusal(until, tuple(sorted(parts)), len(group.crashes))
         explained = frozenset().union(*(group.crashes for group in crashing))
-        for key in (suspects.request, *suspects.parts):
-            history = self._history_by_fingerprint.get(key)
-            if history is None or (history.was_answered and is_part(key)):
+        blocked_until = self._blocked_until(suspects.request, explained)
+        if blocked_until is not None:
+            crashes = self.count(suspects.request)
+            return CrashRefusal(blocked_until, (suspects.request,), crashes)
+        explained = explained.union(*self._crashes_of_blocked_requests)
+        for part in suspects.parts:
+            history = self._history_by_fingerprint.get(part)
+            if history is None or history.was_answered:
                 continue
-            blocked_until = self._blocked_until(key, explained)
+            blocked_until = self._blocked_until(part, explained)
             if blocked_until is not None:
-                return CrashRefusal(blocked_until, (key,), self.count(key))
+                return CrashRefusal(blocked_until, (part,), self.count(part))
         return None
 
+    def _find_blocked_requests(self, now: float) -> list[frozenset[CrashId]]:
+        """Return the crashes of each request that is blocked."""
+        crashes = (
+            frozenset(history.counting(now))
+            for key, history in self._history_by_fingerprint.items()
+            if not is_part(key)
+            and len(history.crashes_by_server) >= BLOCK_AFTER_CRASHES
+        )
+        return [ids for ids in crashes if len(ids) >= BLOCK_AFTER_CRASHES]
+
+    def _may_try(
+        self,
+        group: CrashingParts,
+        parts: frozenset[Fingerprint],
+        request: Fingerprint,
+        now: float,
+    ) -> bool:
+        """Return whether to send a request, to find out which part is the cause.
+
+        One daemon after the other tries a request with some of the parts.
+        """
+        if parts == group.parts:
+            return False
+        running = [
+            trial
+            for part in group.parts
+            if (trial := self._trials_by_part.get(part)) and trial.until > now
+        ]
+        if running:
+            return all(trial.request == request for trial in running)
+        rank = self.trial_rank(min(group.parts))
+        if rank is None or now < group.last_crash_at + TRIAL_DELAY_S * (1 + rank):
+            return False
+        self._trials_by_part = dict.fromkeys(parts, _Trial(request, now + TRIAL_S)) | {
+            part: trial
+            for part, trial in self._trials_by_part.items()
+            if trial.until > now
+        }
+        log.info(
+            "part tried",
+            extra={
+                "fingerprint": request,
+                "parts": sorted(parts),
+                "suspects": sorted(group.parts),
+            },
+        )
+        return True
+
     def _blocked_until(
         self, key: Fingerprint, explained: Collection[CrashId]
     ) -> float | None:
@@ -322,7 +394,10 @@
             if is_part(key) and len(history.crashes_by_server) >= MIN_CRASHES
         }
         known = {group.parts for group in self._crashing_parts}
-        self._crashing_parts = find_crashing_parts(evidence_by_part)
+        self._crashes_of_blocked_requests = self._find_blocked_requests(now)
+        self._crashing_parts = find_crashing_parts(
+            evidence_by_part, self._crashes_of_blocked_requests
+        )
         self._determine_at = now + BLAME_LIFETIME_S
         found = {group.parts for group in self._crashing_parts}
         for group in self._crashing_parts:
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -53,7 +53,12 @@
     listen,
 )
 from chivesaddle.objects import Lease, StoreEra
-from chivesaddle.placement import RateLimits, ServerTable, SoftwareHistory
+from chivesaddle.placement import (
+    RateLimits,
+    ServerTable,
+    SoftwareHistory,
+    rendezvous_order,
+)
 from chivesaddle.platform import (
     CONFIG_KIND,
     READINESS_PATH,
@@ -201,6 +206,7 @@
         self._limits = limits
         self._crashes = crashes = CrashRecord(reactor)
         self._servers.on_down = crashes.confirm
+        crashes.trial_rank = self._trial_rank
         self._exchange = GossipExchange(
             reactor,
             self._members,
@@ -462,6 +468,12 @@
         self._server_pool.close_address(server.address)
         self._path_probe.probe_service(server.service)
 
+    def _trial_rank(self, part: str) -> int | None:
+        """Return this daemon's position among those that may try a part of prompts."""
+        daemons = [member.id for member in self._working_set.daemons()]
+        own = self._settings.daemon_id
+        return rendezvous_order(part, daemons).index(own) if own in daemons else None
+
     def _order_rank(self) -> int:
         """Return this daemon's position among those that may give weight orders."""
         if self._working_set.is_whole_fleet:
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -368,6 +368,7 @@
         for number in self.SERVERS:
             self.list_server(daemon, number)
         daemon.crashes.on_report = functools.partial(self.announce, daemon)
+        daemon.crashes.trial_rank = lambda part: self.daemons.index(daemon)
         self.reactor.callLater(
             self.random.uniform(0, self.EXCHANGE_INTERVAL_S), self.exchange, daemon
         )
--- a/tests/forwarding/test_blame.py
+++ b/tests/forwarding/test_blame.py
@@ -38,12 +38,20 @@
             common=evidence(1, 2, 3), bad=evidence(1, 2, 3, 4), other=evidence(2, 3, 4)
         ) == [{"bad"}]
 
-    def test_parts_seen_only_together_are_refused_only_together(self):
+    def test_parts_with_the_same_crashes_are_found_together(self):
         assert found(a=evidence(1, 2, 3), b=evidence(1, 2, 3)) == [{"a", "b"}]
 
     def test_two_crashing_parts_are_both_found(self):
         assert found(a=evidence(1, 2, 3, 4), b=evidence(4, 5, 6)) == [{"a"}, {"b"}]
 
+    def test_parts_of_one_request_that_crashes_servers_are_not_blamed(self):
+        bad_request = [frozenset(evidence(1, 2, 3).time_by_crash)]
+        crashes_of_part = evidence(1, 2, 3)
+        assert find_crashing_parts({"a": crashes_of_part}, bad_request) == []
+        crashes_of_part = evidence(1, 2, 3, 4)
+        (group,) = find_crashing_parts({"a": crashes_of_part}, bad_request)
+        assert group.parts == {"a"}
+
     def test_answered_part_is_not_blamed_beside_one_that_never_was(self):
         assert found(
             common=evidence(1, 2, 3, 4, 5, was_answered=True), bad=evidence(1, 2, 3, 4)
@@ -114,8 +122,8 @@
         for number in numbers:
             record.suspect(f"request-{number}", server(number), f"id-{number}", parts)
 
-    def refuses(self, record, *parts):
-        return record.find_refusal(CrashSuspects("request", parts)) is not None
+    def refuses(self, record, *parts, request="request"):
+        return record.find_refusal(CrashSuspects(request, parts)) is not None
 
     def test_part_is_refused_after_three_crashes(self, clock):
         record = CrashRecord(clock)
@@ -125,6 +133,22 @@
         assert self.refuses(record, COMMON, BAD)
         assert not self.refuses(record, COMMON)
 
+    def test_one_daemon_after_the_other_tries_one_of_two_possible_causes(self, clock):
+        """Guards against a harmless part that is refused together with the cause."""
+        records = [CrashRecord(clock) for _ in range(2)]
+        for rank, record in enumerate(records):
+            record.trial_rank = lambda part, rank=rank: rank
+            self.crash(record, (1, 2, 3), (BAD, COMMON))
+        assert [self.refuses(record, COMMON) for record in records] == [True, True]
+        clock.advance(0.35)
+        assert [self.refuses(record, COMMON) for record in records] == [False, True]
+        assert not self.refuses(records[0], COMMON), "its second check"
+        assert self.refuses(records[0], COMMON, request="other"), "one is being tried"
+        assert self.refuses(records[0], BAD, COMMON), "it would tell nothing"
+        records[0].record_answered([COMMON])
+        assert not self.refuses(records[0], COMMON)
+        assert self.refuses(records[0], BAD)
+
     def test_answer_clears_a_part(self, clock):
         record = CrashRecord(clock)
         self.crash(record, (1, 2, 3))
--- a/tests/forwarding/test_crashing_parts.py
+++ b/tests/forwarding/test_crashing_parts.py
@@ -52,13 +52,16 @@
     def now(self):
         return self.fleet.reactor.seconds()
 
-    def send(self, parts, *, is_deadly=False, daemon=None):
-        number = len(self.runs) + len(self.finished)
-        id = f"request-{number}"
+    def send(self, parts, *, is_deadly=False, daemon=None, number=None):
+        count = len(self.runs) + len(self.finished)
+        id = f"request-{count}"
+        number = count if number is None else number
         daemon = self.random.choice(self.fleet.daemons) if daemon is None else daemon
         headers = f"X-Chivesaddle-Prompt-Prefix: {parts},{number:x}:10"
         caller = daemon.caller()
-        caller.request(f"{self.route}{number}", id, headers=headers, body=id.encode())
+        caller.request(
+            f"{self.route}{number}", id, headers=headers, body=b"%d" % number
+        )
         run = Run(id, caller, parts, is_deadly, self.now)
         self.runs.append(run)
         return run
@@ -185,6 +188,19 @@
 
 
 class TestSoundParts:
+    def test_parts_of_one_request_that_crashes_servers_are_served(self, traffic):
+        """Guards against a request that takes the requests of its parts along."""
+        traffic = traffic(6)
+        for _ in range(20):
+            traffic.send("ff:9,fe:9", is_deadly=True, number=0)
+            traffic.advance(0.5)
+        assert len(traffic.crash_times) == 3
+        for _ in range(20):
+            traffic.send("ff:9,fe:9")
+            traffic.advance(0.1)
+        traffic.advance(1)
+        assert traffic.served_share("ff", 10) == 1.0
+
     def test_parts_of_servers_that_end_by_themselves_are_served(self, traffic):
         traffic = traffic(6)
         mix = Mix(traffic, [], SOUND, sound_every_s=0.05)
