Tell a server's own failure from a daemon's refusal when a request is passed on

A failure of a server without its signature was taken for a refusal of the other daemon: its caller was told that the request had not run. A daemon's own responses have no request id. The new case of the test of servers' own failures failed before.

--- a/src/chivesaddle/forwarding/passing.py
+++ b/src/chivesaddle/forwarding/passing.py
@@ -219,9 +219,12 @@
     def _check(
         self, context: RequestContext, response: ServerResponse, peer: PeerDaemon
     ) -> None:
-        if response.is_signed and response.request_id == context.request.id:
+        is_success = 200 <= response.status < 300
+        is_servers = response.request_id == context.request.id
+        if is_servers and (response.is_signed or not is_success):
             return
-        if response.status in NOT_RUN_STATUSES:
+        # A daemon's own responses have no request id.
+        if response.request_id is None and response.status in NOT_RUN_STATUSES:
             context.runs -= 1
             match response.retry_after:
                 case RetryAfter(seconds):
@@ -232,10 +235,6 @@
                 f"Daemon {peer.id} answered {response.status}",
                 retry_after_s=retry_after_s,
             )
-        if response.status < 500 or response.is_signed:
-            raise NoUsableResponse(
-                f"Daemon {peer.id} answered {response.status} without the request's id"
-            )
         raise NoUsableResponse(f"Daemon {peer.id} answered {response.status}")
 
 
--- a/tests/forwarding/test_lost_paths.py
+++ b/tests/forwarding/test_lost_paths.py
@@ -473,12 +473,16 @@
             assert run.is_served
 
     @pytest.mark.parametrize("status", [500, 404])
-    def test_servers_own_failure_reaches_the_caller_unchanged(self, fleet, status):
+    @pytest.mark.parametrize("signed", [True, False])
+    def test_servers_own_failure_reaches_the_caller_unchanged(
+        self, fleet, status, signed
+    ):
+        """Guards against a failure that ran and is reported as not run."""
         run, connection = self.pass_one(fleet, "/unsafe/")
-        connection.respond(status, b"no", request_id=run.id)
+        connection.respond(status, b"no", request_id=run.id, signed=signed)
         fleet.advance(0.05)
         assert run.caller.status == status
-        assert b"signature: sig" in run.caller.received().lower()
+        assert (b"signature: sig" in run.caller.received().lower()) == signed
 
     def test_broken_response_is_not_completed(self, fleet):
         run, connection = self.pass_one(fleet, "/stream/")
