Read load headers of four figures

Cause: the load header was decoded only with exactly three figures. Servers on shared machines add a fourth one, the time that work takes there now, so every load report of such a service was dropped and its servers were placed without one. Now the first three figures count whatever follows them; the fourth is decoded too and not used yet.

--- a/src/chivesaddle/forwarding/messages.py
+++ b/src/chivesaddle/forwarding/messages.py
@@ -118,11 +118,23 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerLoad:
-    """Requests that a backend server runs and queues, and its slots."""
+    """Load that a backend server reports.
+
+    Attributes
+    ----------
+    running, waiting : int
+        Requests that the server runs and queues.
+    slots : int
+        Requests that it runs at most.
+    work_time_percent : int or None
+        How long work takes on the server's machine at this moment, in per cent of the
+        usual time; None if the server does not say.
+    """
 
     running: int
     waiting: int
     slots: int
+    work_time_percent: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chivesaddle/platform/headers.py
+++ b/src/chivesaddle/platform/headers.py
@@ -29,7 +29,8 @@
 EXPECTED_SERVER = _PREFIX + b"expected-instance"
 # Id of the backend server that sent the response.
 ANSWERING_SERVER = _PREFIX + b"instance"
-# Running requests, waiting requests and slots, separated by commas.
+# Running requests, waiting requests and slots, separated by commas. Servers on shared
+# machines add how long work takes there now, in per cent of the usual time.
 LOAD = _PREFIX + b"server-load"
 # Requests per second (a decimal number) that the server takes from all daemons.
 SERVER_LIMIT = b"server-limit"
@@ -89,6 +90,8 @@
 }
 # A server that refuses for longer than a day is not refusing for lack of capacity.
 MAX_RETRY_AFTER_S = 24 * 3_600.0
+# Longer numbers are not counts of requests.
+MAX_COUNT_DIGITS = 9
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 
 
@@ -232,10 +235,18 @@
 
 
 def _parse_load(value: str | None) -> ServerLoad | None:
-    numbers = (value or "").split(",")
-    if len(numbers) != 3 or not all(n.strip().isdigit() for n in numbers):
+    numbers = [number.strip() for number in (value or "").split(",")]
+    if len(numbers) < 3 or not all(_is_count(number) for number in numbers[:3]):
         return None
-    return ServerLoad(*(int(n) for n in numbers))
+    running, waiting, slots = (int(number) for number in numbers[:3])
+    # An invalid figure, or one that is not known yet, does not invalidate the others.
+    has_work_time = len(numbers) > 3 and _is_count(numbers[3])
+    work_time_percent = int(numbers[3]) if has_work_time else None
+    return ServerLoad(running, waiting, slots, work_time_percent or None)
+
+
+def _is_count(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= MAX_COUNT_DIGITS
 
 
 def _parse_limit(head: ResponseHead) -> RequestLimit | InvalidValue | None:
