Refuse requests that may outlast a daemon that shuts down

Cause: a daemon takes callers for 5 s after SIGTERM and ends after 7.3 s.

Without the check the test of the late stream fails.

--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -44,6 +44,7 @@
 from chivesaddle.forwarding.results import ResultReporter
 from chivesaddle.forwarding.run import Run
 from chivesaddle.forwarding.serving_state import ServingState
+from chivesaddle.forwarding.shutdown import ShutdownAdmission
 from chivesaddle.forwarding.stream_origins import StreamOrigins
 from chivesaddle.forwarding.stream_software import StreamSoftware
 from chivesaddle.forwarding.suspects import CrashSuspects
@@ -122,6 +123,11 @@
         Software versions at which streams began.
     observe : callable
         Called for each finished request with its result and duration in seconds.
+
+    Attributes
+    ----------
+    shutdown : ShutdownAdmission
+        Refuses requests that may outlast a daemon that is shutting down.
     """
 
     def __init__(
@@ -156,6 +162,7 @@
         self._reporter = ResultReporter(clock, observe)
         self._random = random.Random()
         self._attempts = Attempts(clock)
+        self.shutdown = ShutdownAdmission(clock)
         self._passer = RequestPasser(
             clock,
             peer_pool,
@@ -196,6 +203,7 @@
         try:
             context = self._create_context(caller_request, received_at)
             await self._send_before_deadline(context, responder)
+            self.shutdown.record(context.route, self._clock.seconds() - received_at)
             self._reporter.log_result("answered", caller_request, context, received_at)
         except CancelledError:
             self._reporter.log_result(
@@ -230,6 +238,7 @@
                 f"No route matches {caller_request.host} {caller_request.target!r}"
             )
         account = self._authenticate(caller_request, route, configuration)
+        self.shutdown.check(route)
         limit_s = route.timeout_s
         caller_deadline = None
         if caller_request.time_limit_s is not None:
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -365,6 +365,7 @@
         shutdown_deadline = (
             leaving_since + self._settings.bounds.shutdown_s - SHUTDOWN_RESERVE_S
         )
+        self._forwarder.shutdown.ends_at = shutdown_deadline
         await self._rollout.stop()
         self._registration.stop()
         start(self._exchange.announce_leaving()).addErrback(
--- /dev/null
+++ b/tests/forwarding/test_shutdown.py
@@ -0,0 +1,76 @@
+"""Requests that arrive while the daemon shuts down."""
+
+import pytest
+
+from chivesaddle.core.ids import ServiceId
+from chivesaddle.core.serving_model import Route, RouteId, RouteKind
+from chivesaddle.forwarding.errors import NotRun
+from chivesaddle.forwarding.shutdown import ShutdownAdmission
+
+EVENT = b"id: 1\ndata: a\n\n"
+# A daemon that is stopped with SIGTERM at 0 s ends at this time.
+ENDS_AT_S = 7.3
+
+
+def serve_stream(harness, caller, request_id, seconds):
+    caller.request("/stream/x", request_id=request_id)
+    server = harness.connections[-1]
+    server.start_stream(EVENT)
+    harness.advance(seconds)
+    server.end_stream()
+    harness.advance()
+
+
+def test_stream_that_would_outlast_the_daemon_is_refused_as_not_run(harness, caller):
+    """Guards against cutting a stream that was accepted late in a planned stop."""
+    serve_stream(harness, caller, "a1", 3.2)
+    started_at = harness.reactor.seconds()
+    harness.forwarder.shutdown.ends_at = started_at + ENDS_AT_S
+    harness.advance(4.2)
+    late_caller = harness.caller()
+    sends = len(harness.connections)
+    late_caller.request("/stream/x", request_id="a2")
+    assert late_caller.status == 503
+    assert b"retry-after" in late_caller.received().lower()
+    assert len(harness.connections) == sends
+    assert harness.results[-1] == "not_run"
+
+
+def test_request_that_ends_in_time_is_served_until_the_end(harness, caller):
+    serve_stream(harness, caller, "a1", 0.5)
+    harness.forwarder.shutdown.ends_at = harness.reactor.seconds() + ENDS_AT_S
+    harness.advance(4.2)
+    late_caller = harness.caller()
+    serve_stream(harness, late_caller, "a2", 0.5)
+    assert late_caller.status == 200
+
+
+def route(kind, target_s=0.4):
+    return Route(
+        RouteId("r"),
+        "h",
+        "/",
+        kind,
+        {ServiceId("s"): 1.0},
+        10.0,
+        target_s,
+        1,
+        0,
+        False,
+        False,
+    )
+
+
+@pytest.mark.parametrize("kind", RouteKind)
+def test_nothing_is_refused_before_the_shutdown(harness, kind):
+    ShutdownAdmission(harness.reactor).check(route(kind))
+
+
+def test_stream_of_unknown_duration_is_taken_only_early(harness):
+    admission = ShutdownAdmission(harness.reactor)
+    admission.ends_at = ENDS_AT_S
+    admission.check(route(RouteKind.STREAM))
+    harness.advance(4.2)
+    admission.check(route(RouteKind.AT_MOST_ONCE))
+    with pytest.raises(NotRun):
+        admission.check(route(RouteKind.STREAM))
