Expect streams with more output tokens to take longer in a shutdown

Now the slowest time for each output token of the recent requests counts as well, and the daemon waits until 0.4 s before SIGKILL instead of 0.7 s.

--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -203,7 +203,11 @@
         try:
             context = self._create_context(caller_request, received_at)
             await self._send_before_deadline(context, responder)
-            self.shutdown.record(context.route, self._clock.seconds() - received_at)
+            self.shutdown.record(
+                context.route,
+                caller_request.output_tokens,
+                self._clock.seconds() - received_at,
+            )
             self._reporter.log_result("answered", caller_request, context, received_at)
         except CancelledError:
             self._reporter.log_result(
@@ -238,7 +242,7 @@
                 f"No route matches {caller_request.host} {caller_request.target!r}"
             )
         account = self._authenticate(caller_request, route, configuration)
-        self.shutdown.check(route)
+        self.shutdown.check(route, caller_request.output_tokens)
         limit_s = route.timeout_s
         caller_deadline = None
         if caller_request.time_limit_s is not None:
--- a/src/chivesaddle/forwarding/shutdown.py
+++ b/src/chivesaddle/forwarding/shutdown.py
@@ -11,9 +11,11 @@
 from chivesaddle.core.serving_model import Route, RouteId, RouteKind
 from chivesaddle.forwarding.errors import NotRun
 
-# Recent requests of a route whose longest duration is expected of the next one. One in
-# so many takes longer.
+# Recent requests of a route from which the duration of the next one is derived.
 REMEMBERED_DURATIONS = 128
+# Shorter outputs say little about the time for each token: their prompt and their wait
+# take most of the time.
+MIN_OUTPUT_TOKENS = 16
 # Routes whose durations are remembered.
 MAX_ROUTES = 256
 # Shutdowns under load are slower than usual.
@@ -45,24 +47,34 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self.ends_at: float | None = None
-        self._durations_by_route: OrderedDict[RouteId, deque[float]] = OrderedDict()
+        self._durations_by_route: OrderedDict[RouteId, deque[tuple[float, int]]] = (
+            OrderedDict()
+        )
+
+    def record(self, route: Route, output_tokens: int, seconds: float) -> None:
+        """Record a request that was answered.
 
-    def record(self, route: Route, seconds: float) -> None:
-        """Record the duration of a request that was answered."""
+        Parameters
+        ----------
+        output_tokens : int
+            Tokens that the request was allowed to generate, 0 if unknown.
+        seconds : float
+            Time from its arrival to the end of its response.
+        """
         durations = self._durations_by_route.get(route.id)
         if durations is None:
             durations = deque(maxlen=REMEMBERED_DURATIONS)
             self._durations_by_route[route.id] = durations
             if len(self._durations_by_route) > MAX_ROUTES:
                 self._durations_by_route.popitem(last=False)
-        durations.append(seconds)
+        durations.append((seconds, output_tokens))
 
-    def check(self, route: Route) -> None:
+    def check(self, route: Route, output_tokens: int = 0) -> None:
         """Raise `NotRun` if a request of the route may outlast the daemon."""
         if self.ends_at is None:
             return
         left_s = self.ends_at - self._clock.seconds()
-        expected_s = self.expected_duration(route)
+        expected_s = self.expected_duration(route, output_tokens)
         if expected_s > left_s:
             raise NotRun(
                 f"The daemon ends in {left_s:.1f} s; requests of route {route.id} "
@@ -70,11 +82,21 @@
                 retry_after_s=RETRY_AFTER_S,
             )
 
-    def expected_duration(self, route: Route) -> float:
-        """Return how long a request of the route may take, in seconds."""
+    def expected_duration(self, route: Route, output_tokens: int = 0) -> float:
+        """Return how long a request of the route may take, in seconds.
+
+        The longest recent request is expected, or one as slow for each token as the
+        slowest recent one, whichever takes longer.
+        """
         durations = self._durations_by_route.get(route.id)
         if durations:
-            return min(route.timeout_s, DURATION_MARGIN * max(durations))
+            longest_s = max(seconds for seconds, _ in durations)
+            s_per_token = max(
+                (s / tokens for s, tokens in durations if tokens >= MIN_OUTPUT_TOKENS),
+                default=0.0,
+            )
+            expected_s = max(longest_s, s_per_token * output_tokens)
+            return min(route.timeout_s, DURATION_MARGIN * expected_s)
         targets = (
             UNKNOWN_STREAM_DURATION_TARGETS
             if route.kind is RouteKind.STREAM
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -97,8 +97,9 @@
 # How long callers may cache an address response. Some cache it three times as long,
 # which must fit between SIGTERM and SIGKILL.
 ADDRESS_TTL_S = 1.5
-# Time left before SIGKILL when the daemon stops waiting for requests in flight.
-SHUTDOWN_RESERVE_S = 0.7
+# Time left before SIGKILL when the daemon stops waiting for requests in flight; the end
+# of the process takes some 0.1 s.
+SHUTDOWN_RESERVE_S = 0.4
 # New connections are accepted for this long after SIGTERM, since some callers cache an
 # address response three times as long as its TTL.
 ACCEPT_AFTER_SIGTERM_S = 3 * ADDRESS_TTL_S + 0.5
--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -74,3 +74,15 @@
     admission.check(route(RouteKind.AT_MOST_ONCE))
     with pytest.raises(NotRun):
         admission.check(route(RouteKind.STREAM))
+
+
+def test_stream_longer_than_the_recent_ones_is_expected_to_take_longer(harness):
+    """Guards against cutting the longest stream of a route after a quiet start."""
+    admission = ShutdownAdmission(harness.reactor)
+    stream = route(RouteKind.STREAM)
+    admission.record(stream, 2, 1.5)
+    admission.record(stream, 40, 1.2)
+    admission.ends_at = 3.1
+    admission.check(stream, 40)
+    with pytest.raises(NotRun):
+        admission.check(stream, 100)
