Rank the sources of a prompt part once for all servers of a zone

Each choice of a server scanned all holders of each part for every server (profile: 60 % of a choice in _choose_source). The sources are now ranked once per zone and remembered until a holder changes, servers with the same transfers share one plan, and the order of stores for a part is remembered.

--- a/src/chivesaddle/cachemap/index.py
+++ b/src/chivesaddle/cachemap/index.py
@@ -1,6 +1,6 @@
 """Index of the prompt parts that backend servers and KV stores hold."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from chivesaddle.core.aio import Clock
@@ -23,6 +23,14 @@
     used_tokens: int = 0
 
 
+@dataclass(slots=True)
+class _KnownHolders:
+    """Holders of a part that had recent views, the oldest of which is as given."""
+
+    oldest_confirmed_at: float
+    tokens_by_address: Mapping[str, int]
+
+
 class CacheIndex:
     """Parts by the address of their holder, as cache events report them.
 
@@ -39,6 +47,8 @@
         self._clock = clock
         self._views: dict[str, _HolderView] = {}
         self._holders_by_part: dict[PartKey, set[str]] = {}
+        # Kept until a holder of the part changes or its view becomes outdated.
+        self._known_by_part: dict[PartKey, _KnownHolders] = {}
 
     def confirm(self, address: str, epoch: int) -> bool:
         """Record a response of a holder; return False if it is new or has restarted."""
@@ -47,7 +57,11 @@
             self.forget(address)
             self._views[address] = _HolderView(epoch, self._clock.seconds())
             return False
-        view.confirmed_at = self._clock.seconds()
+        now = self._clock.seconds()
+        if now - view.confirmed_at > MAX_VIEW_AGE_S:
+            for key in view.tokens_by_part:
+                self._known_by_part.pop(key, None)
+        view.confirmed_at = now
         return True
 
     def replace(
@@ -64,7 +78,10 @@
         view = self._views.get(address)
         if view is None:
             return
-        view.used_tokens += tokens - view.tokens_by_part.pop(key, 0)
+        previous_tokens = view.tokens_by_part.pop(key, 0)
+        if tokens != previous_tokens:
+            self._known_by_part.pop(key, None)
+        view.used_tokens += tokens - previous_tokens
         if tokens > 0:
             view.tokens_by_part[key] = tokens
             self._holders_by_part.setdefault(key, set()).add(address)
@@ -107,6 +124,33 @@
         addresses = self._holders_by_part.get(key, ())
         return sorted(address for address in addresses if self.is_known(address))
 
+    def tokens_by_holder(self, key: PartKey) -> Mapping[str, int]:
+        """Return what the holders with recent views have of a part, by address.
+
+        The mapping is ordered by address, and the same object until it changes.
+        """
+        now = self._clock.seconds()
+        known = self._known_by_part.get(key)
+        if known is not None and now - known.oldest_confirmed_at <= MAX_VIEW_AGE_S:
+            return known.tokens_by_address
+        views = [(a, self._views[a]) for a in self._holders_by_part.get(key, ())]
+        recent = [
+            (address, view)
+            for address, view in views
+            if now - view.confirmed_at <= MAX_VIEW_AGE_S
+        ]
+        tokens_by_address: Mapping[str, int] = {
+            address: view.tokens_by_part[key]
+            for address, view in sorted(recent, key=lambda pair: pair[0])
+        }
+        if not recent:
+            return tokens_by_address
+        if known is not None and known.tokens_by_address == tokens_by_address:
+            tokens_by_address = known.tokens_by_address
+        oldest_confirmed_at = min(view.confirmed_at for _, view in recent)
+        self._known_by_part[key] = _KnownHolders(oldest_confirmed_at, tokens_by_address)
+        return tokens_by_address
+
     def scopes(self, address: str) -> dict[str, list[PromptPartId]]:
         """Return the parts of a holder by scope."""
         view = self._views.get(address)
@@ -116,6 +160,7 @@
         return parts_by_scope
 
     def _remove_holder(self, key: PartKey, address: str) -> None:
+        self._known_by_part.pop(key, None)
         holders = self._holders_by_part.get(key)
         if holders is not None:
             holders.discard(address)
--- a/src/chivesaddle/cachemap/transfers.py
+++ b/src/chivesaddle/cachemap/transfers.py
@@ -7,26 +7,36 @@
 """
 
 import math
+from collections import OrderedDict
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
+from typing import TypeVar
 
 import xxhash
 
 from chivesaddle.cachemap.index import CacheIndex, PartKey
+from chivesaddle.cachemap.sources import (
+    MIN_TRANSFER_TOKENS,
+    PREFILL_TOKENS_PER_MS,
+    Fetch,
+    PartSource,
+    PartSources,
+)
 from chivesaddle.core.aio import Clock
 from chivesaddle.core.ids import ZoneId
 from chivesaddle.core.serving_model import EngineSpec, KvStore, PromptPartId
 
-PREFILL_TOKENS_PER_MS = 61.2
-# Transfers between zones take twice as long.
-CROSS_ZONE_TIME_FACTOR = 2.0
-# For smaller parts, reading costs less than the wait before a transfer.
-MIN_TRANSFER_TOKENS = 64
 # A requested save is not requested again before its cache event could arrive.
 SAVE_RETRY_S = 5.0
 # Fill limit of a store; the rest stays free because several daemons save at once.
 MAX_STORE_FILL_RATIO = 0.97
 MAX_PENDING_SAVES = 4_096
+# Parts whose sources or store order are remembered between requests.
+MAX_REMEMBERED_PARTS = 1_024
+
+
+Key = TypeVar("Key")
+Value = TypeVar("Value")
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,22 +62,116 @@
     shared_read_tokens: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class PartSource:
-    """A holder from which servers can fetch a part.
+class _Part:
+    """A shared part of a prompt in one cache scope, and what is known of it."""
 
-    Attributes
-    ----------
-    reference : str
-        How a server is told to fetch from it.
-    fetch_ms : float
-        Predicted time of the transfer to a server in the same zone.
+    __slots__ = ("fetchable", "holders", "id", "min_held_tokens", "sources", "tokens")
+
+    def __init__(
+        self,
+        id: PromptPartId,
+        tokens: int,
+        holders: Mapping[str, int],
+        sources: PartSources,
+    ) -> None:
+        self.id = id
+        self.tokens = tokens
+        self.holders = holders
+        self.sources = sources
+        # Memory is allocated in blocks, so the last tokens may not be cached.
+        self.min_held_tokens = 0.9 * tokens
+
+
+class PromptTransfers:
+    """Plans one prompt at the servers of a service, all at the same time.
+
+    Servers whose transfers are the same share one plan: those that hold none of the
+    parts differ only in their zone.
     """
 
-    address: str
-    reference: str
-    zone: ZoneId
-    fetch_ms: float
+    def __init__(
+        self,
+        planner: "TransferPlanner",
+        parts: Sequence[tuple[PromptPartId, int]],
+        engine: EngineSpec,
+        zone_by_server_address: Mapping[str, ZoneId],
+    ) -> None:
+        self._planner = planner
+        self._parts = parts
+        self._engine = engine
+        self._zones = zone_by_server_address
+        self._parts_by_scope: dict[str, list[_Part]] = {}
+        self._plans: dict[tuple[str, tuple[tuple[bool, Fetch], ...]], PromptPlan] = {}
+
+    def plan(
+        self,
+        scope: str,
+        address: str,
+        zone: ZoneId,
+        assumed_parts: frozenset[PromptPartId] = frozenset(),
+    ) -> PromptPlan:
+        """Plan the transfers for one server; see `TransferPlanner.plan`."""
+        parts = self._parts_by_scope.get(scope)
+        if parts is None:
+            parts = self._parts_by_scope[scope] = self._planner.find_parts(
+                self._parts[:-1], scope, self._engine, self._zones
+            )
+        transfers = tuple(
+            [
+                (
+                    part.id in assumed_parts
+                    or part.holders.get(address, 0) > part.min_held_tokens,
+                    part.sources.choose(address, zone),
+                )
+                for part in parts
+            ]
+        )
+        plan = self._plans.get((scope, transfers))
+        if plan is None:
+            plan = self._build_plan(scope, parts, transfers)
+            self._plans[(scope, transfers)] = plan
+        return plan
+
+    def _build_plan(
+        self,
+        scope: str,
+        parts: Sequence[_Part],
+        transfers: Sequence[tuple[bool, Fetch]],
+    ) -> PromptPlan:
+        fetch: list[str] = []
+        save: list[str] = []
+        read_tokens = 0
+        transfer_ms = 0.0
+        for part, (is_held, (source, fetch_ms)) in zip(parts, transfers, strict=True):
+            fetch.append(source)
+            target = ""
+            # Nothing is transferred while the server holds the part. The source is
+            # still set, so that the part is fetched instead of read if the server
+            # evicts it before the request starts.
+            if not is_held and source:
+                transfer_ms += fetch_ms
+            elif not is_held:
+                read_tokens += part.tokens
+                target = self._planner.choose_save_target((scope, part.id), part.tokens)
+            save.append(target)
+        shared_read_tokens = read_tokens
+        if self._parts:
+            read_tokens += self._parts[-1][1]
+            fetch.append("")
+            save.append("")
+        return PromptPlan(
+            read_tokens, transfer_ms, tuple(fetch), tuple(save), shared_read_tokens
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class _KnownSources:
+    """Sources of a part, and what they were found from."""
+
+    holders: Mapping[str, int]
+    engine: EngineSpec
+    zone_by_server_address: Mapping[str, ZoneId]
+    sources: PartSources
 
 
 class TransferPlanner:
@@ -86,15 +190,39 @@
         self._index = index
         self._stores_by_address: dict[str, KvStore] = {}
         self._pending_saves: dict[tuple[str, PromptPartId], float] = {}
+        self._sources_by_part: OrderedDict[tuple[PartKey, int], _KnownSources] = (
+            OrderedDict()
+        )
+        self._store_order_by_part: OrderedDict[PartKey, list[KvStore]] = OrderedDict()
 
     def set_stores(self, stores: Mapping[str, KvStore]) -> None:
         """Replace the stores to use, by address."""
         self._stores_by_address = dict(stores)
+        self._sources_by_part.clear()
+        self._store_order_by_part.clear()
 
     def knows(self, address: str) -> bool:
         """Return whether a holder has a recent view in the index."""
         return self._index.is_known(address)
 
+    def for_prompt(
+        self,
+        parts: Sequence[tuple[PromptPartId, int]],
+        engine: EngineSpec,
+        zone_by_server_address: Mapping[str, ZoneId],
+    ) -> PromptTransfers:
+        """Return a plan of one prompt at many servers, for use at the current time.
+
+        Parameters
+        ----------
+        parts : sequence of (part, tokens)
+            The prompt in order; the last part is the request's own.
+        zone_by_server_address : mapping
+            Servers from which parts can be fetched. It must not be modified: sources
+            are remembered for the same object.
+        """
+        return PromptTransfers(self, parts, engine, zone_by_server_address)
+
     def plan(
         self,
         parts: Sequence[tuple[PromptPartId, int]],
@@ -104,7 +232,6 @@
         engine: EngineSpec,
         zone_by_server_address: Mapping[str, ZoneId],
         assumed_parts: frozenset[PromptPartId] = frozenset(),
-        sources_by_key: dict[PartKey, tuple[PartSource, ...]] | None = None,
     ) -> PromptPlan:
         """Plan the transfers of a prompt for one server.
 
@@ -114,42 +241,27 @@
             The prompt in order; the last part is the request's own.
         assumed_parts : frozenset of PromptPartId
             Parts that the server is about to hold.
-        sources_by_key : dict or None
-            Sources found by earlier calls for the same prompt, which differ in the
-            server only; this call adds those that are missing.
         """
-        known_sources = {} if sources_by_key is None else sources_by_key
-        fetch: list[str] = []
-        save: list[str] = []
-        read_tokens = 0
-        transfer_ms = 0.0
-        for part, tokens in parts[:-1]:
-            key = (scope, part)
-            if key not in known_sources:
-                known_sources[key] = self._find_sources(
-                    key, tokens, engine, zone_by_server_address
-                )
-            source, fetch_ms = _choose_source(known_sources[key], tokens, address, zone)
-            fetch.append(source)
-            if part in assumed_parts or self._holds(address, key, tokens):
-                # Nothing is transferred while the server holds the part. The source is
-                # still set, so that the part is fetched instead of read if the server
-                # evicts it before the request starts.
-                save.append("")
-            elif source:
-                transfer_ms += fetch_ms
-                save.append("")
-            else:
-                read_tokens += tokens
-                save.append(self._choose_save_target(key, tokens))
-        shared_read_tokens = read_tokens
-        if parts:
-            read_tokens += parts[-1][1]
-            fetch.append("")
-            save.append("")
-        return PromptPlan(
-            read_tokens, transfer_ms, tuple(fetch), tuple(save), shared_read_tokens
-        )
+        prompt = self.for_prompt(parts, engine, dict(zone_by_server_address))
+        return prompt.plan(scope, address, zone, assumed_parts)
+
+    def find_parts(
+        self,
+        parts: Sequence[tuple[PromptPartId, int]],
+        scope: str,
+        engine: EngineSpec,
+        zone_by_server_address: Mapping[str, ZoneId],
+    ) -> list[_Part]:
+        """Return holders and sources of shared parts."""
+        found = []
+        for id, tokens in parts:
+            key = (scope, id)
+            holders = self._index.tokens_by_holder(key)
+            sources = self._find_sources(
+                key, tokens, holders, engine, zone_by_server_address
+            )
+            found.append(_Part(id, tokens, holders, sources))
+        return found
 
     def record_saves(
         self, parts: Sequence[tuple[PromptPartId, int]], scope: str, plan: PromptPlan
@@ -162,21 +274,43 @@
         while len(self._pending_saves) > MAX_PENDING_SAVES:
             del self._pending_saves[next(iter(self._pending_saves))]
 
-    def _holds(self, address: str, key: tuple[str, PromptPartId], tokens: int) -> bool:
-        # Memory is allocated in blocks, so the last tokens of a part may not be cached.
-        return self._index.tokens(address, key) > 0.9 * tokens
-
     def _find_sources(
         self,
-        key: tuple[str, PromptPartId],
+        key: PartKey,
         tokens: int,
+        holders: Mapping[str, int],
         engine: EngineSpec,
         zone_by_server_address: Mapping[str, ZoneId],
-    ) -> tuple[PartSource, ...]:
+    ) -> PartSources:
         """Return the holders from which a part can be fetched as a whole."""
+        known = self._sources_by_part.get((key, tokens))
+        if (
+            known is not None
+            and known.holders is holders
+            and known.engine is engine
+            and known.zone_by_server_address is zone_by_server_address
+        ):
+            return known.sources
+        sources = PartSources(
+            tokens,
+            self._list_sources(tokens, holders, engine, zone_by_server_address),
+        )
+        _remember(
+            self._sources_by_part,
+            (key, tokens),
+            _KnownSources(holders, engine, zone_by_server_address, sources),
+        )
+        return sources
+
+    def _list_sources(
+        self,
+        tokens: int,
+        holders: Mapping[str, int],
+        engine: EngineSpec,
+        zone_by_server_address: Mapping[str, ZoneId],
+    ) -> list[PartSource]:
         sources = []
-        for holder in self._index.holders(key):
-            held_tokens = self._index.tokens(holder, key)
+        for holder, held_tokens in holders.items():
             if held_tokens < 0.9 * tokens:
                 continue
             store = self._stores_by_address.get(holder)
@@ -193,46 +327,41 @@
                 link_mbit_s * 1_000.0
             )
             sources.append(PartSource(holder, reference, zone, fetch_ms))
-        return tuple(sources)
+        return sources
 
-    def _choose_save_target(self, key: tuple[str, PromptPartId], tokens: int) -> str:
+    def choose_save_target(self, key: PartKey, tokens: int) -> str:
         """Return the store to save a part to, or empty; all daemons choose the same."""
         if tokens < MIN_TRANSFER_TOKENS:
             return ""
         if self._pending_saves.get(key, 0.0) > self._clock.seconds():
             return ""
-        stores_with_space = [
-            store
-            for store in self._stores_by_address.values()
-            if self._index.is_known(store.address)
-            and self._index.used_tokens(store.address) + tokens
-            <= MAX_STORE_FILL_RATIO * store.memory_tokens
-        ]
-        if not stores_with_space:
-            return ""
-        return max(
-            stores_with_space, key=lambda store: _rendezvous_score(key, store)
-        ).address
-
+        for store in self._stores_in_order(key):
+            if (
+                self._index.is_known(store.address)
+                and self._index.used_tokens(store.address) + tokens
+                <= MAX_STORE_FILL_RATIO * store.memory_tokens
+            ):
+                return store.address
+        return ""
+
+    def _stores_in_order(self, key: PartKey) -> list[KvStore]:
+        """Return the stores, the best one for a part first."""
+        order = self._store_order_by_part.get(key)
+        if order is None:
+            order = sorted(
+                self._stores_by_address.values(),
+                key=lambda store: _rendezvous_score(key, store),
+                reverse=True,
+            )
+            _remember(self._store_order_by_part, key, order)
+        return order
 
-def _choose_source(
-    sources: Sequence[PartSource], tokens: int, address: str, zone: ZoneId
-) -> tuple[str, float]:
-    """Return the fastest source and its time; empty if the server reads the part.
 
-    A fetch may take up to twice the time of reading.
-    """
-    if tokens < MIN_TRANSFER_TOKENS:
-        return "", 0.0
-    best = ("", 2.0 * tokens / PREFILL_TOKENS_PER_MS)
-    for source in sources:
-        if source.address == address:
-            continue
-        factor = 1.0 if source.zone == zone else CROSS_ZONE_TIME_FACTOR
-        fetch_ms = factor * source.fetch_ms
-        if fetch_ms < best[1]:
-            best = (source.reference, fetch_ms)
-    return best if best[0] else ("", 0.0)
+def _remember(known: OrderedDict[Key, Value], key: Key, value: Value) -> None:
+    known[key] = value
+    known.move_to_end(key)
+    while len(known) > MAX_REMEMBERED_PARTS:
+        known.popitem(last=False)
 
 
 def _rendezvous_score(key: tuple[str, PromptPartId], store: KvStore) -> float:
@@ -241,4 +370,4 @@
     return -store.memory_tokens / math.log((digest + 1) / (2**64 + 2))
 
 
-__all__ = ["PREFILL_TOKENS_PER_MS", "PromptPlan", "TransferPlanner"]
+__all__ = ["PREFILL_TOKENS_PER_MS", "PromptPlan", "PromptTransfers", "TransferPlanner"]
--- a/src/chivesaddle/forwarding/prompts.py
+++ b/src/chivesaddle/forwarding/prompts.py
@@ -1,8 +1,6 @@
 """Cost of a request's prompt on each server, and records of the parts sent."""
 
 from chivesaddle.cachemap import PromptPlan, TransferPlanner
-from chivesaddle.cachemap.index import PartKey
-from chivesaddle.cachemap.transfers import PartSource
 from chivesaddle.core.aio import Clock
 from chivesaddle.core.ids import ServiceId
 from chivesaddle.core.serving_model import Account
@@ -71,27 +69,17 @@
         servers = self._servers.of_service(service_id)
         zones = {tracked.entry.address: tracked.entry.zone for tracked in servers}
 
-        sources_by_key: dict[PartKey, tuple[PartSource, ...]] = {}
+        transfers = self._transfers.for_prompt(parts, engine, zones)
+        shared = [part for part, _ in parts[:-1]]
 
         def plan(server: TrackedServer, version: int, is_preferred: bool) -> PromptPlan:
             scope = cache_scope(version, account)
             address = server.entry.address
-            is_holder = is_preferred and not self._transfers.knows(address)
-            assumed = frozenset(
-                part
-                for part, _ in parts
-                if is_holder or server.was_sent(scope, part, since)
-            )
-            return self._transfers.plan(
-                parts,
-                scope,
-                address,
-                server.entry.zone,
-                engine,
-                zones,
-                assumed,
-                sources_by_key,
-            )
+            if is_preferred and not self._transfers.knows(address):
+                assumed = frozenset(shared)
+            else:
+                assumed = server.sent_since(scope, shared, since)
+            return transfers.plan(scope, address, server.entry.zone, assumed)
 
         return plan
 
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -194,6 +194,12 @@
         """Return whether this daemon sent the server a part at or after ``since``."""
         return self.sent_parts.get((scope, part), -math.inf) >= since
 
+    def sent_since(
+        self, scope: str, parts: Iterable[PromptPartId], since: float
+    ) -> frozenset[PromptPartId]:
+        """Return the parts that this daemon sent the server at or after ``since``."""
+        return frozenset([part for part in parts if self.was_sent(scope, part, since)])
+
     def record_sent_parts(
         self, scope: str, parts: Iterable[PromptPartId], now: float
     ) -> None:
