Weigh servers by running totals, and plan prompts only where they can win

Each choice summed the requests in flight and the loads of all peers for each server, listed the service's servers anew, hashed all ids, and planned the prompt at every server. Totals are now kept as state changes (peers' loads still expire), the servers of a service and their zones are an index kept until the list changes (ServerTable._takes_new_requests decides, ServerIndex .invalidate drops it), the preferred server of a part is remembered, and the prompt is planned in order of the estimate without it until no other server can precede the best one found. A waiting request that is larger than the largest free memory is passed over before its reservations are listed.

--- a/src/chivesaddle/forwarding/prompts.py
+++ b/src/chivesaddle/forwarding/prompts.py
@@ -66,8 +66,7 @@
             full_prefill = PromptPlan(sum(tokens for _, tokens in parts), 0.0)
             return lambda server, version, is_preferred: full_prefill
         since = self._clock.seconds() - CACHE_EVENT_DELAY_S
-        servers = self._servers.of_service(service_id)
-        zones = {tracked.entry.address: tracked.entry.zone for tracked in servers}
+        zones = self._servers.zone_by_address(service_id)
 
         transfers = self._transfers.for_prompt(parts, engine, zones)
         shared = [part for part, _ in parts[:-1]]
--- a/src/chivesaddle/placement/__init__.py
+++ b/src/chivesaddle/placement/__init__.py
@@ -7,11 +7,11 @@
     ServerRequirements,
     choose,
 )
+from chivesaddle.placement.load import Load
 from chivesaddle.placement.rate_limits import LimitReport, RateLimits
 from chivesaddle.placement.software import SoftwareHistory
 from chivesaddle.placement.table import (
     ExchangeOutcome,
-    Load,
     ServerTable,
     TrackedServer,
 )
--- a/src/chivesaddle/placement/affinity.py
+++ b/src/chivesaddle/placement/affinity.py
@@ -1,5 +1,6 @@
 """Rendezvous hashing, by which all daemons put the same ids first for a key."""
 
+import functools
 from collections.abc import Iterable
 from typing import TypeVar
 
@@ -22,4 +23,10 @@
     return sorted(ids, key=lambda id: xxhash.xxh3_64_intdigest(f"{key}|{id}".encode()))
 
 
-__all__ = ["rendezvous_order"]
+@functools.lru_cache(maxsize=1_024)
+def first_in_order(key: str, ids: tuple[Id, ...]) -> Id:
+    """Return the first id of `rendezvous_order`, remembered for recent arguments."""
+    return rendezvous_order(key, ids)[0]
+
+
+__all__ = ["first_in_order", "rendezvous_order"]
--- a/src/chivesaddle/placement/choice.py
+++ b/src/chivesaddle/placement/choice.py
@@ -1,13 +1,15 @@
 """Choice of a backend server for a request by predicted time to first token."""
 
+import heapq
 from collections.abc import Callable, Collection, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from chivesaddle.cachemap import PromptPlan
 from chivesaddle.cachemap.transfers import PREFILL_TOKENS_PER_MS
 from chivesaddle.core.ids import BackendServerId, ModelId, SoftwareVersion, ZoneId
-from chivesaddle.placement.affinity import rendezvous_order
-from chivesaddle.placement.table import Load, TrackedServer
+from chivesaddle.placement.affinity import first_in_order
+from chivesaddle.placement.load import Load
+from chivesaddle.placement.table import TrackedServer
 
 # Weight of prefill time. Prefilling shared parts again also delays all other requests
 # on the server and is the operators' largest cost.
@@ -42,6 +44,16 @@
 # Takes the server, the weight version, and whether the server is the preferred one.
 PlanPrompt = Callable[[TrackedServer, int, bool], PromptPlan]
 
+# Order of servers: no capacity or reserved, predicted time in ms, id, and position in
+# the list, which makes the order total.
+_Rank = tuple[bool, float, BackendServerId, int]
+# Requests, unread tokens and memory tokens.
+_LoadTotals = tuple[int, int, int]
+# Rank without the time of the prompt, the times for load, memory and penalties in ms
+# that it is made of, and the load. Tuples are cheaper than objects, and one is made for
+# each server.
+_Estimate = tuple[_Rank, tuple[float, float, float], _LoadTotals]
+
 
 @dataclass(frozen=True, slots=True)
 class ServerRequirements:
@@ -117,43 +129,89 @@
     ejected, the one whose ejection ends first is used. A reserved server counts as one
     without capacity.
     """
-    usable = [
-        server
-        for server in servers
-        if server.entry.id not in excluded
-        and _has_usable_versions(server, requirements)
-    ]
+    usable = _filter_usable(servers, requirements, excluded)
     available_servers = [server for server in usable if server.ejected_until <= now]
     if not available_servers:
         if not usable:
             return None
         available_servers = [min(usable, key=lambda server: server.ejected_until)]
     preferred_id = _preferred_server(servers, requirements)
-    candidates = [
-        _predict(server, requirements, zone, now, preferred_id)
-        for server in available_servers
-    ]
-    best = min(
-        candidates,
-        key=lambda c: (
-            not c.has_capacity or c.server.entry.id in reserved,
-            c.predicted_ms,
-            c.server.entry.id,
-        ),
+    estimates = _estimate(
+        available_servers, requirements, zone, now, preferred_id, reserved
+    )
+    if requirements.model is None or requirements.plan_prompt is None:
+        rank, _, load = min(estimates)
+        version, plan = None, None
+    else:
+        rank, plan, load = _plan_prompts(
+            estimates, available_servers, requirements, preferred_id
+        )
+        version = available_servers[rank[3]].version_by_model[requirements.model]
+    is_unavailable, predicted_ms, _, number = rank
+    return Candidate(
+        available_servers[number],
+        version,
+        predicted_ms,
+        plan,
+        Load(*load),
+        not is_unavailable,
+        len(available_servers),
     )
-    has_capacity = best.has_capacity and best.server.entry.id not in reserved
-    return replace(best, has_capacity=has_capacity, candidate_count=len(candidates))
 
 
-def _has_usable_versions(
-    server: TrackedServer, requirements: ServerRequirements
-) -> bool:
-    if requirements.software_version not in (None, server.entry.software_version):
-        return False
-    if requirements.model is None:
-        return True
-    version = server.version_by_model.get(requirements.model)
-    return version is not None and version >= requirements.oldest_version
+def _plan_prompts(
+    estimates: list[_Estimate],
+    servers: Sequence[TrackedServer],
+    requirements: ServerRequirements,
+    preferred_id: BackendServerId | None,
+) -> tuple[_Rank, PromptPlan, _LoadTotals]:
+    """Return the best server, its plan and load.
+
+    The prompt only adds to the predicted time, so it is planned at the servers in order
+    of their estimates, until the best one found precedes the next estimate.
+    """
+    model, plan_prompt = requirements.model, requirements.plan_prompt
+    assert model is not None and plan_prompt is not None
+    heapq.heapify(estimates)
+    best: tuple[_Rank, PromptPlan, _LoadTotals] | None = None
+    while estimates and (best is None or estimates[0][0] < best[0]):
+        rank, (load_ms, memory_ms, penalty_ms), load = heapq.heappop(estimates)
+        is_unavailable, _, server_id, number = rank
+        server = servers[number]
+        plan = plan_prompt(
+            server, server.version_by_model[model], server_id == preferred_id
+        )
+        work_ms = (
+            PREFILL_WEIGHT * plan.read_tokens / PREFILL_TOKENS_PER_MS + plan.transfer_ms
+        )
+        predicted_ms = work_ms + load_ms + memory_ms + penalty_ms
+        planned_rank = (is_unavailable, predicted_ms, server_id, number)
+        if best is None or planned_rank < best[0]:
+            best = planned_rank, plan, load
+    assert best is not None
+    return best
+
+
+def _filter_usable(
+    servers: Sequence[TrackedServer],
+    requirements: ServerRequirements,
+    excluded: Collection[BackendServerId],
+) -> Sequence[TrackedServer]:
+    """Return the servers of the required software and weight versions."""
+    usable = servers
+    if excluded:
+        usable = [server for server in usable if server.entry.id not in excluded]
+    software, model = requirements.software_version, requirements.model
+    if software is not None:
+        usable = [s for s in usable if s.entry.software_version == software]
+    if model is not None:
+        oldest = requirements.oldest_version
+        usable = [
+            server
+            for server in usable
+            if server.version_by_model.get(model, oldest - 1) >= oldest
+        ]
+    return usable
 
 
 def _preferred_server(
@@ -162,60 +220,65 @@
     key = requirements.affinity_key
     if key is None or not servers:
         return None
-    return rendezvous_order(key, [server.entry.id for server in servers])[0]
+    return first_in_order(key, tuple([server.entry.id for server in servers]))
 
 
-def _predict(
-    server: TrackedServer,
+def _estimate(
+    servers: Sequence[TrackedServer],
     requirements: ServerRequirements,
     zone: ZoneId,
     now: float,
     preferred_id: BackendServerId | None,
-) -> Candidate:
-    load = server.load(now)
-    penalty_ms = (
-        FAILURE_PENALTY_MS * server.failure_rate + 1_000.0 * server.unresponsive_s(now)
-    )
-    if server.busy_until > now:
-        penalty_ms += BUSY_PENALTY_MS
-    is_open = server.closed_until <= now
-    if not is_open:
-        penalty_ms += 1_000.0 * (server.closed_until - now)
-    if server.entry.zone != zone:
-        penalty_ms += (
-            OTHER_ZONE_PENALTY_MS
-            + OTHER_ZONE_PENALTY_MS_PER_KB * requirements.body_bytes / 1_000
-        )
-    if requirements.model is None or requirements.plan_prompt is None:
-        queued = max(0, load.requests + 1 - server.entry.slots)
-        work_ms = QUEUED_REQUEST_MS * queued + RUNNING_REQUEST_MS * load.requests
-        return Candidate(server, None, work_ms + penalty_ms, None, load, is_open)
-    version = server.version_by_model[requirements.model]
-    if version < (requirements.target_version or 0):
-        penalty_ms += OLDER_WEIGHTS_PENALTY_MS
-    is_preferred = server.entry.id == preferred_id
-    if not is_preferred:
-        penalty_ms += NOT_PREFERRED_PENALTY_MS
-    plan = requirements.plan_prompt(server, version, is_preferred)
-    work_ms = (
-        PREFILL_WEIGHT * plan.read_tokens / PREFILL_TOKENS_PER_MS + plan.transfer_ms
-    )
-    work_ms += (
-        load.unread_tokens / PREFILL_TOKENS_PER_MS + RUNNING_REQUEST_MS * load.requests
-    )
-    excess_tokens = (
-        load.memory_tokens
-        + requirements.memory_tokens
-        - USABLE_MEMORY_SHARE * requirements.server_memory_tokens
+    reserved: Collection[BackendServerId],
+) -> list[_Estimate]:
+    """Predict the time of a request at each server without that of its prompt.
+
+    One loop without calls per rule, since it runs for each request over all servers.
+    """
+    model = None if requirements.plan_prompt is None else requirements.model
+    target_version = requirements.target_version or 0
+    server_tokens = requirements.server_memory_tokens
+    usable_tokens = USABLE_MEMORY_SHARE * server_tokens
+    other_zone_ms = (
+        OTHER_ZONE_PENALTY_MS
+        + OTHER_ZONE_PENALTY_MS_PER_KB * requirements.body_bytes / 1_000
     )
-    has_capacity = True
-    if requirements.server_memory_tokens and excess_tokens > 0:
-        work_ms += MEMORY_WAIT_MS * excess_tokens / requirements.server_memory_tokens
-        # A request larger than any server's memory is sent to an idle server.
-        has_capacity = load.memory_tokens == 0
-    has_capacity = has_capacity and load.requests < server.entry.slots
-    has_capacity = has_capacity and server.busy_until <= now and is_open
-    return Candidate(server, version, work_ms + penalty_ms, plan, load, has_capacity)
+    estimates = []
+    for number, server in enumerate(servers):
+        entry, closed_until = server.entry, server.closed_until
+        load = requests, unread_tokens, used_tokens = server.load_totals(now)
+        is_closed, is_busy = closed_until > now, server.busy_until > now
+        is_unavailable = is_closed or entry.id in reserved
+        penalty_ms = FAILURE_PENALTY_MS * server.failure_rate
+        if server.unanswered:
+            penalty_ms += 1_000.0 * server.unresponsive_s(now)
+        if is_busy:
+            penalty_ms += BUSY_PENALTY_MS
+        if is_closed:
+            penalty_ms += 1_000.0 * (closed_until - now)
+        if entry.zone != zone:
+            penalty_ms += other_zone_ms
+        memory_ms = 0.0
+        if model is None:
+            queued = max(0, requests + 1 - entry.slots)
+            load_ms = QUEUED_REQUEST_MS * queued + RUNNING_REQUEST_MS * requests
+        else:
+            if server.version_by_model[model] < target_version:
+                penalty_ms += OLDER_WEIGHTS_PENALTY_MS
+            if entry.id != preferred_id:
+                penalty_ms += NOT_PREFERRED_PENALTY_MS
+            load_ms = (
+                unread_tokens / PREFILL_TOKENS_PER_MS + RUNNING_REQUEST_MS * requests
+            )
+            excess_tokens = used_tokens + requirements.memory_tokens - usable_tokens
+            if server_tokens and excess_tokens > 0:
+                memory_ms = MEMORY_WAIT_MS * excess_tokens / server_tokens
+                # A request larger than any server's memory goes to an idle server.
+                is_unavailable = is_unavailable or used_tokens != 0
+            is_unavailable = is_unavailable or is_busy or requests >= entry.slots
+        rank = (is_unavailable, load_ms + memory_ms + penalty_ms, entry.id, number)
+        estimates.append((rank, (load_ms, memory_ms, penalty_ms), load))
+    return estimates
 
 
 __all__ = ["Candidate", "PlanPrompt", "ServerRequirements", "choose"]
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -2,16 +2,23 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import Any
 
 from chivesaddle.core.aio import Clock
-from chivesaddle.core.ids import BackendServerId, ModelId, ServiceId
+from chivesaddle.core.ids import BackendServerId, ModelId, ServiceId, ZoneId
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.core.serving_model import PromptPartId, ServerEntry, ServerState
+from chivesaddle.placement.load import (
+    InFlightRequest,
+    InFlightRequests,
+    Load,
+    PeerLoads,
+)
 from chivesaddle.placement.paths import ServerPath
+from chivesaddle.placement.server_index import ServerIndex
 from chivesaddle.placement.server_limit import ServerLimit
 
 # Consecutive failures after which a server is ejected. The duration of the ejection
@@ -36,9 +43,6 @@
 # Time for which a server counts as busy after it refused a request because it is full
 # or executes a load order. Loading weights takes 0.4 s.
 BUSY_DURATION_S = 0.3
-# A request without a byte for this long on a lost path does not load the server: either
-# the request or its response is lost.
-SILENT_ON_LOST_PATH_S = 0.5
 # A server that does not accept a connection counts as down only if this daemon has had
 # contact with another one this long afterwards. Otherwise its own link may be down.
 DOWN_AFTER_S = 0.5
@@ -56,35 +60,6 @@
     REFUSED = "refused"
 
 
-@dataclass(slots=True)
-class InFlightRequest:
-    """A request that this daemon has sent to a server and that has not ended.
-
-    Attributes
-    ----------
-    unread_tokens : int
-        Prompt tokens that the server has to prefill; 0 after the first event.
-    memory_tokens : int
-        Tokens of server memory that the request takes at most.
-    last_byte_at : float
-        When the last byte of the response arrived, or the request was sent.
-    """
-
-    sent_at: float
-    unread_tokens: int
-    memory_tokens: int
-    last_byte_at: float
-
-
-@dataclass(frozen=True, slots=True)
-class Load:
-    """Totals over the in-flight requests at a server; see `InFlightRequest`."""
-
-    requests: int
-    unread_tokens: int
-    memory_tokens: int
-
-
 @dataclass(slots=True)
 class TrackedServer:
     """A backend server with this daemon's observations.
@@ -93,12 +68,13 @@
 
     Attributes
     ----------
-    in_flight : dict
+    in_flight : InFlightRequests
         This daemon's unfinished requests by serial number.
-    peer_loads : dict
+    peer_loads : PeerLoads
         Load that each peer has at the server, and until when that is valid.
     unanswered : dict
-        Send times of requests without any response byte, by serial number.
+        Send times of requests without any response byte, by serial number; the oldest
+        is first.
     limit : ServerLimit or None
         Limit on the requests of all daemons together, if the server has named one.
     turn_at : float
@@ -117,8 +93,8 @@
 
     entry: ServerEntry
     version_by_model: dict[ModelId, int]
-    in_flight: dict[int, InFlightRequest] = field(default_factory=dict)
-    peer_loads: dict[str, tuple[Load, float]] = field(default_factory=dict)
+    in_flight: InFlightRequests = field(default_factory=InFlightRequests)
+    peer_loads: PeerLoads = field(default_factory=PeerLoads)
     unanswered: dict[int, float] = field(default_factory=dict)
     last_byte_at: float = -math.inf
     running: int = 0
@@ -145,9 +121,9 @@
 
     def unresponsive_s(self, now: float) -> float:
         """Return how long responses have been pending without any received byte."""
-        if not self.unanswered:
-            return 0.0
-        return max(0.0, now - max(self.last_byte_at, min(self.unanswered.values())))
+        for oldest_sent_at in self.unanswered.values():
+            return max(0.0, now - max(self.last_byte_at, oldest_sent_at))
+        return 0.0
 
     @property
     def last_contact_at(self) -> float:
@@ -156,39 +132,36 @@
 
     def own_load(self, now: float) -> Load:
         """Return the load that this daemon has at the server."""
-        in_flight_requests = list(self.in_flight.values())
         if self.path.lost_at is not None:
-            in_flight_requests = [
-                request
-                for request in in_flight_requests
-                if request.last_byte_at > now - SILENT_ON_LOST_PATH_S
-            ]
-        return Load(
-            len(in_flight_requests),
-            sum(request.unread_tokens for request in in_flight_requests),
-            sum(request.memory_tokens for request in in_flight_requests),
-        )
+            return self.in_flight.total_on_lost_path(now)
+        return self.in_flight.total()
 
     def load(self, now: float) -> Load:
-        """Return the load that all daemons have at the server.
+        """Return the load that all daemons have at the server; see `load_totals`."""
+        return Load(*self.load_totals(now))
+
+    def load_totals(self, now: float) -> tuple[int, int, int]:
+        """Return the fields of the server's `Load`.
 
         The request count is the server's own report, weighted by age, where that is
         higher than the count over all known daemons.
         """
-        own = self.own_load(now)
-        requests, unread_tokens, memory_tokens = (
-            own.requests,
-            own.unread_tokens,
-            own.memory_tokens,
-        )
-        for load, until in self.peer_loads.values():
-            if until > now:
-                requests += load.requests
-                unread_tokens += load.unread_tokens
-                memory_tokens += load.memory_tokens
-        weight = max(0.0, 1.0 - (now - self.load_at) / LOAD_REPORT_LIFETIME_S)
-        reported = int(weight * (self.running + self.waiting))
-        return Load(max(requests, reported), unread_tokens, memory_tokens)
+        own = self.in_flight
+        requests, unread_tokens, memory_tokens = self.peer_loads.total(now)
+        if self.path.lost_at is None:
+            requests += own.count
+            unread_tokens += own.unread_tokens
+            memory_tokens += own.memory_tokens
+        else:
+            own_load = self.own_load(now)
+            requests += own_load.requests
+            unread_tokens += own_load.unread_tokens
+            memory_tokens += own_load.memory_tokens
+        age_s = now - self.load_at
+        if age_s < LOAD_REPORT_LIFETIME_S:
+            weight = max(0.0, 1.0 - age_s / LOAD_REPORT_LIFETIME_S)
+            requests = max(requests, int(weight * (self.running + self.waiting)))
+        return requests, unread_tokens, memory_tokens
 
     def was_sent(self, scope: str, part: PromptPartId, since: float) -> bool:
         """Return whether this daemon sent the server a part at or after ``since``."""
@@ -237,6 +210,7 @@
             [ServerEntry | None, ServerEntry | None], None
         ] = lambda previous, entry: None
         self._by_id: dict[BackendServerId, TrackedServer] = {}
+        self._index = ServerIndex(self._by_id, self._takes_new_requests)
         # Start times of servers that said that they are leaving.
         self._leaving: OrderedDict[BackendServerId, int] = OrderedDict()
         # Start times of servers that left the list.
@@ -251,14 +225,28 @@
         """Return all listed servers."""
         return list(self._by_id.values())
 
-    def of_service(self, service: ServiceId) -> list[TrackedServer]:
-        """Return the servers of a service that take new requests."""
-        return [
-            tracked
-            for tracked in self._by_id.values()
-            if tracked.entry.service == service
-            and tracked.entry.state is ServerState.READY
-        ]
+    def of_service(self, service: ServiceId) -> Sequence[TrackedServer]:
+        """Return the servers of a service that take new requests.
+
+        The result is the same object until the list of servers changes.
+        """
+        return self._index.of_service(service)
+
+    def zone_by_address(self, service: ServiceId) -> Mapping[str, ZoneId]:
+        """Return the zones of the servers of a service that take new requests."""
+        return self._index.zone_by_address(service)
+
+    @property
+    def version(self) -> int:
+        """Number that increases with each change of the list of servers."""
+        return self._index.version
+
+    def _takes_new_requests(self, tracked: TrackedServer) -> bool:
+        """Return whether a server takes new requests.
+
+        Call ``self._index.invalidate`` when the result may have changed.
+        """
+        return tracked.entry.state is ServerState.READY
 
     def free_memory(
         self, service: ServiceId, memory_tokens: int
@@ -280,13 +268,13 @@
         available = [s for s in servers if s.ejected_until <= now] or servers
         free_by_id = {}
         for server in available:
-            load = server.load(now)
-            if load.requests >= server.entry.slots:
+            if server.busy_until > now or server.closed_until > now:
                 continue
-            if max(server.busy_until, server.closed_until) > now:
+            requests, _, used_tokens = server.load_totals(now)
+            if requests >= server.entry.slots:
                 continue
-            is_idle = load.memory_tokens == 0
-            free = UNLIMITED_TOKENS if is_idle else memory_tokens - load.memory_tokens
+            # An idle server takes any request.
+            free = memory_tokens - used_tokens if used_tokens else UNLIMITED_TOKENS
             if free > 0:
                 free_by_id[server.entry.id] = free
         return free_by_id
@@ -351,6 +339,7 @@
                 },
             )
             self._by_id[entry.id] = TrackedServer(entry, versions)
+            self._index.invalidate()
             self.on_entry_changed(None if known is None else known.entry, entry)
             return
         if known.entry.state is not entry.state:
@@ -361,6 +350,8 @@
             # The entry may be older than the version that the server itself reported.
             versions[model] = max(version, versions.get(model, 0))
         previous, known.entry = known.entry, entry
+        if previous != entry:
+            self._index.invalidate()
         known.version_by_model = versions
         known.remove_at = None
         if (previous.service, previous.software_version) != (
@@ -387,6 +378,7 @@
         if known.entry.state is ServerState.READY:
             self.on_down(server)
         del self._by_id[server]
+        self._index.invalidate()
         self._departed[server] = known.entry.started_ms
         self._departed.move_to_end(server)
         while len(self._departed) > MAX_DEPARTED:
@@ -401,8 +393,8 @@
         tracked = self._by_id.get(server)
         if tracked is not None:
             now = self._clock.seconds()
-            tracked.in_flight[self._serial] = InFlightRequest(
-                now, unread_tokens, memory_tokens, now
+            tracked.in_flight.add(
+                self._serial, InFlightRequest(now, unread_tokens, memory_tokens, now)
             )
             tracked.unanswered[self._serial] = now
         return self._serial
@@ -413,16 +405,13 @@
         if tracked is not None:
             tracked.unanswered.pop(serial, None)
             tracked.last_byte_at = now = self._clock.seconds()
-            request = tracked.in_flight.get(serial)
-            if request is not None:
-                request.last_byte_at = now
+            tracked.in_flight.record_bytes(serial, now)
 
     def record_first_event(self, server: BackendServerId, serial: int) -> None:
         """Record that a request's prompt has been prefilled."""
         tracked = self._by_id.get(server)
-        request = None if tracked is None else tracked.in_flight.get(serial)
-        if request is not None:
-            request.unread_tokens = 0
+        if tracked is not None:
+            tracked.in_flight.record_first_event(serial)
 
     def record_connected(self, server: BackendServerId) -> None:
         """Record that the server accepted a connection of this daemon."""
@@ -510,6 +499,7 @@
         tracked = self._by_id.get(server)
         if tracked is not None and tracked.entry.started_ms == started_ms:
             tracked.entry = replace(tracked.entry, state=ServerState.DRAINING)
+            self._index.invalidate()
 
     def leaving(self) -> dict[BackendServerId, int]:
         """Return the start times of listed servers that said that they leave."""
@@ -563,7 +553,7 @@
         tracked = self._by_id.get(server)
         if tracked is None:
             return
-        tracked.in_flight.pop(serial, None)
+        tracked.in_flight.remove(serial)
         tracked.unanswered.pop(serial, None)
         self._clock.callLater(0, self.on_capacity_freed, tracked.entry.service)
         match outcome:
--- a/src/chivesaddle/placement/waiting.py
+++ b/src/chivesaddle/placement/waiting.py
@@ -8,6 +8,7 @@
 a request that cannot be served in time is rejected on arrival.
 """
 
+import math
 from collections import deque
 from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
@@ -188,14 +189,17 @@
         now = self._clock.seconds()
         reserved = self._reserve()
         free_memory = self._free_memory() if self._free_memory else None
+        largest_free = _largest(free_memory)
         for queued in sorted(self._queue, key=lambda q: q.memory_request.sort_key(now)):
             if queued.ready.called:
                 continue
             if now >= queued.memory_request.expires_at:
                 self._resolve(queued, NoCapacity("No server had memory in time"))
                 continue
-            others = {server for owner, server in reserved.items() if owner != queued}
             tokens = queued.memory_request.tokens
+            if tokens > largest_free:
+                continue
+            others = {server for owner, server in reserved.items() if owner != queued}
             if free_memory is not None and not _fits(tokens, free_memory, others):
                 continue
             try:
@@ -208,6 +212,7 @@
                 self._record_sent(queued.memory_request)
                 self._resolve(queued, candidate)
                 free_memory = self._free_memory() if self._free_memory else None
+                largest_free = _largest(free_memory)
 
     def _resolve(
         self, queued: _QueuedRequest, result: Candidate | ChivesaddleError
@@ -281,6 +286,13 @@
             self._schedule_poll()
 
 
+def _largest(free_memory: Mapping[BackendServerId, int] | None) -> float:
+    """Return the free memory of the emptiest server, infinite if it is not known."""
+    if free_memory is None:
+        return math.inf
+    return max(free_memory.values(), default=-1)
+
+
 def _fits(
     tokens: int,
     free_memory: Mapping[BackendServerId, int],
--- a/src/chivesaddle/serving/hints.py
+++ b/src/chivesaddle/serving/hints.py
@@ -119,7 +119,7 @@
                 self._servers.record_busy(tracked.entry.id)
             share = shares_by_server.get(hashed_id)
             if share is None:
-                tracked.peer_loads.pop(peer, None)
+                tracked.peer_loads.pop(peer)
                 continue
             load = Load(share.requests, share.unread_tokens, share.memory_tokens)
             tracked.peer_loads[peer] = (load, expires_at)
