Expect a long stream in a shutdown while few have been observed

Cause: in 4 s of traffic the daemon had seen three streams of the route, of 1.05 s at most, and took one that ran for over 3.4 s.

--- a/src/chivesaddle/forwarding/shutdown.py
+++ b/src/chivesaddle/forwarding/shutdown.py
@@ -13,6 +13,9 @@
 
 # Recent requests of a route from which the duration of the next one is derived.
 REMEMBERED_DURATIONS = 128
+# Fewer requests than this say little about the longest one, so the expectation without
+# any counts as well.
+MIN_REMEMBERED_DURATIONS = 16
 # Shorter outputs say little about the time for each token: their prompt and their wait
 # take most of the time.
 MIN_OUTPUT_TOKENS = 16
@@ -88,21 +91,21 @@
         The longest recent request is expected, or one as slow for each token as the
         slowest recent one, whichever takes longer.
         """
-        durations = self._durations_by_route.get(route.id)
-        if durations:
-            longest_s = max(seconds for seconds, _ in durations)
-            s_per_token = max(
-                (s / tokens for s, tokens in durations if tokens >= MIN_OUTPUT_TOKENS),
-                default=0.0,
-            )
-            expected_s = max(longest_s, s_per_token * output_tokens)
-            return min(route.timeout_s, DURATION_MARGIN * expected_s)
-        targets = (
-            UNKNOWN_STREAM_DURATION_TARGETS
-            if route.kind is RouteKind.STREAM
-            else UNKNOWN_DURATION_TARGETS
+        durations = self._durations_by_route.get(route.id, ())
+        longest_s = max((seconds for seconds, _ in durations), default=0.0)
+        s_per_token = max(
+            (s / tokens for s, tokens in durations if tokens >= MIN_OUTPUT_TOKENS),
+            default=0.0,
         )
-        return min(route.timeout_s, targets * route.target_s)
+        expected_s = DURATION_MARGIN * max(longest_s, s_per_token * output_tokens)
+        if len(durations) < MIN_REMEMBERED_DURATIONS:
+            targets = (
+                UNKNOWN_STREAM_DURATION_TARGETS
+                if route.kind is RouteKind.STREAM
+                else UNKNOWN_DURATION_TARGETS
+            )
+            expected_s = max(expected_s, targets * route.target_s)
+        return min(route.timeout_s, expected_s)
 
 
 __all__ = ["ShutdownAdmission"]
--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -5,7 +5,10 @@
 from chivesaddle.core.ids import ServiceId
 from chivesaddle.core.serving_model import Route, RouteId, RouteKind
 from chivesaddle.forwarding.errors import NotRun
-from chivesaddle.forwarding.shutdown import ShutdownAdmission
+from chivesaddle.forwarding.shutdown import (
+    MIN_REMEMBERED_DURATIONS,
+    ShutdownAdmission,
+)
 
 EVENT = b"id: 1\ndata: a\n\n"
 # A daemon that is stopped with SIGTERM at 0 s ends at this time.
@@ -15,7 +18,7 @@
 def serve_stream(harness, caller, request_id, seconds):
     caller.request("/stream/x", request_id=request_id)
     server = harness.connections[-1]
-    server.start_stream(EVENT)
+    server.start_stream(EVENT, request_id=request_id)
     harness.advance(seconds)
     server.end_stream()
     harness.advance()
@@ -37,7 +40,8 @@
 
 
 def test_request_that_ends_in_time_is_served_until_the_end(harness, caller):
-    serve_stream(harness, caller, "a1", 0.5)
+    for number in range(MIN_REMEMBERED_DURATIONS):
+        serve_stream(harness, harness.caller(), f"b{number}", 0.5)
     harness.forwarder.shutdown.ends_at = harness.reactor.seconds() + ENDS_AT_S
     harness.advance(4.2)
     late_caller = harness.caller()
@@ -80,9 +84,21 @@
     """Guards against cutting the longest stream of a route after a quiet start."""
     admission = ShutdownAdmission(harness.reactor)
     stream = route(RouteKind.STREAM)
-    admission.record(stream, 2, 1.5)
-    admission.record(stream, 40, 1.2)
+    for _ in range(MIN_REMEMBERED_DURATIONS):
+        admission.record(stream, 2, 1.5)
+        admission.record(stream, 40, 1.2)
     admission.ends_at = 3.1
     admission.check(stream, 40)
     with pytest.raises(NotRun):
         admission.check(stream, 100)
+
+
+def test_a_few_short_streams_do_not_make_the_next_one_short(harness):
+    """Guards against the stream of 3.5 s that was cut after three of 1 s."""
+    admission = ShutdownAdmission(harness.reactor)
+    stream = route(RouteKind.STREAM)
+    for seconds in (0.794, 0.971, 1.047):
+        admission.record(stream, 20, seconds)
+    admission.ends_at = 3.44
+    with pytest.raises(NotRun):
+        admission.check(stream, 20)
