Test late second copies of a response on a reused connection

Operators of similar systems reported callers that got a response of another request, because a server sent it twice and its connection was in use again. Here it cannot happen: responses are matched by their id, and one without an id is not used on a reused connection. The existing tests showed this for a first request on a connection and for copies that arrive between requests; these add copies that arrive after the next request was sent, of any status, at any split of a stream, or without an id.

--- /dev/null
+++ b/tests/forwarding/test_late_copies.py
@@ -0,0 +1,56 @@
+import pytest
+
+EVENT = b"id: 1\ndata: a\n\n"
+
+
+@pytest.fixture
+def reused(harness):
+    """A server's connection on which a second request waits for its response."""
+    first = harness.caller()
+    first.request("/resumable/x")
+    server = harness.connections[0]
+    server.start_stream(EVENT)
+    server.end_stream()
+    harness.advance()
+    assert first.received().endswith(b"0\r\n\r\n")
+    second = harness.caller()
+    second.request("/resumable/x", request_id="a2")
+    assert len(harness.connections) == 1
+    return server, second
+
+
+class TestLateSecondCopyOfAResponse:
+    """Guards against a caller that gets the response to another request."""
+
+    @pytest.mark.parametrize("status", [200, 404, 503])
+    def test_is_skipped_on_a_reused_connection(self, reused, status):
+        server, caller = reused
+        server.respond(status, b"other", request_id="a1")
+        assert caller.status is None
+        server.start_stream(b"data: own\n\n", request_id="a2")
+        server.end_stream()
+        assert b"data: own" in caller.received()
+        assert b"other" not in caller.received()
+
+    def test_of_a_stream_is_skipped_at_any_split(self, harness, reused):
+        server, caller = reused
+        sent = []
+        send, server.send = server.send, sent.append
+        server.start_stream(EVENT, request_id="a1")
+        server.end_stream()
+        server.start_stream(b"data: own\n\n", request_id="a2")
+        server.end_stream()
+        data = b"".join(sent)
+        for start in range(0, len(data), 7):
+            send(data[start : start + 7])
+        assert caller.status == 200
+        assert b"data: own" in caller.received()
+        assert b"data: a" not in caller.received()
+
+    @pytest.mark.parametrize("status", [200, 404])
+    def test_without_an_id_is_not_forwarded(self, harness, reused, status):
+        server, caller = reused
+        server.send(b"HTTP/1.1 %d X\r\nContent-Length: 5\r\n\r\nother" % status)
+        harness.advance()
+        assert b"other" not in caller.received()
+        assert server.transport.is_lost
