Send no new requests to servers of evacuated zones

Cause: operators ask with entries `evacuations/ZONE` in the store that the servers of a zone get no new requests, and daemons knew nothing of the kind.

Change: with the setting `bounds.evacuation_s`, the kind is another replica, watched and exchanged like the others. `placement/evacuations.py` keeps the zones, and the server table leaves their servers out of those that take new requests. An entry that is missing in a store that returned from a copy is kept for 2 s. A malformed entry changes nothing. A daemon that reaches only evacuated servers counts as cut off. Without the setting nothing is watched, listed or exchanged.

--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from chivesaddle.core.aio import Clock
-from chivesaddle.core.ids import BackendServerId, ModelId, ServiceId
+from chivesaddle.core.ids import BackendServerId, ModelId, ServiceId, ZoneId
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.core.serving_model import PromptPartId, ServerEntry, ServerState
 from chivesaddle.placement.paths import ServerPath
@@ -230,6 +230,8 @@
         self.on_entry_changed: Callable[
             [ServerEntry | None, ServerEntry | None], None
         ] = lambda previous, entry: None
+        # Whether the servers of a zone get no new requests.
+        self.is_evacuated: Callable[[ZoneId], bool] = lambda zone: False
         self._by_id: dict[BackendServerId, TrackedServer] = {}
         # Start times of servers that said that they are leaving.
         self._leaving: OrderedDict[BackendServerId, int] = OrderedDict()
@@ -252,6 +254,7 @@
             for tracked in self._by_id.values()
             if tracked.entry.service == service
             and tracked.entry.state is ServerState.READY
+            and not self.is_evacuated(tracked.entry.zone)
         ]
 
     def free_memory(
--- a/src/chivesaddle/platform/__init__.py
+++ b/src/chivesaddle/platform/__init__.py
@@ -8,9 +8,11 @@
 from chivesaddle.platform.documents import (
     CONFIG_KIND,
     CONFIG_NAME,
+    EVACUATIONS_KIND,
     SERVERS_KIND,
     VERSIONS_KIND,
     decode_configuration,
+    decode_evacuation,
     decode_server,
     decode_weight_version,
     document_version,
@@ -31,6 +33,7 @@
 __all__ = [
     "CONFIG_KIND",
     "CONFIG_NAME",
+    "EVACUATIONS_KIND",
     "READINESS_PATH",
     "RESOLVE_PATH",
     "SERVERS_KIND",
@@ -39,6 +42,7 @@
     "ServerCallFailed",
     "StoreClient",
     "decode_configuration",
+    "decode_evacuation",
     "decode_request",
     "decode_response",
     "decode_server",
--- a/src/chivesaddle/platform/documents.py
+++ b/src/chivesaddle/platform/documents.py
@@ -33,6 +33,8 @@
 
 CONFIG_KIND = "config"
 CONFIG_NAME = "main"
+# Objects are named by their zones.
+EVACUATIONS_KIND = "evacuations"
 SERVERS_KIND = "servers"
 VERSIONS_KIND = "versions"
 
@@ -255,6 +257,11 @@
     return TargetWeightVersion(ModelId(decoded.model), decoded.version)
 
 
+def decode_evacuation(name: str, value: Any) -> ZoneId | None:
+    """Decode the zone of an evacuation; None if the entry is malformed."""
+    return ZoneId(name) if isinstance(value, dict) else None
+
+
 def document_version(value: Any) -> int | None:
     """Return the version in a configuration or weight version, None if malformed."""
     version = value.get("version") if isinstance(value, dict) else None
@@ -264,9 +271,11 @@
 __all__ = [
     "CONFIG_KIND",
     "CONFIG_NAME",
+    "EVACUATIONS_KIND",
     "SERVERS_KIND",
     "VERSIONS_KIND",
     "decode_configuration",
+    "decode_evacuation",
     "decode_server",
     "decode_weight_version",
     "document_version",
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -54,29 +54,26 @@
 )
 from chivesaddle.objects import Lease, StoreEra
 from chivesaddle.placement import (
+    Evacuations,
     RateLimits,
     ServerTable,
     SoftwareHistory,
     rendezvous_order,
 )
 from chivesaddle.platform import (
-    CONFIG_KIND,
     READINESS_PATH,
     RESOLVE_PATH,
-    SERVERS_KIND,
-    VERSIONS_KIND,
     BackendClient,
     StoreClient,
     decode_request,
     decode_response,
-    document_version,
     encode_addresses,
     encode_peer_headers,
     encode_server_headers,
 )
 from chivesaddle.serving.beacon_content import BeaconContent
 from chivesaddle.serving.departed import DepartedMembers
-from chivesaddle.serving.documents import StoredDocuments
+from chivesaddle.serving.documents import StoredDocuments, document_replicas
 from chivesaddle.serving.hints import LeavingHints, LoadHints, ServerLoadShares
 from chivesaddle.serving.metrics import ServingMetrics
 from chivesaddle.serving.notices import (
@@ -148,22 +145,20 @@
             settings.capacity.cores,
         )
         self._reachability = StoreReachability(reactor)
-        self._replicas = {
-            CONFIG_KIND: Replica(CONFIG_KIND, document_version),
-            SERVERS_KIND: Replica(SERVERS_KIND),
-            VERSIONS_KIND: Replica(VERSIONS_KIND, document_version),
-            MEMBERS_KIND: Replica(MEMBERS_KIND),
-        }
+        self._replicas = document_replicas(bounds.evacuation_s is not None)
+        self._replicas[MEMBERS_KIND] = Replica(MEMBERS_KIND)
         self._serving_state = ServingState(
             reactor, bounds.older_weights_s - OLDER_WEIGHTS_RESERVE_S
         )
         self._servers = ServerTable(reactor)
         self._software = SoftwareHistory(reactor, self._servers)
+        self._evacuations = Evacuations(reactor, self._servers)
         StoredDocuments(
             reactor,
             self._replicas,
             self._serving_state,
             self._servers,
+            self._evacuations,
             self._reachability,
             self._era,
             self._server_pool.close_address,
@@ -542,6 +537,8 @@
             self.metrics.set_value("refused_as_crashing", self._crashes.refused)
             for result, count in self._origins.resumed_by_result.items():
                 self.metrics.set_value(f"streams_resumed_{result}", count)
+            self._evacuations.check()
+            self.metrics.set_value("evacuated_zones", len(self._evacuations))
             self.metrics.set_value("lost_paths", len(self._servers.lost_servers()))
             self.metrics.set_value("is_cut_off", self._paths.is_cut_off)
             self.metrics.set_value("path_probes", self._path_probe.probes)
--- a/src/chivesaddle/serving/documents.py
+++ b/src/chivesaddle/serving/documents.py
@@ -4,35 +4,53 @@
 
 from chivesaddle.core.aio import Clock
 from chivesaddle.core.errors import InvalidValue
-from chivesaddle.core.ids import BackendServerId
+from chivesaddle.core.ids import BackendServerId, ZoneId
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.core.objects import era_of
 from chivesaddle.fleet import Entry, Replica, StoreReachability
 from chivesaddle.forwarding import ServingState
 from chivesaddle.objects import StoreEra
-from chivesaddle.placement import ServerTable
+from chivesaddle.placement import Evacuations, ServerTable
 from chivesaddle.platform import (
     CONFIG_KIND,
     CONFIG_NAME,
+    EVACUATIONS_KIND,
     SERVERS_KIND,
     VERSIONS_KIND,
     decode_configuration,
+    decode_evacuation,
     decode_server,
     decode_weight_version,
+    document_version,
 )
 
 # A store that returned from a copy lists servers that have ended since, until it has
 # not heard from them for three heartbeats of 1.2 s.
 RESTORED_ENTRY_S = 4.0
 # Servers whose entries are lost with the store's last writes write them again within
-# this time.
+# this time; operators get the same time for evacuations.
 REAPPEARANCE_S = 2.0
 
 log = ComponentLogger("documents")
 
 
+def document_replicas(has_evacuations: bool) -> dict[str, Replica]:
+    """Return empty replicas by kind of the documents that `StoredDocuments` applies.
+
+    ``has_evacuations`` is whether zones may be evacuated in this deployment.
+    """
+    replicas = [
+        Replica(CONFIG_KIND, document_version),
+        Replica(SERVERS_KIND),
+        Replica(VERSIONS_KIND, document_version),
+    ]
+    if has_evacuations:
+        replicas.append(Replica(EVACUATIONS_KIND))
+    return {replica.kind: replica for replica in replicas}
+
+
 class StoredDocuments:
-    """Configuration, server entries and weight versions of the replicas.
+    """Configuration, server entries, weight versions and evacuations of the replicas.
 
     Parameters
     ----------
@@ -44,6 +62,8 @@
         Receives configurations and weight versions.
     servers : ServerTable
         Receives server entries.
+    evacuations : Evacuations
+        Receives evacuated zones.
     reachability : StoreReachability
         Whether entries may be missing because of an outage.
     era : StoreEra
@@ -58,6 +78,7 @@
         replicas: Mapping[str, Replica],
         serving_state: ServingState,
         servers: ServerTable,
+        evacuations: Evacuations,
         reachability: StoreReachability,
         era: StoreEra,
         close_address: Callable[[str], None],
@@ -66,12 +87,15 @@
         self._replicas = replicas
         self._serving_state = serving_state
         self._servers = servers
+        self._evacuations = evacuations
         self._reachability = reachability
         self._era = era
         self._close_address = close_address
         replicas[CONFIG_KIND].add_listener(self._apply_configuration)
         replicas[SERVERS_KIND].add_listener(self._apply_server_entry)
         replicas[VERSIONS_KIND].add_listener(self._apply_weight_version)
+        if EVACUATIONS_KIND in replicas:
+            replicas[EVACUATIONS_KIND].add_listener(self._apply_evacuation)
 
     def _apply_configuration(self, entry: Entry) -> None:
         if entry.name != CONFIG_NAME or entry.is_deleted:
@@ -140,5 +164,28 @@
             weight_version.model, weight_version.version
         )
 
+    def _apply_evacuation(self, entry: Entry) -> None:
+        # Peers relay changes to daemons that make no calls to the store themselves.
+        self._era.observe(max(self._era.current, era_of(entry.revision)))
+        if entry.is_deleted:
+            if self._era.rose_within(REAPPEARANCE_S):
+                log.info(
+                    "evacuation kept: missing in a store that returned from a copy",
+                    extra={"zone": entry.name},
+                )
+                self._clock.callLater(REAPPEARANCE_S, self._end_if_missing, entry.name)
+            else:
+                self._evacuations.remove(ZoneId(entry.name))
+            return
+        zone = decode_evacuation(entry.name, entry.value)
+        if zone is None:
+            log.warning("malformed evacuation", extra={"entry": entry.name})
+            return
+        self._evacuations.put(zone)
+
+    def _end_if_missing(self, name: str) -> None:
+        if self._replicas[EVACUATIONS_KIND].get(name) is None:
+            self._evacuations.remove(ZoneId(name))
+
 
-__all__ = ["StoredDocuments"]
+__all__ = ["StoredDocuments", "document_replicas"]
--- a/src/chivesaddle/serving/peer_paths.py
+++ b/src/chivesaddle/serving/peer_paths.py
@@ -83,6 +83,7 @@
             server
             for server in self._servers.all()
             if server.entry.state is ServerState.READY
+            and not self._servers.is_evacuated(server.entry.zone)
         ]
         if ready and all(server.path.lost_at is not None for server in ready):
             hashes = {server_hash(server.entry.id) for server in ready}
--- a/src/chivesaddle/serving/settings.py
+++ b/src/chivesaddle/serving/settings.py
@@ -78,6 +78,9 @@
         Seconds between SIGTERM and SIGKILL.
     address_valid_most_s : float
         Longest time for which callers may cache an address response.
+    evacuation_s : float or None
+        Seconds after the store acknowledged the evacuation of a zone until no request
+        may be sent to its servers any more; None if zones are never evacuated.
     """
 
     retry_ratio: Annotated[float, Meta(ge=0)]
@@ -86,6 +89,7 @@
     older_weights_s: Positive
     shutdown_s: Positive
     address_valid_most_s: Positive
+    evacuation_s: Positive | None = None
 
 
 class InstanceCapacity(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -21,14 +21,9 @@
 from chivesaddle.forwarding import ServingState
 from chivesaddle.objects import Lease, MemoryObjectApi, StoreEra
 from chivesaddle.objects.memory import MemoryClient
-from chivesaddle.placement import ServerTable
-from chivesaddle.platform import (
-    CONFIG_KIND,
-    SERVERS_KIND,
-    VERSIONS_KIND,
-    document_version,
-)
-from chivesaddle.serving.documents import StoredDocuments
+from chivesaddle.placement import Evacuations, ServerTable
+from chivesaddle.platform import CONFIG_KIND, SERVERS_KIND
+from chivesaddle.serving.documents import StoredDocuments, document_replicas
 from chivesaddle.serving.registration import Registration
 from chivesaddle.serving.store_hints import StoreHints
 
@@ -70,27 +65,25 @@
 class Daemon:
     """What one daemon keeps of the store, and how it learns of changes."""
 
-    def __init__(self, fleet, own):
+    def __init__(self, fleet, own, has_evacuations=False):
         clock = fleet.clock
         self.fleet, self.own = fleet, own
         self.is_down = False
         self.handlers = {}
         self.era = StoreEra(clock)
         self.client = MemoryClient(fleet.api, self.era)
-        self.replicas = {
-            CONFIG_KIND: Replica(CONFIG_KIND, document_version),
-            SERVERS_KIND: Replica(SERVERS_KIND),
-            VERSIONS_KIND: Replica(VERSIONS_KIND, document_version),
-            MEMBERS_KIND: Replica(MEMBERS_KIND),
-        }
+        self.replicas = document_replicas(has_evacuations)
+        self.replicas[MEMBERS_KIND] = Replica(MEMBERS_KIND)
         self.serving_state = ServingState(clock, 8.0)
         self.servers = ServerTable(clock)
+        self.evacuations = Evacuations(clock, self.servers)
         self.reachability = StoreReachability(clock)
         StoredDocuments(
             clock,
             self.replicas,
             self.serving_state,
             self.servers,
+            self.evacuations,
             self.reachability,
             self.era,
             lambda address: None,
@@ -175,7 +168,7 @@
 class StoreFleet:
     """Daemons in zones of two large instances and small ones, and their store."""
 
-    def __init__(self, clock, size, zones=3):
+    def __init__(self, clock, size, zones=3, has_evacuations=False):
         self.clock = clock
         self.api = MemoryObjectApi(clock)
         self.daemons = [
@@ -189,6 +182,7 @@
                     f"d{n}:81",
                     2.0 if n < 2 * zones else 0.25,
                 ),
+                has_evacuations,
             )
             for n in range(size)
         ]
--- a/tests/serving/test_settings.py
+++ b/tests/serving/test_settings.py
@@ -1,4 +1,6 @@
 import json
+import re
+from pathlib import Path
 
 import pytest
 
@@ -68,6 +70,47 @@
         ServingSettings.from_config(tmp_path / "absent.json")
 
 
+class TestTemplate:
+    """The platform fills `deploy/settings.json` for each instance."""
+
+    VALUES = {
+        "node": "n1",
+        "zone": "z",
+        "seeds": [],
+        "platform.value_bytes": 1_048_576,
+        "limits.cpu_share": 0.5,
+        "limits.cores": 1,
+        "limits.link_mbps": 100,
+    }
+
+    def render(self, **values):
+        template = Path(__file__).parents[2] / "deploy" / "settings.json"
+        text = re.sub(
+            r"{{#(\S+)}}(.*?){{/\1}}",
+            lambda m: m[2] if m[1] in values else "",
+            template.read_text(),
+            flags=re.DOTALL,
+        ).replace("{{ip}}", "10.0.0.1")
+        values = {**self.VALUES, **values}
+
+        def value(match):
+            name = match[1]
+            is_address = name.startswith("listen.") or name.endswith(".address")
+            return json.dumps(values.get(name, "10.0.0.1:80" if is_address else 8))
+
+        return re.sub(r"{{([^|}]+)\|json}}", value, text)
+
+    @pytest.mark.parametrize(
+        "values, evacuation_s",
+        [({}, None), ({"bounds.evacuation_ms": 5000}, 5.0)],
+    )
+    def test_is_valid_with_and_without_evacuations(
+        self, write_settings, values, evacuation_s
+    ):
+        settings = ServingSettings.from_config(write_settings(self.render(**values)))
+        assert settings.bounds.evacuation_s == evacuation_s
+
+
 class TestCapacity:
     @pytest.mark.parametrize(
         "capacity, cores",
