--- a/src/chivesaddle/placement/__init__.py
+++ b/src/chivesaddle/placement/__init__.py
@@ -7,6 +7,7 @@
     ServerRequirements,
     choose,
 )
+from chivesaddle.placement.evacuations import Evacuations
 from chivesaddle.placement.load import Load
 from chivesaddle.placement.rate_limits import LimitReport, RateLimits
 from chivesaddle.placement.software import SoftwareHistory
@@ -20,6 +21,7 @@
 __all__ = [
     "AdmissionQueue",
     "Candidate",
+    "Evacuations",
     "ExchangeOutcome",
     "LimitReport",
     "Load",
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -209,6 +209,8 @@
         self.on_entry_changed: Callable[
             [ServerEntry | None, ServerEntry | None], None
         ] = lambda previous, entry: None
+        # Whether the servers of a zone get no new requests.
+        self.is_evacuated: Callable[[ZoneId], bool] = lambda zone: False
         self._by_id: dict[BackendServerId, TrackedServer] = {}
         self._index = ServerIndex(self._by_id, self._takes_new_requests)
         # Start times of servers that said that they are leaving.
@@ -241,12 +243,17 @@
         """Number that increases with each change of the list of servers."""
         return self._index.version
 
+    def refresh(self) -> None:
+        """Apply a change of ``is_evacuated``."""
+        self._index.invalidate()
+
     def _takes_new_requests(self, tracked: TrackedServer) -> bool:
         """Return whether a server takes new requests.
 
         Call ``self._index.invalidate`` when the result may have changed.
         """
-        return tracked.entry.state is ServerState.READY
+        entry = tracked.entry
+        return entry.state is ServerState.READY and not self.is_evacuated(entry.zone)
 
     def free_memory(
         self, service: ServiceId, memory_tokens: int
