Share the admission queue between accounts where a deployment asks for it

Cause: ordered by urgency alone, requests of small accounts wait behind a large one's. Change: with the contract "pressure" in the settings, waiting requests are ordered by the recent cost of their accounts, each priority keeps a tenth, hopeless requests are refused while they wait, and return times are spread. Without it, nothing changes.

--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -55,6 +55,7 @@
     ResponseHead,
 )
 from chivesaddle.placement import (
+    AdmissionCounts,
     AdmissionQueue,
     Candidate,
     ExchangeOutcome,
@@ -64,6 +65,7 @@
     ServerRequirements,
     ServerTable,
     choose,
+    estimate_cost,
 )
 
 # By the platform's protocol, callers wait at least this long for events of a stream.
@@ -122,6 +124,8 @@
         Software versions at which streams began.
     observe : callable
         Called for each finished request with its result and duration in seconds.
+    shares_by_account : bool
+        Whether capacity is shared between the accounts of waiting requests.
     """
 
     def __init__(
@@ -140,7 +144,10 @@
         prompts: PromptPlanner,
         origins: StreamOrigins,
         observe: Callable[[str, float], None],
+        shares_by_account: bool = False,
     ) -> None:
+        self._shares_by_account = shares_by_account
+        self.admission_counts = AdmissionCounts()
         self._clock = clock
         self._zone = zone
         self._codec = codec
@@ -390,6 +397,10 @@
                 context.deadline - target_s,
                 context.received_at + caller_timeout_s - target_s,
             ),
+            account=context.account_id,
+            cost=self._estimate_cost(context),
+            caller_gives_up_at=context.caller_deadline,
+            fingerprint=context.suspects.request,
         )
         queue = self._queue_of(context.service)
         try:
@@ -399,11 +410,10 @@
         except NoCapacity as error:
             if context.runs:
                 raise MayHaveRun(error.message) from error
-            wait_s = error.retry_after_s or 0.0
-            raise NotRun(
-                error.message,
-                retry_after_s=wait_s + self._attempts.random_retry_after(),
-            ) from error
+            retry_after_s = error.retry_after_s or 0.0
+            if not error.is_return_scheduled:
+                retry_after_s += self._attempts.random_retry_after()
+            raise NotRun(error.message, retry_after_s=retry_after_s) from error
         finally:
             context.waited_s += self._clock.seconds() - now
 
@@ -414,9 +424,19 @@
                 self._clock,
                 lambda: self._free_memory(service),
                 lambda ahead: self._minimum_wait(service, ahead),
+                self.admission_counts if self._shares_by_account else None,
             )
         return queue
 
+    def _estimate_cost(self, context: RequestContext) -> float:
+        request = context.request
+        return estimate_cost(
+            request.parts[-1].tokens if request.parts else request.prompt_tokens,
+            request.output_tokens,
+            request.memory_tokens,
+            self._server_memory_tokens(context.service),
+        )
+
     def _free_memory(self, service: ServiceId) -> Mapping[BackendServerId, int] | None:
         if self._peer_paths.reaching(service):
             # Waiting requests are passed on.
--- a/src/chivesaddle/placement/__init__.py
+++ b/src/chivesaddle/placement/__init__.py
@@ -7,7 +7,9 @@
     ServerRequirements,
     choose,
 )
+from chivesaddle.placement.costs import estimate_cost
 from chivesaddle.placement.rate_limits import LimitReport, RateLimits
+from chivesaddle.placement.refusals import AdmissionCounts
 from chivesaddle.placement.software import SoftwareHistory
 from chivesaddle.placement.table import (
     ExchangeOutcome,
@@ -18,6 +20,7 @@
 from chivesaddle.placement.waiting import AdmissionQueue, MemoryRequest, NoCapacity
 
 __all__ = [
+    "AdmissionCounts",
     "AdmissionQueue",
     "Candidate",
     "ExchangeOutcome",
@@ -32,5 +35,6 @@
     "SoftwareHistory",
     "TrackedServer",
     "choose",
+    "estimate_cost",
     "rendezvous_order",
 ]
--- /dev/null
+++ b/src/chivesaddle/placement/account_shares.py
@@ -0,0 +1,306 @@
+"""Fair shares of accounts in the admission queue, by the recent cost of their requests.
+
+Load: one account asks for 130 requests a second beside eight of 2 each, and the servers
+have room for 80. Ordered by urgency alone, the small accounts wait behind the large
+one. Ordered by recent cost, they are served as if they were alone.
+"""
+
+from collections import OrderedDict
+from collections.abc import Collection, Hashable, Sequence
+from dataclasses import dataclass, field
+
+from chivesaddle.core.aio import Clock
+from chivesaddle.core.ids import AccountId
+from chivesaddle.placement.queue_places import (
+    MIN_LATE_SHARE,
+    MIN_PRIORITY_SHARE,
+    Claim,
+    Place,
+    merge_by_priority,
+)
+
+# Half of an account's cost is forgotten in this time. An account that was idle for
+# longer is served before the others for at most about this time.
+HALF_LIFE_S = 3.0
+# Share of the lowest cost of the waiting accounts that one that starts to wait is
+# counted as having had, so that idle time earns a limited advantage.
+IDLE_ACCOUNT_COST_SHARE = 0.75
+# An account whose requests are sent less than this many times as often as all goes
+# first. The limit to keep is 0.5; the rest covers requests that are sent late.
+MIN_SENT_RATIO = 0.6
+# Requests whose repeats are recognized; repeats of refused requests count once.
+MAX_REMEMBERED_REQUESTS = 4_096
+# An account is served before another one, also with requests yet to come, if its cost
+# is at most this share of the other's. Costs of accounts that both use their full share
+# differ by less.
+CLEARLY_LOWER_COST_SHARE = 0.5
+MAX_ACCOUNTS = 256
+# Accounts whose cost has fallen below this share of the total are forgotten.
+FORGET_BELOW_SHARE = 0.001
+# Stored costs grow by this factor before they are scaled down again.
+MAX_SCALE = 2.0**40
+
+
+@dataclass(slots=True)
+class _AccountCost:
+    """Decayed costs of one account, in scaled seconds.
+
+    Attributes
+    ----------
+    debt : float
+        The cost by which the account is ordered: at least ``cost``, since the advantage
+        from idle time is limited.
+    asked, sent : float
+        Estimated cost of the requests that arrived, and of those that were sent.
+    """
+
+    cost: float = 0.0
+    debt: float = 0.0
+    asked: float = 0.0
+    sent: float = 0.0
+    cost_by_priority: dict[int, float] = field(default_factory=dict)
+
+
+class AccountShares:
+    """Decayed cost by account and priority, and the order that follows from it.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of the decay.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._scaled_since = clock.seconds()
+        self._costs_by_account: dict[AccountId | None, _AccountCost] = {}
+        self._cost_by_priority: dict[int, float] = {}
+        self._total = 0.0
+        self._total_late = 0.0
+        self._total_asked = 0.0
+        self._total_sent = 0.0
+        self._asked_requests: OrderedDict[Hashable, None] = OrderedDict()
+        self._waiting_accounts: set[AccountId | None] = set()
+
+    def __len__(self) -> int:
+        return len(self._costs_by_account)
+
+    def share(self, account: AccountId | None) -> float:
+        """Return the account's share of the recent cost of all accounts."""
+        costs = self._costs_by_account.get(account)
+        return costs.cost / self._total if costs and self._total else 0.0
+
+    def is_over_share(self, account: AccountId | None) -> bool:
+        """Return whether the account has had more than an equal share of the cost."""
+        return self.share(account) * max(1, len(self._costs_by_account)) > 1.0
+
+    def record_asked(self, claim: Claim) -> None:
+        """Record a request that arrived, once if its caller repeats it."""
+        if claim.fingerprint is not None:
+            if claim.fingerprint in self._asked_requests:
+                return
+            self._asked_requests[claim.fingerprint] = None
+            if len(self._asked_requests) > MAX_REMEMBERED_REQUESTS:
+                self._asked_requests.popitem(last=False)
+        amount = claim.cost * self._scale(self._clock.seconds())
+        costs = self._costs_by_account.setdefault(claim.account, _AccountCost())
+        costs.asked += amount
+        self._total_asked += amount
+        if len(self._costs_by_account) > MAX_ACCOUNTS:
+            self._forget_accounts(keep=claim.account)
+
+    def record_sent(self, claim: Claim, extra_cost: float = 0.0) -> None:
+        """Charge a request that is sent, with a cost besides the estimated one."""
+        now = self._clock.seconds()
+        scale = self._scale(now)
+        amount = (claim.cost + extra_cost) * scale
+        costs = self._costs_by_account.setdefault(claim.account, _AccountCost())
+        costs.sent += claim.cost * scale
+        self._total_sent += claim.cost * scale
+        costs.cost += amount
+        costs.debt += amount
+        by_priority = costs.cost_by_priority
+        by_priority[claim.priority] = by_priority.get(claim.priority, 0.0) + amount
+        self._cost_by_priority[claim.priority] = (
+            self._cost_by_priority.get(claim.priority, 0.0) + amount
+        )
+        self._total += amount
+        if claim.has_missed_target(now):
+            self._total_late += amount
+        if len(self._costs_by_account) > MAX_ACCOUNTS:
+            self._forget_accounts(keep=claim.account)
+
+    def order(self, claims: Sequence[Claim], now: float) -> list[Place]:
+        """Return the places of waiting requests in the order in which to send them.
+
+        Late requests come last. Those on time are ordered by priority, except that each
+        priority gets `MIN_PRIORITY_SHARE`; then by what their account has had and will
+        have had by the requests before, and by due time.
+        """
+        self._limit_credit({claim.account for claim in claims})
+        scale = self._scale(now)
+        on_time: dict[int, list[int]] = {}
+        late: dict[int, list[int]] = {}
+        for index, claim in enumerate(claims):
+            groups = late if claim.has_missed_target(now) else on_time
+            groups.setdefault(claim.priority, []).append(index)
+        debts: dict[AccountId | None, float] = {}
+        queues = {
+            priority: self._order_by_account(claims, on_time[priority], debts, scale)
+            for priority in sorted(on_time)
+        }
+        first = merge_by_priority(
+            claims, queues, self._cost_by_priority, self._total, scale
+        )
+        last = [
+            index
+            for priority in sorted(late)
+            for index in self._order_by_account(claims, late[priority], debts, scale)
+        ]
+        return self._places(claims, first, last)
+
+    def _order_by_account(
+        self,
+        claims: Sequence[Claim],
+        indexes: list[int],
+        debts: dict[AccountId | None, float],
+        scale: float,
+    ) -> list[int]:
+        """Order requests of one priority; adds them to the accounts' debts."""
+        indexes.sort(key=lambda index: claims[index].first_event_due)
+        keys = []
+        arrears = {}
+        for index in indexes:
+            claim = claims[index]
+            debt = debts.get(claim.account)
+            if debt is None:
+                costs = self._costs_by_account.get(claim.account)
+                debt = costs.debt if costs else 0.0
+            if claim.account not in arrears:
+                arrears[claim.account] = self._arrears(claim.account)
+            has_arrears = arrears[claim.account] > 0.0
+            keys.append((not has_arrears, debt, claim.first_event_due, index))
+            debts[claim.account] = debt + claim.cost * scale
+            arrears[claim.account] -= claim.cost * scale
+        return [index for *_, index in sorted(keys)]
+
+    def _arrears(self, account: AccountId | None) -> float:
+        """Return what an account lacks to be served as often as `MIN_SENT_RATIO`."""
+        costs = self._costs_by_account.get(account)
+        if costs is None or not self._total_asked:
+            return 0.0
+        sent_share = min(1.0, self._total_sent / self._total_asked)
+        return MIN_SENT_RATIO * sent_share * costs.asked - costs.sent
+
+    def _places(
+        self, claims: Sequence[Claim], first: list[int], last: list[int]
+    ) -> list[Place]:
+        places = []
+        ahead_tokens = 0
+        tokens_by_group: dict[int | None, int] = {}
+        shares: dict[tuple[int, AccountId | None], float] = {}
+        late_share = MIN_LATE_SHARE
+        if self._total:
+            late_share = max(late_share, self._total_late / self._total)
+        for ahead, index in enumerate([*first, *last]):
+            claim = claims[index]
+            is_late = ahead >= len(first)
+            group = None if is_late else claim.priority
+            ahead_tokens += claim.tokens
+            group_tokens = tokens_by_group.get(group, 0) + claim.tokens
+            tokens_by_group[group] = group_tokens
+            share = late_share
+            if not is_late:
+                key = (claim.priority, claim.account)
+                if key not in shares:
+                    shares[key] = self._share_left(*key)
+                share = shares[key]
+            places.append(
+                Place(
+                    index,
+                    ahead,
+                    ahead_tokens,
+                    group_tokens,
+                    share,
+                    MIN_LATE_SHARE if is_late else MIN_PRIORITY_SHARE,
+                    late_share,
+                )
+            )
+        return places
+
+    def _share_left(self, priority: int, account: AccountId | None) -> float:
+        """Return the share of what is sent that requests sent before others leave."""
+        if not self._total:
+            return 1.0
+        before = sum(
+            cost for other, cost in self._cost_by_priority.items() if other < priority
+        )
+        if self._arrears(account) > 0.0:
+            return max(0.0, 1.0 - before / self._total)
+        own = self._costs_by_account.get(account)
+        own_cost = own.cost_by_priority.get(priority, 0.0) if own else 0.0
+        for costs in self._costs_by_account.values():
+            cost = costs.cost_by_priority.get(priority, 0.0)
+            if cost <= CLEARLY_LOWER_COST_SHARE * own_cost:
+                before += cost
+        return max(0.0, 1.0 - before / self._total)
+
+    def _limit_credit(self, accounts: set[AccountId | None]) -> None:
+        """Limit the advantage of accounts that start to wait beside waiting ones."""
+        known = self._costs_by_account
+        debts = [
+            known[account].debt
+            for account in self._waiting_accounts & accounts
+            if account in known
+        ]
+        if debts:
+            least = IDLE_ACCOUNT_COST_SHARE * min(debts)
+            for account in accounts - self._waiting_accounts:
+                costs = known.setdefault(account, _AccountCost())
+                costs.debt = max(costs.debt, least)
+        self._waiting_accounts = accounts
+        if len(known) > MAX_ACCOUNTS:
+            self._forget_accounts()
+
+    def _scale(self, now: float) -> float:
+        """Return the factor of costs of now; earlier ones decay relative to them."""
+        scale = 2.0 ** ((now - self._scaled_since) / HALF_LIFE_S)
+        if scale < MAX_SCALE:
+            return float(scale)
+        self._scaled_since = now
+        self._total /= scale
+        self._total_late /= scale
+        self._total_asked /= scale
+        self._total_sent /= scale
+        by_priority = self._cost_by_priority
+        self._cost_by_priority = {p: cost / scale for p, cost in by_priority.items()}
+        for costs in self._costs_by_account.values():
+            costs.cost /= scale
+            costs.debt /= scale
+            costs.asked /= scale
+            costs.sent /= scale
+            costs.cost_by_priority = {
+                p: cost / scale for p, cost in costs.cost_by_priority.items()
+            }
+        return 1.0
+
+    def forget_idle_accounts(self) -> None:
+        """Forget the accounts whose cost has decayed; call every few seconds."""
+        least = FORGET_BELOW_SHARE * self._total
+        idle = [a for a, costs in self._costs_by_account.items() if costs.debt <= least]
+        self._remove(idle)
+
+    def _forget_accounts(self, keep: AccountId | None = None) -> None:
+        """Forget the accounts with the least cost beyond `MAX_ACCOUNTS`."""
+        by_debt = sorted(
+            (account for account in self._costs_by_account if account != keep),
+            key=lambda account: self._costs_by_account[account].debt,
+        )
+        self._remove(by_debt[: len(self._costs_by_account) - MAX_ACCOUNTS])
+
+    def _remove(self, accounts: Collection[AccountId | None]) -> None:
+        for account in accounts:
+            del self._costs_by_account[account]
+
+
+__all__ = ["AccountShares"]
--- a/src/chivesaddle/placement/waiting.py
+++ b/src/chivesaddle/placement/waiting.py
@@ -5,20 +5,24 @@
 That slows the running requests, which then hold their memory longer, and a service does
 not recover from this state on its own. The daemon therefore sends a request only when a
 server has memory and a slot for it. Waiting requests are sent in order of urgency, and
-a request that cannot be served in time is rejected on arrival.
+a request that cannot be served in time is rejected on arrival. `FairAdmission` adds the
+accounts' shares to the order and rejects waiting requests as well.
 """
 
 from collections import deque
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Hashable, Mapping
 from dataclasses import dataclass, field
 
 from twisted.internet.defer import Deferred
 
 from chivesaddle.core.aio import Clock, DelayedCall
 from chivesaddle.core.errors import ChivesaddleError
-from chivesaddle.core.ids import BackendServerId
+from chivesaddle.core.ids import AccountId, BackendServerId
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.placement.choice import Candidate
+from chivesaddle.placement.costs import shared_prefill_cost
+from chivesaddle.placement.fair_admission import FairAdmission, Refusal
+from chivesaddle.placement.refusals import AdmissionCounts
 
 # Load reports from peers arrive ten times a second, and a server that loads weights is
 # skipped for 0.3 s, so polling more often finds nothing new.
@@ -51,10 +55,24 @@
 
 
 class NoCapacity(ChivesaddleError):
-    """No server will have memory for the request in time; it was not sent."""
+    """No server will have memory for the request in time; it was not sent.
+
+    Attributes
+    ----------
+    is_return_scheduled : bool
+        Whether ``retry_after_s`` is already spread over the refused requests.
+    """
 
     code = "no_room"
     status = 503
+    is_return_scheduled = False
+
+    @classmethod
+    def from_refusal(cls, refusal: Refusal) -> "NoCapacity":
+        """Return the error of a request that `FairAdmission` refuses."""
+        error = cls(refusal.message, retry_after_s=refusal.retry_after_s)
+        error.is_return_scheduled = True
+        return error
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +89,14 @@
         Time by which the first event should arrive.
     expires_at : float
         Time after which the request is rejected instead of sent.
+    account : AccountId or None
+        The client account, if the request has one.
+    cost : float
+        Estimated server time in seconds; see `costs.estimate_cost`.
+    caller_gives_up_at : float or None
+        Until when the caller waits for a response, None if unknown.
+    fingerprint : Hashable or None
+        Equal for repeats of one request, None if unknown.
     """
 
     tokens: int
@@ -78,6 +104,10 @@
     arrived_at: float
     first_event_due: float
     expires_at: float
+    account: AccountId | None = None
+    cost: float = 1.0
+    caller_gives_up_at: float | None = None
+    fingerprint: Hashable | None = None
 
     def has_missed_target(self, now: float) -> bool:
         """Return whether the first event is overdue."""
@@ -112,6 +142,9 @@
         them is passed over without weighing the servers; None weighs them always.
     minimum_wait : callable
         How long a request waits at least for what servers themselves say.
+    fair_counts : AdmissionCounts or None
+        Shares capacity between accounts, and counts the outcomes here; None sends by
+        urgency alone.
     """
 
     def __init__(
@@ -119,6 +152,7 @@
         clock: Clock,
         free_memory: FreeMemory | None = None,
         minimum_wait: MinimumWait = lambda ahead: 0.0,
+        fair_counts: AdmissionCounts | None = None,
     ) -> None:
         self._clock = clock
         self._free_memory = free_memory
@@ -130,6 +164,9 @@
         self._created_at = clock.seconds()
         self._poll_call: DelayedCall | None = None
         self._is_dispatching = False
+        self._fair: FairAdmission[_QueuedRequest] | None = None
+        if fair_counts is not None:
+            self._fair = FairAdmission(clock, fair_counts)
 
     def __len__(self) -> int:
         return len(self._queue)
@@ -142,15 +179,22 @@
         Raises
         ------
         NoCapacity
-            On arrival if the predicted wait is too long, or when the request expires.
+            On arrival if the predicted wait is too long, or when the request expires;
+            with shares between accounts also as soon as it cannot be sent in time.
         ChivesaddleError
             Any error that ``choose`` raises.
         """
         now = self._clock.seconds()
+        if self._fair and (refusal := self._fair.refuse_like_others(memory_request)):
+            raise NoCapacity.from_refusal(refusal)
         candidate = choose(set(self._reserve().values()))
-        if candidate.has_capacity:
-            self._record_sent(memory_request)
+        if candidate.has_capacity and (self._fair is None or not self._queue):
+            self._record_sent(memory_request, candidate)
             return candidate
+        if self._fair is not None:
+            queued = _QueuedRequest(memory_request, choose)
+            self._enter(queued, self._fair, candidate.has_capacity)
+            return await self._wait_until_ready(queued)
         ahead = [
             q
             for q in self._queue
@@ -168,12 +212,45 @@
         queued = _QueuedRequest(memory_request, choose)
         self._queue.append(queued)
         self._schedule_poll()
+        return await self._wait_until_ready(queued)
+
+    async def _wait_until_ready(self, queued: _QueuedRequest) -> Candidate:
         try:
             return await queued.ready
         finally:
             if queued in self._queue:
                 self._queue.remove(queued)
 
+    def _enter(
+        self,
+        queued: _QueuedRequest,
+        fair: FairAdmission[_QueuedRequest],
+        has_capacity: bool,
+    ) -> None:
+        """Add a request to the queue, or raise `NoCapacity`.
+
+        Free capacity goes to the first requests in order, so the others are sent first
+        where it became free without notice.
+        """
+        self._queue.append(queued)
+        if has_capacity:
+            fair.forget_order()
+            self.dispatch_ready()
+            if queued.ready.called:
+                return
+        minimum_wait_s = self._minimum_wait(len(self._queue) - 1)
+        refusal = fair.refuse_on_arrival(queued, self._queue, minimum_wait_s)
+        if refusal is not None:
+            self._queue.remove(queued)
+            raise NoCapacity.from_refusal(refusal)
+        self._schedule_poll()
+
+    def _in_order(self, now: float) -> list[_QueuedRequest]:
+        if self._fair is not None:
+            in_order = self._fair.in_order(self._queue, now)
+            return [queued for queued, _ in in_order if not queued.ready.called]
+        return sorted(self._queue, key=lambda q: q.memory_request.sort_key(now))
+
     def dispatch_ready(self) -> None:
         """Send the requests that now fit; call when a server's load has decreased."""
         if self._is_dispatching or not self._queue:
@@ -188,13 +265,17 @@
         now = self._clock.seconds()
         reserved = self._reserve()
         free_memory = self._free_memory() if self._free_memory else None
-        for queued in sorted(self._queue, key=lambda q: q.memory_request.sort_key(now)):
+        passed: set[_QueuedRequest] = set()
+        for queued in self._in_order(now):
             if queued.ready.called:
                 continue
             if now >= queued.memory_request.expires_at:
-                self._resolve(queued, NoCapacity("No server had memory in time"))
+                self._resolve(queued, self._expired(queued))
                 continue
             others = {server for owner, server in reserved.items() if owner != queued}
+            if self._fair and self._fair.may_take_reserved(queued.memory_request, now):
+                others = {s for owner, s in reserved.items() if owner in passed}
+            passed.add(queued)
             tokens = queued.memory_request.tokens
             if free_memory is not None and not _fits(tokens, free_memory, others):
                 continue
@@ -205,10 +286,15 @@
                 continue
             if candidate.has_capacity:
                 reserved.pop(queued, None)
-                self._record_sent(queued.memory_request)
+                self._record_sent(queued.memory_request, candidate, has_waited=True)
                 self._resolve(queued, candidate)
                 free_memory = self._free_memory() if self._free_memory else None
 
+    def _expired(self, queued: _QueuedRequest) -> NoCapacity:
+        if self._fair is None:
+            return NoCapacity("No server had memory in time")
+        return NoCapacity.from_refusal(self._fair.refuse_expired(queued.memory_request))
+
     def _resolve(
         self, queued: _QueuedRequest, result: Candidate | ChivesaddleError
     ) -> None:
@@ -232,7 +318,7 @@
 
     def _choose_reservations(self, now: float) -> dict[_QueuedRequest, BackendServerId]:
         reserved: dict[_QueuedRequest, BackendServerId] = {}
-        for queued in sorted(self._queue, key=lambda q: q.memory_request.sort_key(now)):
+        for queued in self._in_order(now):
             if not queued.memory_request.may_reserve(now):
                 continue
             try:
@@ -250,7 +336,16 @@
             reserved[queued] = wanted.server.entry.id
         return reserved
 
-    def _record_sent(self, memory_request: MemoryRequest) -> None:
+    def _record_sent(
+        self,
+        memory_request: MemoryRequest,
+        candidate: Candidate,
+        has_waited: bool = False,
+    ) -> None:
+        if self._fair is not None:
+            shared_cost = shared_prefill_cost(candidate.plan)
+            self._fair.record_sent(memory_request, shared_cost, has_waited)
+            return
         now = self._clock.seconds()
         self._sent.append((now, memory_request.tokens))
         while self._sent and self._sent[0][0] < now - THROUGHPUT_WINDOW_S:
@@ -277,6 +372,10 @@
     def _poll(self) -> None:
         self._poll_call = None
         self.dispatch_ready()
+        if self._fair is not None:
+            now = self._clock.seconds()
+            for queued, refusal in self._fair.refuse_hopeless(self._queue, now):
+                self._resolve(queued, NoCapacity.from_refusal(refusal))
         if self._queue:
             self._schedule_poll()
 
--- a/src/chivesaddle/platform/__init__.py
+++ b/src/chivesaddle/platform/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from chivesaddle.platform.backend_client import BackendClient, ServerCallFailed
+from chivesaddle.platform.contracts import Features
 from chivesaddle.platform.documents import (
     CONFIG_KIND,
     CONFIG_NAME,
@@ -36,6 +37,7 @@
     "SERVERS_KIND",
     "VERSIONS_KIND",
     "BackendClient",
+    "Features",
     "ServerCallFailed",
     "StoreClient",
     "decode_configuration",
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -66,6 +66,7 @@
     SERVERS_KIND,
     VERSIONS_KIND,
     BackendClient,
+    Features,
     StoreClient,
     decode_request,
     decode_response,
@@ -324,6 +325,7 @@
             PromptPlanner(reactor, self._serving_state, self._servers, self._transfers),
             self._origins,
             self._observe_request,
+            Features.from_contracts(settings.contracts).shares_by_account,
         )
         self._caller_listener: Any = None
         self._listeners: list[Any] = []
@@ -400,7 +402,7 @@
 
         The log level, the shutdown time and the longest time for which callers cache an
         address response take effect at once. Other settings need a restart; changes to
-        the daemon's id, zone, listening addresses, store or seeds are logged.
+        the daemon's id, zone, addresses, store, seeds or contracts are logged.
         """
         try:
             settings = ServingSettings.from_config(path)
@@ -408,7 +410,7 @@
             log.error("settings not read", extra={"cause": str(error)})
             return
         logging.getLogger().setLevel(settings.log_level)
-        restart_fields = ("daemon_id", "zone", "listen", "store", "seeds")
+        restart_fields = ("daemon_id", "zone", "listen", "store", "seeds", "contracts")
         changed = [
             name
             for name in restart_fields
@@ -540,6 +542,8 @@
             crashing_parts = self._crashes.count_crashing_parts()
             self.metrics.set_value("crashing_parts", crashing_parts)
             self.metrics.set_value("refused_as_crashing", self._crashes.refused)
+            for name, count in self._forwarder.admission_counts.by_name.items():
+                self.metrics.set_value(name, count)
             for result, count in self._origins.resumed_by_result.items():
                 self.metrics.set_value(f"streams_resumed_{result}", count)
             self.metrics.set_value("lost_paths", len(self._servers.lost_servers()))
--- a/src/chivesaddle/serving/settings.py
+++ b/src/chivesaddle/serving/settings.py
@@ -132,6 +132,9 @@
     connect_from : str or None
         IP address from which connections are opened, on an instance with several; None
         lets the system choose.
+    contracts : list of str
+        Names of the rule sets that the deployment has in force; see
+        `platform.Features`.
     log_lines_per_s : float
         Average limit of log lines per second; short bursts may exceed it.
     """
@@ -144,6 +147,7 @@
     seeds: list[Address] = []
     capacity: InstanceCapacity = InstanceCapacity()
     connect_from: str | None = None
+    contracts: list[Name] = []
     log_level: str = "INFO"
     log_lines_per_s: Positive = 100.0
 
