--- a/src/chivesaddle/placement/__init__.py
+++ b/src/chivesaddle/placement/__init__.py
@@ -7,9 +7,11 @@
     ServerRequirements,
     choose,
 )
+from chivesaddle.placement.costs import estimate_cost
 from chivesaddle.placement.evacuations import Evacuations
 from chivesaddle.placement.load import Load
 from chivesaddle.placement.rate_limits import LimitReport, RateLimits
+from chivesaddle.placement.refusals import AdmissionCounts
 from chivesaddle.placement.software import SoftwareHistory
 from chivesaddle.placement.table import (
     ExchangeOutcome,
@@ -19,6 +21,7 @@
 from chivesaddle.placement.waiting import AdmissionQueue, MemoryRequest, NoCapacity
 
 __all__ = [
+    "AdmissionCounts",
     "AdmissionQueue",
     "Candidate",
     "Evacuations",
@@ -34,5 +37,6 @@
     "SoftwareHistory",
     "TrackedServer",
     "choose",
+    "estimate_cost",
     "rendezvous_order",
 ]
