Keep the shared rate of cold servers

A server that has just started crashes under more than a few requests a second, and got the full load. Reports number requests, so that lost ones are counted later.

Old builds ignore the added fields of LimitReport; a cold server without a named limit is reported with an age that replaces no limit they know. They do not keep the rate, and new builds beside them use equal shares.

Services without cold_start_s and cold_per_s behave as before.

Tests: tests/placement, forwarding, serving, platform, fleet, core and test_package pass; ruff and mypy pass. Not run: e2e, soak, the full suite.

--- a/src/chivesaddle/core/serving_model.py
+++ b/src/chivesaddle/core/serving_model.py
@@ -126,12 +126,32 @@
     initial_latency_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class ColdStart:
+    """How the servers of a service behave after their start.
+
+    Attributes
+    ----------
+    duration_s : float
+        Seconds for which a server is cold.
+    per_s : float
+        Requests per second that it takes meanwhile, from all daemons together.
+    """
+
+    duration_s: float
+    per_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A group of backend servers that serve the same requests."""
+    """A group of backend servers that serve the same requests.
+
+    ``cold_start`` is None if the servers take any number of requests at once.
+    """
 
     id: ServiceId
     engine: EngineSpec | None
+    cold_start: ColdStart | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -186,6 +206,9 @@
         Start time of this run of the server, in Unix milliseconds; 0 if unknown.
     software_version : SoftwareVersion
         Version of the server's software, not of weights.
+    cold_remaining_s : float or None
+        Seconds for which the server said that it is cold when it wrote the entry, not
+        checked, and NaN if it is no number; None if the entry does not say.
     """
 
     id: BackendServerId
@@ -197,6 +220,7 @@
     version_by_model: Mapping[ModelId, int]
     started_ms: int = 0
     software_version: SoftwareVersion = UNKNOWN_SOFTWARE
+    cold_remaining_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -212,6 +236,7 @@
     "Account",
     "CallerKey",
     "CallerLimitsConfig",
+    "ColdStart",
     "Configuration",
     "EngineSpec",
     "KvStore",
--- a/src/chivesaddle/fleet/members.py
+++ b/src/chivesaddle/fleet/members.py
@@ -234,7 +234,8 @@
         age = self._clock.seconds() - last_seen.at
         return age <= self._timeout_s(last_seen) and not last_seen.is_leaving
 
-    def _is_leaving(self, daemon: str) -> bool:
+    def has_left(self, daemon: str) -> bool:
+        """Return whether a daemon said that it is leaving and has not returned."""
         last_seen = self._last_seen_by_id.get(daemon)
         return last_seen is not None and last_seen.is_leaving
 
@@ -277,9 +278,7 @@
         """
         candidates = self.serving_peers()
         if not candidates:
-            candidates = [
-                peer for peer in self.peers() if not self._is_leaving(peer.id)
-            ]
+            candidates = [peer for peer in self.peers() if not self.has_left(peer.id)]
         if include_own:
             candidates = [*candidates, self.own]
         return caller_addresses_in_zone(self.prefer_connected(candidates), zone)
--- a/src/chivesaddle/forwarding/exchange.py
+++ b/src/chivesaddle/forwarding/exchange.py
@@ -8,6 +8,7 @@
 from chivesaddle.core.serving_model import ServerEntry
 from chivesaddle.forwarding.messages import (
     CallerRequest,
+    ColdTime,
     InvalidValue,
     RequestLimit,
     RetryAfter,
@@ -152,7 +153,9 @@
             raise NoUsableResponse(error.message, may_be_crash=True) from error
         except DeadlineExceeded as error:
             raise NoUsableResponse("Server did not respond in time") from error
-        self._servers.record_response_bytes(self._server.id, serial)
+        self._servers.record_response_bytes(
+            self._server.id, serial, self._connection.connected_at
+        )
         if response.load is not None:
             self._servers.record_load(
                 self._server.id, response.load.running, response.load.waiting
@@ -173,7 +176,9 @@
             chunk = await self._connection.read_chunk()
         except ResponseBroken as error:
             raise NoUsableResponse(error.message, may_be_crash=True) from error
-        self._servers.record_response_bytes(self._server.id, self._serial)
+        self._servers.record_response_bytes(
+            self._server.id, self._serial, self._connection.connected_at
+        )
         return chunk
 
     def finish(self, response: ServerResponse) -> None:
@@ -199,6 +204,13 @@
             case None if response.is_signed:
                 self._limits.record_response(self._server, None)
 
+    def _record_cold(self, response: ServerResponse) -> None:
+        match response.cold:
+            case ColdTime(seconds):
+                self._limits.on_cold_response(self._server, seconds)
+            case InvalidValue(text):
+                self._servers.record_invalid_header(self._server.id, text)
+
     def _record_refusal(self, response: ServerResponse) -> None:
         match response.retry_after:
             case RetryAfter(seconds):
@@ -223,6 +235,7 @@
         )
         if is_own and response.server in (None, self._server.id):
             self._record_limit(response)
+            self._record_cold(response)
             if response.is_leaving:
                 self._servers.record_leaving(
                     self._server.id, self._server.started_ms, "response"
--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -374,6 +374,7 @@
 
         Raises `NotRun` or `MayHaveRun` if there is none.
         """
+        self._limits.record_demand(context.service)
         if not self._server_memory_tokens(context.service):
             candidate = self._choose(context)
             if candidate.has_capacity:
--- a/src/chivesaddle/forwarding/messages.py
+++ b/src/chivesaddle/forwarding/messages.py
@@ -151,6 +151,13 @@
     seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class ColdTime:
+    """Time for which a server is still cold; 0 if it is not."""
+
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class InvalidValue:
     """Text of a header that has no valid value."""
@@ -184,6 +191,8 @@
         What marks the end of the body.
     content_length : int or None
         Length of the body; None if it is chunked or ends with the connection.
+    cold : ColdTime, InvalidValue or None
+        How long the server is still cold, if it says so.
     """
 
     status: int
@@ -201,10 +210,12 @@
     framing: Framing
     content_length: int | None
     passed_headers: HeaderList
+    cold: ColdTime | InvalidValue | None = None
 
 
 __all__ = [
     "CallerRequest",
+    "ColdTime",
     "HeaderList",
     "InvalidValue",
     "PassOptions",
--- a/src/chivesaddle/forwarding/serving_state.py
+++ b/src/chivesaddle/forwarding/serving_state.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 
 from chivesaddle.core.aio import Clock
-from chivesaddle.core.ids import ModelId
+from chivesaddle.core.ids import ModelId, ServiceId
 from chivesaddle.core.logs import ComponentLogger
-from chivesaddle.core.serving_model import Configuration
+from chivesaddle.core.serving_model import ColdStart, Configuration
 
 # Assumed age of the weight version that a daemon finds at startup, as it does not know
 # when the version was set. Restarts take up to 3 s.
@@ -35,6 +35,12 @@
         self.configuration: Configuration | None = None
         self._target_versions_by_model: dict[ModelId, list[_TargetVersion]] = {}
 
+    def cold_start_of(self, service: ServiceId) -> ColdStart | None:
+        """Return how servers of a service behave after their start, None if as ever."""
+        configuration = self.configuration
+        known = configuration and configuration.services_by_id.get(service)
+        return known.cold_start if known else None
+
     def put_configuration(self, configuration: Configuration) -> None:
         """Apply a configuration if it is newer than the current one."""
         known = self.configuration
--- a/src/chivesaddle/placement/__init__.py
+++ b/src/chivesaddle/placement/__init__.py
@@ -7,6 +7,7 @@
     ServerRequirements,
     choose,
 )
+from chivesaddle.placement.cold_start import ColdStarts
 from chivesaddle.placement.rate_limits import LimitReport, RateLimits
 from chivesaddle.placement.software import SoftwareHistory
 from chivesaddle.placement.table import (
@@ -20,6 +21,7 @@
 __all__ = [
     "AdmissionQueue",
     "Candidate",
+    "ColdStarts",
     "ExchangeOutcome",
     "LimitReport",
     "Load",
--- a/src/chivesaddle/placement/paths.py
+++ b/src/chivesaddle/placement/paths.py
@@ -23,14 +23,34 @@
         When the path was lost, None while it is usable.
     connected_at, failed_at : float
         When a connection was last opened, and when it last could not be opened.
+    up_since, up_until : float
+        Time in which the server did not restart: connections were open all the time.
     """
 
     lost_at: float | None = None
     connected_at: float = -math.inf
     failed_at: float = -math.inf
+    up_since: float = math.inf
+    up_until: float = -math.inf
     _regained_at: float = -math.inf
     _connections_needed: int = 1
 
+    def record_bytes(self, connected_at: float, now: float) -> None:
+        """Record bytes of the server on a connection that was opened before.
+
+        Of two connections that were open at the same moment, both ends are the same
+        process.
+        """
+        if connected_at > now:
+            return
+        overlaps = connected_at <= self.up_until
+        self.up_since = min(self.up_since, connected_at) if overlaps else connected_at
+        self.up_until = now
+
+    def was_up_at(self, at: float) -> bool:
+        """Return whether the server that ran at a time is known to have gone on."""
+        return self.up_since < at < self.up_until
+
     def record_connected(self, now: float) -> bool:
         """Record that a connection was opened; return whether the path is regained."""
         self.connected_at = now
--- a/src/chivesaddle/placement/rate_limits.py
+++ b/src/chivesaddle/placement/rate_limits.py
@@ -4,20 +4,20 @@
 every request to the server, its own or one that a peer reports, moves the next one by
 the interval that the limit allows. When the schedule allows a request, the daemon that
 has sent none for longest goes first, and the others follow if it has nothing to send.
+The same schedule keeps the rate of a cold server, with the turns of `ColdTurns`.
 """
 
-import functools
 import math
 from collections.abc import Callable, Collection, Iterable
 from typing import Any
 
 import msgspec
-import xxhash
 
 from chivesaddle.core.aio import Clock
-from chivesaddle.core.ids import BackendServerId, DaemonId
+from chivesaddle.core.ids import BackendServerId, DaemonId, ServiceId
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.core.serving_model import ServerEntry
+from chivesaddle.placement.cold_turns import ColdTurns, turn_order
 from chivesaddle.placement.server_limit import ServerLimit
 from chivesaddle.placement.table import ServerTable, TrackedServer
 
@@ -30,8 +30,10 @@
 # A limit that was withdrawn is still exchanged for this long, so that peers that were
 # told of the limit learn of its end.
 SHARE_WITHDRAWN_S = 30.0
-# Servers in one message; those heard from last are kept.
+# Servers in one message; cold ones and those heard from last are kept.
 MAX_SHARED_LIMITS = 64
+# Age that is told of a limit that the server has never named: older than any other.
+NEVER_NAMED_AGE_MS = 10**9
 
 log = ComponentLogger("limits")
 
@@ -51,6 +53,18 @@
         Milliseconds since the server named the limit.
     sends : int
         Requests that the sender has sent since its last report.
+    serial : int
+        Serial number of the sender's last request to the server, from which a receiver
+        counts requests whose reports were lost; 0 from a daemon that numbers none.
+    cold_ms : int
+        Milliseconds for which the server is cold, as the sender itself found out.
+    cold_age_ms : int
+        Milliseconds since the sender found that out; -1 if it did not.
+    lost_ms : int
+        Milliseconds for which the sender could not connect to the server, if it is
+        taken for cold only because of that; else 0.
+    has_demand : bool
+        Whether the sender has requests for the server's service.
     """
 
     daemon: str
@@ -59,12 +73,16 @@
     per_s: float
     age_ms: int
     sends: int
+    serial: int = 0
+    cold_ms: int = 0
+    cold_age_ms: int = -1
+    lost_ms: int = 0
+    has_demand: bool = False
 
 
-@functools.lru_cache(maxsize=4_096)
-def _turn_order(server: BackendServerId, daemon: DaemonId) -> int:
-    """Return the order among daemons that have not sent to the server yet."""
-    return xxhash.xxh32_intdigest(f"{server} {daemon}".encode())
+def _describe_unknown(tracked: TrackedServer) -> tuple[int, int, int]:
+    """Return that nothing is known of a server's cold time."""
+    return 0, -1, 0
 
 
 class RateLimits:
@@ -80,6 +98,9 @@
         This daemon.
     peers : callable
         Returns the ids of the other daemons that take callers.
+    senders : callable or None
+        Returns the ids of the other daemons that may send requests to servers, also of
+        those that are not heard; None for those that ``peers`` returns.
     """
 
     def __init__(
@@ -88,13 +109,25 @@
         servers: ServerTable,
         daemon: DaemonId,
         peers: Callable[[], Collection[DaemonId]],
+        senders: Callable[[], Collection[DaemonId]] | None = None,
     ) -> None:
         self._clock = clock
         self._servers = servers
         self._daemon = daemon
         self._peers = peers
+        self.cold_turns = ColdTurns(clock, daemon, senders or peers)
         # Called with what this daemon has observed, to send it to peers at once.
         self.on_report: Callable[[list[LimitReport]], None] = lambda reports: None
+        # Called with the cold time in seconds that a response of the server names.
+        self.on_cold_response: Callable[[ServerEntry, float], None] = lambda _, s: None
+        # Called with what a peer reports of a listed server.
+        self.on_peer_report: Callable[[TrackedServer, LimitReport], None] = (
+            lambda _, report: None
+        )
+        # Returns ``cold_ms``, ``cold_age_ms`` and ``lost_ms`` of a report.
+        self.describe_cold: Callable[[TrackedServer], tuple[int, int, int]] = (
+            _describe_unknown
+        )
 
     def record_response(self, server: ServerEntry, per_s: float | None) -> None:
         """Record the limit that a response of the server names, None for no limit."""
@@ -107,12 +140,48 @@
     def record_send(self, server: BackendServerId) -> None:
         """Record that this daemon sends a request to the server."""
         tracked = self._servers.get(server)
-        if tracked is None or tracked.limit is None or tracked.limit.per_s is None:
+        if tracked is None or tracked.limit is None or tracked.limit.rate is None:
             return
         tracked.limit.record_send(self._daemon, self._clock.seconds())
+        tracked.limit.serial += 1
         self._update_turn(tracked)
         self.on_report([self._build_report(tracked, 1)])
 
+    def record_demand(self, service: ServiceId) -> None:
+        """Record a request for a service, of which cold servers take few."""
+        if not self.cold_turns.record_demand(service):
+            return
+        cold = [s for s in self.cold_servers() if s.entry.service == service]
+        self.report(cold)
+        self.update_turns(cold)
+
+    def set_cold_rate(self, tracked: TrackedServer, per_s: float | None) -> None:
+        """Apply the rate of a server that is cold, or None when it is warm."""
+        now = self._clock.seconds()
+        if tracked.limit is None:
+            tracked.limit = ServerLimit(None, -math.inf)
+        tracked.limit.set_cold_rate(per_s, now)
+        self._update_turn(tracked)
+
+    def cold_servers(self) -> list[TrackedServer]:
+        """Return the servers whose rate is limited because they are cold."""
+        return [
+            tracked
+            for tracked in self._servers.all()
+            if tracked.limit is not None and tracked.limit.cold_per_s is not None
+        ]
+
+    def report(self, servers: Iterable[TrackedServer]) -> None:
+        """Tell peers at once what this daemon knows of some servers."""
+        reports = [self._build_report(tracked, 0) for tracked in servers]
+        if reports:
+            self.on_report(reports)
+
+    def update_turns(self, servers: Iterable[TrackedServer]) -> None:
+        """Set again when this daemon may send to some servers."""
+        for tracked in servers:
+            self._update_turn(tracked)
+
     def in_force(self) -> int:
         """Return the number of servers that name a limit."""
         return sum(
@@ -125,7 +194,7 @@
 
         None if any of the servers names no limit.
         """
-        limits = [tracked.limit and tracked.limit.per_s for tracked in servers]
+        limits = [tracked.limit and tracked.limit.rate for tracked in servers]
         if not limits or None in limits:
             return None
         return sum(per_s or 0.0 for per_s in limits) / (len(self._peers()) + 1)
@@ -134,10 +203,10 @@
         """Return the limits in force and those withdrawn recently, for peers."""
         oldest = self._clock.seconds() - SHARE_WITHDRAWN_S
         known = [
-            (tracked.limit.heard_at, tracked)
+            (math.inf if limit.cold_per_s else limit.heard_at, tracked)
             for tracked in self._servers.all()
-            if tracked.limit is not None
-            and (tracked.limit.per_s is not None or tracked.limit.heard_at > oldest)
+            if (limit := tracked.limit) is not None
+            and (limit.rate is not None or limit.heard_at > oldest)
         ]
         known.sort(key=lambda pair: -pair[0])
         return [
@@ -147,10 +216,19 @@
 
     def apply_remote(self, hint: Any) -> None:
         """Apply the limits of a peer's exchange."""
-        self.apply_reports(msgspec.convert(hint, list[LimitReport]))
+        self._apply_reports(msgspec.convert(hint, list[LimitReport]))
 
     def apply_reports(self, reports: Iterable[LimitReport]) -> None:
-        """Apply reports of peers."""
+        """Apply reports of peers that a datagram has brought."""
+        reports = list(reports)
+        for report in reports:
+            # Old builds number no requests and tell nothing of cold servers, so that
+            # this daemon cannot rely on their reports.
+            if report.serial:
+                self.cold_turns.record_heard(DaemonId(report.daemon))
+        self._apply_reports(reports)
+
+    def _apply_reports(self, reports: Iterable[LimitReport]) -> None:
         now = self._clock.seconds()
         for report in reports:
             tracked = self._find(BackendServerId(report.server), report.started_ms)
@@ -158,10 +236,14 @@
                 continue
             sender = DaemonId(report.daemon)
             heard_at = now - report.age_ms / 1_000
+            if report.has_demand:
+                self.cold_turns.record_peer_demand(sender, tracked.entry.service)
+            self.on_peer_report(tracked, report)
             self._apply(tracked, report.per_s or None, heard_at, sender)
             if tracked.limit is not None:
-                for _ in range(report.sends):
-                    tracked.limit.record_send(sender, now)
+                limit = tracked.limit
+                for _ in range(limit.count_unseen(sender, report.serial, report.sends)):
+                    limit.record_send(sender, now)
                 self._update_turn(tracked)
 
     def _find(self, server: BackendServerId, started_ms: int) -> TrackedServer | None:
@@ -184,6 +266,9 @@
             known = tracked.limit = ServerLimit(None, heard_at)
         elif heard_at <= known.heard_at:
             return False
+        elif per_s is None and known.heard_at == -math.inf:
+            # The server was cold and has never named a limit.
+            return False
         known.heard_at = heard_at
         if per_s == known.per_s:
             return False
@@ -205,14 +290,19 @@
     def _update_turn(self, tracked: TrackedServer) -> None:
         """Set when this daemon may send to the server."""
         limit = tracked.limit
-        if limit is None or limit.per_s is None:
+        if limit is None or limit.rate is None:
             tracked.turn_at = -math.inf
             return
+        if limit.cold_per_s is not None:
+            tracked.turn_at = self.cold_turns.turn_at(
+                tracked.entry.id, tracked.entry.service, limit
+            )
+            return
         peers = self._peers()
 
         def turn(daemon: DaemonId) -> tuple[float, int]:
             last_sent_at = limit.last_sent_by_daemon.get(daemon, -math.inf)
-            return last_sent_at, _turn_order(tracked.entry.id, daemon)
+            return last_sent_at, turn_order(tracked.entry.id, daemon)
 
         own_turn = turn(self._daemon)
         rank = sum(turn(peer) < own_turn for peer in peers)
@@ -221,14 +311,17 @@
     def _build_report(self, tracked: TrackedServer, sends: int) -> LimitReport:
         limit = tracked.limit
         assert limit is not None
-        age_s = self._clock.seconds() - limit.heard_at
+        age_ms = (self._clock.seconds() - limit.heard_at) * 1_000
         return LimitReport(
             self._daemon,
             tracked.entry.id,
             tracked.entry.started_ms,
             limit.per_s or 0.0,
-            round(age_s * 1_000),
+            round(min(age_ms, NEVER_NAMED_AGE_MS)),
             sends,
+            limit.serial,
+            *self.describe_cold(tracked),
+            self.cold_turns.has_demand(tracked.entry.service),
         )
 
 
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -221,6 +221,12 @@
         self.on_down: Callable[[BackendServerId], None] = lambda server: None
         # Called when a server does not accept connections of this daemon any more.
         self.on_path_lost: Callable[[ServerEntry], None] = lambda entry: None
+        # Called when a server does so again that did not since the given time.
+        self.on_path_regained: Callable[[TrackedServer, float], None] = lambda _, s: (
+            None
+        )
+        # Called before servers are chosen from.
+        self.before_choice: Callable[[], None] = lambda: None
         # Called when a server's response broke.
         self.on_broken: Callable[[TrackedServer], None] = lambda server: None
         # Called when a server of the service may have free capacity.
@@ -247,6 +253,7 @@
 
     def of_service(self, service: ServiceId) -> list[TrackedServer]:
         """Return the servers of a service that take new requests."""
+        self.before_choice()
         return [
             tracked
             for tracked in self._by_id.values()
@@ -401,12 +408,15 @@
             tracked.unanswered[self._serial] = now
         return self._serial
 
-    def record_response_bytes(self, server: BackendServerId, serial: int) -> None:
-        """Record that response bytes have arrived."""
+    def record_response_bytes(
+        self, server: BackendServerId, serial: int, connected_at: float = math.inf
+    ) -> None:
+        """Record response bytes on a connection that was opened ``connected_at``."""
         tracked = self._by_id.get(server)
         if tracked is not None:
             tracked.unanswered.pop(serial, None)
             tracked.last_byte_at = now = self._clock.seconds()
+            tracked.path.record_bytes(connected_at, now)
             request = tracked.in_flight.get(serial)
             if request is not None:
                 request.last_byte_at = now
@@ -430,6 +440,7 @@
                 "path to server regained",
                 extra={"server": server, "after_ms": round((now - lost_at) * 1_000)},
             )
+            self.on_path_regained(tracked, lost_at)
             self._clock.callLater(0, self.on_capacity_freed, tracked.entry.service)
 
     def record_connection_failure(self, server: BackendServerId, cause: str) -> None:
--- a/src/chivesaddle/platform/documents.py
+++ b/src/chivesaddle/platform/documents.py
@@ -1,5 +1,6 @@
 """Decodes documents of the platform's store into the types of the serving packages."""
 
+import math
 import re
 from typing import Any
 
@@ -19,6 +20,7 @@
     Account,
     CallerKey,
     CallerLimitsConfig,
+    ColdStart,
     Configuration,
     EngineSpec,
     KvStore,
@@ -86,6 +88,9 @@
     link_mbps: float = 1_000.0
     # Latency before each KV transfer starts.
     first_ms: float = 0.0
+    # How long a server is cold after its start, and the requests that it takes then.
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class _Tenant(msgspec.Struct):
@@ -127,6 +132,9 @@
     version: str = ""
     # Time when the server process started, in Unix milliseconds.
     born: int = 0
+    # How long the server was still cold when the entry was written. Of any type, since
+    # an invalid value must not make the entry unusable.
+    cold_remaining_ms: Any = None
 
 
 class _WeightVersion(msgspec.Struct):
@@ -206,7 +214,10 @@
             engine.link_mbps,
             engine.max_concurrent,
         )
-    return Service(ServiceId(decoded.name), engine_figures)
+    cold_start = None
+    if decoded.cold_start_s > 0 and decoded.cold_per_s > 0:
+        cold_start = ColdStart(decoded.cold_start_s, decoded.cold_per_s)
+    return Service(ServiceId(decoded.name), engine_figures, cold_start)
 
 
 def _store(decoded: _Service, address: str) -> KvStore:
@@ -243,9 +254,22 @@
         version_by_model={ModelId(m.name): m.version for m in decoded.models},
         started_ms=decoded.born,
         software_version=SoftwareVersion(decoded.version),
+        cold_remaining_s=_seconds(decoded.cold_remaining_ms),
     )
 
 
+def _seconds(milliseconds: Any) -> float | None:
+    """Return a time of any type in seconds, NaN if it is no number."""
+    if milliseconds is None:
+        return None
+    if type(milliseconds) not in (int, float):
+        return math.nan
+    try:
+        return float(milliseconds) / 1_000
+    except OverflowError:
+        return math.inf
+
+
 def decode_weight_version(value: Any) -> TargetWeightVersion | None:
     """Decode the weight version named for a model; None if the entry is malformed."""
     try:
--- a/src/chivesaddle/platform/headers.py
+++ b/src/chivesaddle/platform/headers.py
@@ -6,6 +6,7 @@
 from chivesaddle.core.serving_model import CallerKey, PromptPartId
 from chivesaddle.forwarding.messages import (
     CallerRequest,
+    ColdTime,
     InvalidValue,
     PassOptions,
     PromptPart,
@@ -36,6 +37,8 @@
 SERVER_LIMIT = b"server-limit"
 # "1" in all responses of a server that is about to end.
 SERVER_LEAVING = b"server-leaving"
+# Milliseconds for which the server is still cold, 0 if it is not; in health responses.
+COLD = _PREFIX + b"cold-milliseconds"
 SIGNATURE = _PREFIX + b"server-signature"
 NOT_EXECUTED = _PREFIX + b"not-executed"
 CACHE_SCOPE = _PREFIX + b"cache-salt"
@@ -190,6 +193,7 @@
         passed_headers=[
             item for item in head.headers if item[0] not in _HOP_BY_HOP_HEADERS
         ],
+        cold=_parse_cold(head.get(COLD)),
     )
 
 
@@ -270,6 +274,15 @@
     return RetryAfter(seconds)
 
 
+def _parse_cold(text: str | None) -> ColdTime | InvalidValue | None:
+    if text is None:
+        return None
+    milliseconds = _parse_number(text)
+    if milliseconds is None:
+        return InvalidValue(text)
+    return ColdTime(milliseconds / 1_000)
+
+
 def _join_addresses(values: tuple[str, ...] | None) -> str | None:
     if values is None or not any(values):
         return None
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -54,6 +54,7 @@
 )
 from chivesaddle.objects import Lease, StoreEra
 from chivesaddle.placement import (
+    ColdStarts,
     RateLimits,
     ServerTable,
     SoftwareHistory,
@@ -88,6 +89,7 @@
 from chivesaddle.serving.path_probe import PathProbe
 from chivesaddle.serving.peer_paths import FleetPaths
 from chivesaddle.serving.registration import Registration
+from chivesaddle.serving.request_senders import RequestSenders
 from chivesaddle.serving.settings import ServingSettings, SettingsError
 from chivesaddle.serving.software_view import SoftwareView
 from chivesaddle.serving.store_hints import StoreHints
@@ -167,6 +169,7 @@
             self._reachability,
             self._era,
             self._server_pool.close_address,
+            lambda entry: self._cold_starts.record_entry(entry),
         )
         self._members = Members(reactor, own, self._replicas[MEMBERS_KIND])
         self._working_set = WorkingSet(reactor, self._members)
@@ -202,8 +205,16 @@
             self._servers,
             DaemonId(settings.daemon_id),
             lambda: [DaemonId(member.id) for member in self._working_set.peers()],
+            RequestSenders(reactor, self._members, self._working_set).peers,
         )
         self._limits = limits
+        self._cold_starts = ColdStarts(
+            reactor,
+            self._servers,
+            limits,
+            self._serving_state.cold_start_of,
+            lambda: self._working_set.includes_own,
+        )
         self._crashes = crashes = CrashRecord(reactor)
         self._servers.on_down = crashes.confirm
         crashes.trial_rank = self._trial_rank
@@ -388,6 +399,7 @@
         self._beacons.stop()
         self._updates.stop()
         self._crash_notices.stop()
+        self._cold_starts.stop()
         self._limit_notices.stop()
         self._stream_sharing.stop()
         self._datagrams.stop()
@@ -536,6 +548,7 @@
             )
             self.metrics.set_value("working_set", len(self._working_set.daemons()))
             self.metrics.set_value("limited_servers", self._limits.in_force())
+            self.metrics.set_value("cold_servers", self._cold_starts.count())
             self.metrics.set_value("stream_origins", len(self._origins))
             crashing_parts = self._crashes.count_crashing_parts()
             self.metrics.set_value("crashing_parts", crashing_parts)
--- a/src/chivesaddle/serving/documents.py
+++ b/src/chivesaddle/serving/documents.py
@@ -7,6 +7,7 @@
 from chivesaddle.core.ids import BackendServerId
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.core.objects import era_of
+from chivesaddle.core.serving_model import ServerEntry
 from chivesaddle.fleet import Entry, Replica, StoreReachability
 from chivesaddle.forwarding import ServingState
 from chivesaddle.objects import StoreEra
@@ -50,6 +51,8 @@
         Whether entries may be older than known ones.
     close_address : callable
         Called with the address of a server that has ended.
+    record_entry : callable
+        Called with each server entry that is applied.
     """
 
     def __init__(
@@ -61,6 +64,7 @@
         reachability: StoreReachability,
         era: StoreEra,
         close_address: Callable[[str], None],
+        record_entry: Callable[[ServerEntry], None] = lambda entry: None,
     ) -> None:
         self._clock = clock
         self._replicas = replicas
@@ -69,6 +73,7 @@
         self._reachability = reachability
         self._era = era
         self._close_address = close_address
+        self._record_entry = record_entry
         replicas[CONFIG_KIND].add_listener(self._apply_configuration)
         replicas[SERVERS_KIND].add_listener(self._apply_server_entry)
         replicas[VERSIONS_KIND].add_listener(self._apply_weight_version)
@@ -76,10 +81,16 @@
     def _apply_configuration(self, entry: Entry) -> None:
         if entry.name != CONFIG_NAME or entry.is_deleted:
             return
+        is_first = self._serving_state.configuration is None
         try:
             self._serving_state.put_configuration(decode_configuration(entry.value))
         except InvalidValue as error:
             log.error("configuration rejected", extra={"cause": str(error)})
+            return
+        if is_first:
+            # Entries that came before say how long servers are cold, too.
+            for tracked in self._servers.all():
+                self._record_entry(tracked.entry)
 
     def _apply_server_entry(self, entry: Entry) -> None:
         # Peers relay changes to daemons that make no calls to the store themselves.
@@ -97,6 +108,7 @@
                 )
                 return
             self._servers.put(server, may_be_outdated=may_be_outdated)
+            self._record_entry(server)
             return
         if not entry.is_deleted:
             log.warning("malformed server entry", extra={"server": entry.name})
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -1,7 +1,9 @@
+import math
+
 import pytest
 
 from chivesaddle.core.errors import InvalidValue
-from chivesaddle.core.serving_model import RouteKind, ServerState
+from chivesaddle.core.serving_model import ColdStart, RouteKind, ServerState
 from chivesaddle.platform import decode_configuration, decode_server
 
 SERVER = {
@@ -109,6 +111,31 @@
         assert decode_server("i-1", value) is None
 
 
+class TestColdServers:
+    @pytest.mark.parametrize(
+        "value, seconds", [(900, 0.9), (0, 0.0), (-5, -0.005), (10**400, math.inf)]
+    )
+    def test_remaining_time_is_decoded_unchecked(self, value, seconds):
+        entry = {**SERVER, "cold_remaining_ms": value}
+        assert decode_server("i-1", entry).cold_remaining_s == seconds
+
+    @pytest.mark.parametrize("value", ["900", True, [], {}])
+    def test_a_wrong_type_does_not_make_the_entry_unusable(self, value):
+        entry = {**SERVER, "cold_remaining_ms": value}
+        assert math.isnan(decode_server("i-1", entry).cold_remaining_s)
+
+    @pytest.mark.parametrize("start_s, per_s", [(0, 8.8), (3, 0), (3, -1)])
+    def test_services_without_time_or_rate_have_no_cold_period(self, start_s, per_s):
+        service = {"name": "a", "cold_start_s": start_s, "cold_per_s": per_s}
+        decoded = decode_configuration({"version": 1, "services": [service]})
+        assert decoded.services_by_id["a"].cold_start is None
+
+    def test_cold_period_is_decoded(self):
+        service = {"name": "a", "cold_start_s": 3, "cold_per_s": 8.8}
+        decoded = decode_configuration({"version": 1, "services": [service]})
+        assert decoded.services_by_id["a"].cold_start == ColdStart(3.0, 8.8)
+
+
 class TestSoftwareVersion:
     ENTRY = {
         "service": "app",
