--- a/src/chivesaddle/placement/__init__.py
+++ b/src/chivesaddle/placement/__init__.py
@@ -7,6 +7,7 @@
     ServerRequirements,
     choose,
 )
+from chivesaddle.placement.cold_start import ColdStarts
 from chivesaddle.placement.costs import estimate_cost
 from chivesaddle.placement.evacuations import Evacuations
 from chivesaddle.placement.load import Load
@@ -24,6 +25,7 @@
     "AdmissionCounts",
     "AdmissionQueue",
     "Candidate",
+    "ColdStarts",
     "Evacuations",
     "ExchangeOutcome",
     "LimitReport",
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -200,6 +200,12 @@
         self.on_down: Callable[[BackendServerId], None] = lambda server: None
         # Called when a server does not accept connections of this daemon any more.
         self.on_path_lost: Callable[[ServerEntry], None] = lambda entry: None
+        # Called when a server does so again that did not since the given time.
+        self.on_path_regained: Callable[[TrackedServer, float], None] = lambda _, s: (
+            None
+        )
+        # Called before servers are chosen from.
+        self.before_choice: Callable[[], None] = lambda: None
         # Called when a server's response broke.
         self.on_broken: Callable[[TrackedServer], None] = lambda server: None
         # Called when a server of the service may have free capacity.
@@ -232,6 +238,7 @@
 
         The result is the same object until the list of servers changes.
         """
+        self.before_choice()
         return self._index.of_service(service)
 
     def zone_by_address(self, service: ServiceId) -> Mapping[str, ZoneId]:
@@ -406,12 +413,15 @@
             tracked.unanswered[self._serial] = now
         return self._serial
 
-    def record_response_bytes(self, server: BackendServerId, serial: int) -> None:
-        """Record that response bytes have arrived."""
+    def record_response_bytes(
+        self, server: BackendServerId, serial: int, connected_at: float = math.inf
+    ) -> None:
+        """Record response bytes on a connection that was opened ``connected_at``."""
         tracked = self._by_id.get(server)
         if tracked is not None:
             tracked.unanswered.pop(serial, None)
             tracked.last_byte_at = now = self._clock.seconds()
+            tracked.path.record_bytes(connected_at, now)
             tracked.in_flight.record_bytes(serial, now)
 
     def record_first_event(self, server: BackendServerId, serial: int) -> None:
@@ -432,6 +442,7 @@
                 "path to server regained",
                 extra={"server": server, "after_ms": round((now - lost_at) * 1_000)},
             )
+            self.on_path_regained(tracked, lost_at)
             self._clock.callLater(0, self.on_capacity_freed, tracked.entry.service)
 
     def record_connection_failure(self, server: BackendServerId, cause: str) -> None:
