Apply a peer's beacon only to the servers that it names

Each beacon visited all listed servers. Servers are now found by hash, and a peer's previous load is dropped where the new beacon names none.

--- a/src/chivesaddle/placement/load.py
+++ b/src/chivesaddle/placement/load.py
@@ -113,16 +113,22 @@
         self._expire_at = math.inf
 
     def __setitem__(self, peer: str, load_until: tuple[Load, float]) -> None:
-        self.pop(peer)
-        self._by_peer[peer] = load_until
         load, until = load_until
         requests, unread_tokens, memory_tokens = self._total
+        known = self._by_peer.get(peer)
+        if known is not None:
+            previous = known[0]
+            requests -= previous.requests
+            unread_tokens -= previous.unread_tokens
+            memory_tokens -= previous.memory_tokens
+        self._by_peer[peer] = load_until
         self._total = (
             requests + load.requests,
             unread_tokens + load.unread_tokens,
             memory_tokens + load.memory_tokens,
         )
-        self._expire_at = min(self._expire_at, until)
+        if until < self._expire_at:
+            self._expire_at = until
 
     def pop(self, peer: str) -> None:
         """Remove the load of a peer, if it has any."""
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -122,7 +122,9 @@
     def unresponsive_s(self, now: float) -> float:
         """Return how long responses have been pending without any received byte."""
         for oldest_sent_at in self.unanswered.values():
-            return max(0.0, now - max(self.last_byte_at, oldest_sent_at))
+            last_byte_at = self.last_byte_at
+            since = last_byte_at if last_byte_at > oldest_sent_at else oldest_sent_at
+            return now - since if now > since else 0.0
         return 0.0
 
     @property
--- a/src/chivesaddle/serving/hints.py
+++ b/src/chivesaddle/serving/hints.py
@@ -7,7 +7,7 @@
 from chivesaddle.core.ids import BackendServerId
 from chivesaddle.fleet import ServerLoadShare
 from chivesaddle.fleet.beacons import server_hash
-from chivesaddle.placement import Load, ServerTable
+from chivesaddle.placement import Load, ServerTable, TrackedServer
 
 # Older load reports are too outdated to be useful to the receiver.
 LOAD_MAX_AGE_S = 1.5
@@ -82,6 +82,10 @@
         self._clock = clock
         self._servers = servers
         self._loading_servers = loading
+        self._ids_by_hash: dict[int, list[BackendServerId]] = {}
+        self._ids_version = -1
+        # Hashes of the servers on which each peer has load.
+        self._loaded_by_peer: dict[str, set[int]] = {}
 
     def collect(self) -> tuple[list[ServerLoadShare], list[int]]:
         """Return this daemon's load shares, and hashes of servers loading weights."""
@@ -112,17 +116,30 @@
     ) -> None:
         """Replace a peer's load shares; it has no load on servers not listed."""
         expires_at = self._clock.seconds() + valid_s
+        for hashed_id in set(loading):
+            for server in self._find(hashed_id):
+                self._servers.record_busy(server.entry.id)
         shares_by_server = {share.server: share for share in shares}
-        for tracked in self._servers.all():
-            hashed_id = server_hash(tracked.entry.id)
-            if hashed_id in loading:
-                self._servers.record_busy(tracked.entry.id)
-            share = shares_by_server.get(hashed_id)
-            if share is None:
-                tracked.peer_loads.pop(peer)
-                continue
+        previous = self._loaded_by_peer.get(peer, set())
+        self._loaded_by_peer[peer] = set(shares_by_server)
+        for hashed_id in previous - shares_by_server.keys():
+            for server in self._find(hashed_id):
+                server.peer_loads.pop(peer)
+        for hashed_id, share in shares_by_server.items():
             load = Load(share.requests, share.unread_tokens, share.memory_tokens)
-            tracked.peer_loads[peer] = (load, expires_at)
+            for server in self._find(hashed_id):
+                server.peer_loads[peer] = (load, expires_at)
+
+    def _find(self, hashed_id: int) -> list[TrackedServer]:
+        """Return the listed servers whose id has the hash, normally one or none."""
+        if self._ids_version != self._servers.version:
+            self._ids_version = self._servers.version
+            self._ids_by_hash.clear()
+            for tracked in self._servers.all():
+                id = tracked.entry.id
+                self._ids_by_hash.setdefault(server_hash(id), []).append(id)
+        found = [self._servers.get(id) for id in self._ids_by_hash.get(hashed_id, ())]
+        return [server for server in found if server is not None]
 
 
 __all__ = ["LeavingHints", "LoadHints", "ServerLoadShares"]
