--- a/tests/serving/test_settings.py
+++ b/tests/serving/test_settings.py
@@ -81,6 +81,7 @@
         "limits.cpu_share": 0.5,
         "limits.cores": 1,
         "limits.link_mbps": 100,
+        "contracts": ["base", "drain"],
     }
 
     def render(self, **values):
@@ -109,6 +110,7 @@
     ):
         settings = ServingSettings.from_config(write_settings(self.render(**values)))
         assert settings.bounds.evacuation_s == evacuation_s
+        assert settings.contracts == ["base", "drain"]
 
 
 class TestCapacity:
