Avoid servers whose machines are slow by their work times

Cause: 15 % of the servers run 2.5 times slower for 600 ms at a time and say so in the fourth figure of the load header, which was decoded and not used.

Change: ServerSpeed keeps the newest figure and the share of slow ones; the choice multiplies the load by the expected factor and adds 40 ms x (factor - 1). The share loses its weight over 5 s without reports, so that an avoided server is tried again. Servers without the figure have the same rank as before.

--- a/src/chivesaddle/forwarding/exchange.py
+++ b/src/chivesaddle/forwarding/exchange.py
@@ -155,7 +155,10 @@
         self._servers.record_response_bytes(self._server.id, serial)
         if response.load is not None:
             self._servers.record_load(
-                self._server.id, response.load.running, response.load.waiting
+                self._server.id,
+                response.load.running,
+                response.load.waiting,
+                work_time_percent=response.load.work_time_percent,
             )
         self._check_response(request, response)
         return response
--- a/src/chivesaddle/forwarding/request_context.py
+++ b/src/chivesaddle/forwarding/request_context.py
@@ -131,6 +131,8 @@
             "known": asdict(candidate.load),
             "load_age_ms": round(load_age_s * 1_000),
         }
+        if candidate.speed_factor is not None:
+            fields["speed_factor"] = round(candidate.speed_factor, 2)
         if self.first_event_at is not None:
             fields["first_ms"] = round((self.first_event_at - self.received_at) * 1_000)
         fields |= self.response_fields()
--- a/src/chivesaddle/placement/choice.py
+++ b/src/chivesaddle/placement/choice.py
@@ -40,6 +40,10 @@
 BUSY_PENALTY_MS = 800.0
 # A request that starts on an older weight version loses a fifth of its value.
 OLDER_WEIGHTS_PENALTY_MS = 400.0
+# Penalty for a server on which work takes twice as long, proportionally for others: a
+# first event takes about 40 ms on an idle server, of a target of some hundred ms. A
+# server that is 2.5 times slower loses 60 ms.
+SLOW_SERVER_PENALTY_MS = 40.0
 
 # Takes the server, the weight version, and whether the server is the preferred one.
 PlanPrompt = Callable[[TrackedServer, int, bool], PromptPlan]
@@ -104,6 +108,9 @@
         allows one.
     candidate_count : int
         Number of servers that can run the request, including this one.
+    speed_factor : float or None
+        How much longer than usual work was expected to take on the server; None if it
+        reports no work times.
     """
 
     server: TrackedServer
@@ -113,6 +120,7 @@
     load: Load
     has_capacity: bool = True
     candidate_count: int = 1
+    speed_factor: float | None = None
 
 
 def choose(
@@ -148,14 +156,16 @@
         )
         version = available_servers[rank[3]].version_by_model[requirements.model]
     is_unavailable, predicted_ms, _, number = rank
+    server = available_servers[number]
     return Candidate(
-        available_servers[number],
+        server,
         version,
         predicted_ms,
         plan,
         Load(*load),
         not is_unavailable,
         len(available_servers),
+        None if server.speed is None else server.speed.expected_factor(now),
     )
 
 
@@ -276,6 +286,10 @@
                 # A request larger than any server's memory goes to an idle server.
                 is_unavailable = is_unavailable or used_tokens != 0
             is_unavailable = is_unavailable or is_busy or requests >= entry.slots
+        if server.speed is not None:
+            factor = server.speed.expected_factor(now)
+            load_ms *= factor
+            penalty_ms += SLOW_SERVER_PENALTY_MS * (factor - 1.0)
         rank = (is_unavailable, load_ms + memory_ms + penalty_ms, entry.id, number)
         estimates.append((rank, (load_ms, memory_ms, penalty_ms), load))
     return estimates
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -20,6 +20,7 @@
 from chivesaddle.placement.paths import ServerPath
 from chivesaddle.placement.server_index import ServerIndex
 from chivesaddle.placement.server_limit import ServerLimit
+from chivesaddle.placement.speed import ServerSpeed, with_report
 
 # Consecutive failures after which a server is ejected. The duration of the ejection
 # doubles with each further failure.
@@ -89,6 +90,8 @@
         Requests that the server last reported, as of ``load_at``.
     path : ServerPath
         Whether this daemon can open connections to the server.
+    speed : ServerSpeed or None
+        Speed of the server, if it has reported any work time.
     """
 
     entry: ServerEntry
@@ -113,6 +116,7 @@
         default_factory=OrderedDict
     )
     path: ServerPath = field(default_factory=ServerPath)
+    speed: ServerSpeed | None = None
 
     @property
     def closed_until(self) -> float:
@@ -472,7 +476,12 @@
             self.on_down(unreachable.entry.id)
 
     def record_load(
-        self, server: BackendServerId, running: int, waiting: int, age_s: float = 0.0
+        self,
+        server: BackendServerId,
+        running: int,
+        waiting: int,
+        age_s: float = 0.0,
+        work_time_percent: int | None = None,
     ) -> None:
         """Record a server's load report unless a newer one is known."""
         tracked = self._by_id.get(server)
@@ -481,6 +490,7 @@
             tracked.running = running
             tracked.waiting = waiting
             tracked.load_at = at
+            tracked.speed = with_report(tracked.speed, work_time_percent, at)
 
     def record_leaving(
         self, server: BackendServerId, started_ms: int, source: str
--- a/tests/placement/test_choice_reference.py
+++ b/tests/placement/test_choice_reference.py
@@ -55,6 +55,7 @@
         self.confirmed = {}  # holder: at
         self.parts_sent = {}  # server, key: at
         self.saves = {}  # key: until
+        self.work_times = {}  # server: [(at, percent)]
 
     def load(self, server):
         now, id = self.clock.seconds(), server.entry.id
@@ -85,6 +86,22 @@
             return 0.0
         return max(0.0, self.clock.seconds() - max(server.last_byte_at, min(pending)))
 
+    def slowness(self, server):
+        """Return the expected factor from all reports, each weighed by itself."""
+        reports = self.work_times.get(server.entry.id)
+        if not reports:
+            return 1.0
+        now, (newest_at, newest) = self.clock.seconds(), reports[-1]
+        weights = [0.5 ** ((newest_at - at) / 10.0) for at, _ in reports]
+        slow = [(w, p) for w, (_, p) in zip(weights, reports, strict=True) if p >= 150]
+        usual = 1.0
+        if slow:
+            share = sum(w for w, _ in slow) / (sum(weights) + 3.0)
+            mean = sum(w * p / 100 for w, p in slow) / sum(w for w, _ in slow)
+            usual += share * (mean - 1.0) * max(0.0, 1.0 - (now - newest_at) / 5.0)
+        weight = max(0.0, 1.0 - (now - newest_at) / 0.6)
+        return weight * newest / 100 + (1.0 - weight) * usual
+
     def tokens(self, holder, key):
         age_s = self.clock.seconds() - self.confirmed.get(holder, -math.inf)
         return self.cached.get((holder, key), 0) if self.knows(holder, age_s) else 0
@@ -187,10 +204,13 @@
         if s.entry.zone != "a":
             penalty += choice.OTHER_ZONE_PENALTY_MS
             penalty += choice.OTHER_ZONE_PENALTY_MS_PER_KB * need.body_bytes / 1_000
+        factor = self.slowness(s)
+        penalty += choice.SLOW_SERVER_PENALTY_MS * (factor - 1.0)
         if need.model is None:
             queued = max(0, load.requests + 1 - s.entry.slots)
             work = choice.QUEUED_REQUEST_MS * queued
             work += choice.RUNNING_REQUEST_MS * load.requests
+            work *= factor
             return s.entry.id, None, work + penalty, None, load, closed_until <= now
         version = s.version_by_model[need.model]
         if version < need.target_version:
@@ -201,7 +221,9 @@
         plan = self.plan(parts, str(version), s, is_preferred, servers, stores)
         per_ms = rules.PREFILL_TOKENS_PER_MS
         work = choice.PREFILL_WEIGHT * plan.read_tokens / per_ms + plan.transfer_ms
-        work += load.unread_tokens / per_ms + choice.RUNNING_REQUEST_MS * load.requests
+        load_ms = load.unread_tokens / per_ms
+        load_ms += choice.RUNNING_REQUEST_MS * load.requests
+        work += factor * load_ms
         capacity = need.server_memory_tokens
         excess = load.memory_tokens + need.memory_tokens - capacity
         has_memory = excess <= 0 or load.memory_tokens == 0
@@ -215,7 +237,8 @@
 class World:
     """A daemon's own state beside the reference, changed by the same random events."""
 
-    def __init__(self, seed, server_count):
+    def __init__(self, seed, server_count, reports_work_times=False):
+        self.reports_work_times = reports_work_times
         self.rng = random.Random(seed)
         self.clock = Clock()
         self.clock.advance(100)
@@ -260,6 +283,7 @@
     def forget(self, id):
         reference = self.reference
         reference.sent = {n: s for n, s in reference.sent.items() if s[0] != id}
+        reference.work_times.pop(id, None)
         for facts in (reference.peers, reference.parts_sent):
             for key in [key for key in facts if key[0] == id]:
                 del facts[key]
@@ -314,7 +338,14 @@
                 tracked.record_sent_parts("2", [part], now)
                 reference.parts_sent[id, key] = now
             case 16:
-                self.table.record_load(id, rng.randrange(6), 0, rng.choice([0, 1]))
+                running, age_s = rng.randrange(6), rng.choice([0, 1])
+                percent = None
+                if self.reports_work_times:
+                    percent = rng.choice([None, 100, 130, 250, 900])
+                if percent and tracked is not None and now - age_s > tracked.load_at:
+                    report = (now - age_s, min(percent, 400))
+                    reference.work_times.setdefault(id, []).append(report)
+                self.table.record_load(id, running, 0, age_s, percent)
                 if rng.random() < 0.5:
                     self.table.record_connection_failure(id, "refused")
                 else:
@@ -386,6 +417,10 @@
                 found.has_capacity,
                 found.candidate_count,
             )
+        if found is not None and self.reports_work_times:
+            # The sums of both have other rounding errors.
+            assert math.isclose(found[2], expected[2], abs_tol=1e-6)
+            found = (*found[:2], expected[2], *found[3:])
         assert found == expected
         if found is not None and found[3] is not None and rng.random() < 0.2:
             self.transfers.record_saves(parts, str(found[1]), found[3])
@@ -398,7 +433,16 @@
 @settings(derandomize=True, max_examples=150, deadline=None)
 @given(seed=st.integers(0, 2**32), server_count=st.integers(3, 9))
 def test_choice_is_that_of_weighing_every_server_in_full(seed, server_count):
-    world = World(seed, server_count)
+    compare_choices(World(seed, server_count))
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(seed=st.integers(0, 2**32), server_count=st.integers(3, 9))
+def test_choice_weighs_reported_work_times(seed, server_count):
+    compare_choices(World(seed, server_count, reports_work_times=True))
+
+
+def compare_choices(world):
     for _ in range(60):
         for _ in range(world.rng.choice([1, 4, 20])):
             world.change()
