Remove a slot that nothing sets, and say what an evacuation stops

Read again as a whole: the cost of a request for its account was computed for each request where accounts have no shares, which ignore it; a part of a prompt had a slot that is never set; and the design page and the module said that KV transfers from an evacuated zone go on, while its servers are left out of the sources that requests are told of.

Behaviour is unchanged.

--- a/src/chivesaddle/cachemap/transfers.py
+++ b/src/chivesaddle/cachemap/transfers.py
@@ -65,7 +65,7 @@
 class _Part:
     """A shared part of a prompt in one cache scope, and what is known of it."""
 
-    __slots__ = ("fetchable", "holders", "id", "min_held_tokens", "sources", "tokens")
+    __slots__ = ("holders", "id", "min_held_tokens", "sources", "tokens")
 
     def __init__(
         self,
--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -443,6 +443,9 @@
         return queue
 
     def _estimate_cost(self, context: RequestContext) -> float:
+        """Return the cost of a request for its account in seconds, 1 without shares."""
+        if not self._shares_by_account:
+            return 1.0
         request = context.request
         return estimate_cost(
             request.parts[-1].tokens if request.parts else request.prompt_tokens,
--- a/src/chivesaddle/placement/evacuations.py
+++ b/src/chivesaddle/placement/evacuations.py
@@ -1,6 +1,7 @@
 """Availability zones whose servers get no new requests, as the operators ask.
 
-Runs in progress, weight orders, cache event reads and KV transfers continue.
+Runs in progress, weight orders and cache event reads continue. Requests at other
+servers are not told to fetch KV cache from these servers.
 """
 
 from collections.abc import Callable, Iterable
