Find paths on which connections open but no byte arrives

Cause: a path counts as reached as soon as a connection is accepted. If something between the daemon and the servers accepts connections and drops their bytes, requests wait for their deadlines and are never passed on.

A daemon now takes all paths to a service as lost if no server of it sent a byte for 0.7 s while three requests wait as long, a peer reports that the service just answered it, and two health requests are not answered within 0.25 s. Any byte ends that; two servers are asked twice a second. The peers' reports keep daemons from giving up servers that have all stopped for a moment; health requests keep a daemon with few and slow requests from it. Beacons have one more field, which older builds ignore; services without a health path are not judged.

--- a/src/chivesaddle/core/serving_model.py
+++ b/src/chivesaddle/core/serving_model.py
@@ -147,11 +147,13 @@
     """A group of backend servers that serve the same requests.
 
     ``cold_start`` is None if the servers take any number of requests at once.
+    ``health_path`` is the target of health requests, None if the servers answer none.
     """
 
     id: ServiceId
     engine: EngineSpec | None
     cold_start: ColdStart | None = None
+    health_path: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chivesaddle/fleet/beacons.py
+++ b/src/chivesaddle/fleet/beacons.py
@@ -77,6 +77,8 @@
         Hashes of servers that accept no connection of the sender.
     is_cut_off : bool
         Whether the sender reaches no server, while another daemon does.
+    answering : list of int
+        Hashes of the services whose servers have just sent bytes to the sender.
     """
 
     daemon: str
@@ -91,6 +93,7 @@
     reaches_store: bool = True
     lost: list[int] = []
     is_cut_off: bool = False
+    answering: list[int] = []
 
 
 @functools.lru_cache(maxsize=4_096)
@@ -123,6 +126,9 @@
         The second value is whether it reaches none, while another daemon does.
         """
 
+    def answering_services(self) -> list[int]:
+        """Return hashes of the services that have just sent bytes to this daemon."""
+
 
 class BeaconReceiver(Protocol):
     """What a daemon does with the beacons of others."""
@@ -147,6 +153,9 @@
     ) -> None:
         """Replace the servers that a peer does not reach."""
 
+    def apply_answering_services(self, services: Sequence[int]) -> None:
+        """Record the services that send bytes to a peer."""
+
 
 class Beacons:
     """Sends this daemon's beacons and applies those of its peers.
@@ -228,6 +237,7 @@
             beacon.daemon, beacon.shares, beacon.loading, valid_s
         )
         self._receiver.apply_lost_servers(beacon.daemon, beacon.lost, valid_s)
+        self._receiver.apply_answering_services(beacon.answering)
         if beacon.is_working:
             self._receiver.observe_store(beacon.daemon, beacon.reaches_store)
         version, age_ms = beacon.lease
@@ -291,6 +301,7 @@
             self._source.demand(),
             self._source.reaches_store(),
             *self._source.lost_servers(),
+            self._source.answering_services(),
         )
 
 
--- a/src/chivesaddle/forwarding/serving_state.py
+++ b/src/chivesaddle/forwarding/serving_state.py
@@ -41,6 +41,12 @@
         known = configuration and configuration.services_by_id.get(service)
         return known.cold_start if known else None
 
+    def health_path(self, service: ServiceId) -> str | None:
+        """Return the target of health requests to a service, None if it has none."""
+        configuration = self.configuration
+        known = configuration and configuration.services_by_id.get(service)
+        return known.health_path if known else None
+
     def put_configuration(self, configuration: Configuration) -> None:
         """Apply a configuration if it is newer than the current one."""
         known = self.configuration
--- a/src/chivesaddle/placement/paths.py
+++ b/src/chivesaddle/placement/paths.py
@@ -21,6 +21,9 @@
     ----------
     lost_at : float or None
         When the path was lost, None while it is usable.
+    awaits_bytes : bool
+        Whether connections still open on the lost path, so that only bytes show that it
+        is usable again.
     connected_at, failed_at : float
         When a connection was last opened, and when it last could not be opened.
     up_since, up_until : float
@@ -28,6 +31,7 @@
     """
 
     lost_at: float | None = None
+    awaits_bytes: bool = False
     connected_at: float = -math.inf
     failed_at: float = -math.inf
     up_since: float = math.inf
@@ -54,7 +58,7 @@
     def record_connected(self, now: float) -> bool:
         """Record that a connection was opened; return whether the path is regained."""
         self.connected_at = now
-        if self.lost_at is None:
+        if self.lost_at is None or self.awaits_bytes:
             return False
         self._connections_needed -= 1
         if self._connections_needed > 0:
@@ -62,6 +66,20 @@
         self.lost_at, self._regained_at = None, now
         return True
 
+    def record_silence(self, now: float) -> bool:
+        """Record that no byte arrives; return whether the path is lost now."""
+        if self.lost_at is not None:
+            return False
+        self.lost_at, self.awaits_bytes = now, True
+        return True
+
+    def record_answer(self, now: float) -> bool:
+        """Record bytes after a silence; return whether the path is regained."""
+        if not self.awaits_bytes:
+            return False
+        self.lost_at, self.awaits_bytes, self._regained_at = None, False, now
+        return True
+
     def record_failure(self, now: float) -> bool:
         """Record that no connection could be opened; return whether it is lost now."""
         self.failed_at = now
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -428,6 +428,8 @@
             tracked.unanswered.pop(serial, None)
             tracked.last_byte_at = now = self._clock.seconds()
             tracked.path.record_bytes(connected_at, now)
+            if tracked.path.awaits_bytes:
+                self.record_answer(server)
             tracked.in_flight.record_bytes(serial, now)
 
     def record_first_event(self, server: BackendServerId, serial: int) -> None:
@@ -441,25 +443,46 @@
         tracked = self._by_id.get(server)
         if tracked is None:
             return
-        now = self._clock.seconds()
         lost_at = tracked.path.lost_at
-        if tracked.path.record_connected(now) and lost_at is not None:
-            log.info(
-                "path to server regained",
-                extra={"server": server, "after_ms": round((now - lost_at) * 1_000)},
-            )
-            self.on_path_regained(tracked, lost_at)
-            self._clock.callLater(0, self.on_capacity_freed, tracked.entry.service)
+        if tracked.path.record_connected(self._clock.seconds()):
+            self._report_regained(tracked, lost_at)
+
+    def record_answer(self, server: BackendServerId) -> None:
+        """Record that the server sent a byte, or another one of its silent service."""
+        tracked = self._by_id.get(server)
+        if tracked is None:
+            return
+        lost_at = tracked.path.lost_at
+        if tracked.path.record_answer(self._clock.seconds()):
+            self._report_regained(tracked, lost_at)
+
+    def _report_regained(self, tracked: TrackedServer, lost_at: float | None) -> None:
+        assert lost_at is not None
+        after_s = self._clock.seconds() - lost_at
+        log.info(
+            "path to server regained",
+            extra={"server": tracked.entry.id, "after_ms": round(after_s * 1_000)},
+        )
+        self.on_path_regained(tracked, lost_at)
+        self._clock.callLater(0, self.on_capacity_freed, tracked.entry.service)
 
     def record_connection_failure(self, server: BackendServerId, cause: str) -> None:
         """Record that this daemon could not open a connection to the server."""
         tracked = self._by_id.get(server)
-        if tracked is None or not tracked.path.record_failure(self._clock.seconds()):
-            return
+        if tracked is not None and tracked.path.record_failure(self._clock.seconds()):
+            self._report_lost(tracked, cause)
+
+    def record_silent_path(self, server: BackendServerId) -> None:
+        """Record that no byte of the server arrives although connections open."""
+        tracked = self._by_id.get(server)
+        if tracked is not None and tracked.path.record_silence(self._clock.seconds()):
+            self._report_lost(tracked, "no byte arrives")
+
+    def _report_lost(self, tracked: TrackedServer, cause: str) -> None:
         log.warning(
             "path to server lost",
             extra={
-                "server": server,
+                "server": tracked.entry.id,
                 "cause": cause,
                 "in_flight": len(tracked.in_flight),
                 "lost": len(self.lost_servers()),
--- a/src/chivesaddle/platform/documents.py
+++ b/src/chivesaddle/platform/documents.py
@@ -82,6 +82,7 @@
 class _Service(msgspec.Struct):
     name: str
     engine: _Engine | None = None
+    health_path: str | None = None
     # Set only for a KV store, which has no entries in the list of backend servers.
     kv_store_address: str | None = None
     zone: str = ""
@@ -219,7 +220,10 @@
     cold_start = None
     if decoded.cold_start_s > 0 and decoded.cold_per_s > 0:
         cold_start = ColdStart(decoded.cold_start_s, decoded.cold_per_s)
-    return Service(ServiceId(decoded.name), engine_figures, cold_start)
+    health_path = decoded.health_path
+    if health_path is not None and not health_path.startswith("/"):
+        health_path = None
+    return Service(ServiceId(decoded.name), engine_figures, cold_start, health_path)
 
 
 def _store(decoded: _Service, address: str) -> KvStore:
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -89,6 +89,7 @@
 from chivesaddle.serving.registration import Registration
 from chivesaddle.serving.request_senders import RequestSenders
 from chivesaddle.serving.settings import ServingSettings, SettingsError
+from chivesaddle.serving.silent_paths import SilentPaths
 from chivesaddle.serving.software_view import SoftwareView
 from chivesaddle.serving.store_hints import StoreHints
 from chivesaddle.serving.stream_sharing import StreamSharing
@@ -174,6 +175,12 @@
             reactor, self._members, self._working_set, self._servers
         )
         self._path_probe = PathProbe(reactor, self._servers, self._server_pool)
+        self._silent_paths = SilentPaths(
+            reactor,
+            self._servers,
+            self._server_pool,
+            self._serving_state.health_path,
+        )
         self._servers.on_path_lost = self._give_up_connections
         self._servers.on_broken = self._path_probe.check
         watch_role = WatchRole(reactor, self._members, self._working_set)
@@ -289,6 +296,7 @@
             self._reachability,
             watch_role,
             self._paths,
+            self._silent_paths,
         )
         self._beacons = Beacons(
             reactor, self._members, self._working_set, self._datagrams, content, content
@@ -362,6 +370,7 @@
         self._registration.start()
         self._rollout.start()
         self._path_probe.start()
+        self._silent_paths.start()
         start(self._run_housekeeping()).addErrback(
             log_failure(log, "housekeeping ended")
         )
@@ -396,6 +405,7 @@
         self._exchange.stop()
         self._feeds.stop()
         self._path_probe.stop()
+        self._silent_paths.stop()
         self._beacons.stop()
         self._updates.stop()
         self._crash_notices.stop()
@@ -562,6 +572,9 @@
             self.metrics.set_value("lost_paths", len(self._servers.lost_servers()))
             self.metrics.set_value("is_cut_off", self._paths.is_cut_off)
             self.metrics.set_value("path_probes", self._path_probe.probes)
+            self.metrics.set_value(
+                "health_requests", self._silent_paths.health_requests_sent
+            )
             self.metrics.set_value("in_flight", self._caller_listener.in_flight)
             self.metrics.set_value("callers", len(self._caller_listener.connections))
 
--- a/src/chivesaddle/serving/beacon_content.py
+++ b/src/chivesaddle/serving/beacon_content.py
@@ -10,6 +10,7 @@
 )
 from chivesaddle.serving.hints import ServerLoadShares
 from chivesaddle.serving.peer_paths import FleetPaths
+from chivesaddle.serving.silent_paths import SilentPaths
 from chivesaddle.weights import Rollout
 
 
@@ -30,6 +31,8 @@
         Receives the same of others.
     paths : FleetPaths
         Which daemon reaches which servers.
+    silent_paths : SilentPaths
+        Services of which this daemon gets no byte while others do.
     """
 
     def __init__(
@@ -40,6 +43,7 @@
         reachability: StoreReachability,
         watch_role: WatchRole,
         paths: FleetPaths,
+        silent_paths: SilentPaths,
     ) -> None:
         self._shares = shares
         self._rollout = rollout
@@ -47,6 +51,7 @@
         self._reachability = reachability
         self._watch_role = watch_role
         self._paths = paths
+        self._silent_paths = silent_paths
 
     def load_shares(self) -> tuple[list[ServerLoadShare], list[int]]:
         """Return load shares, and hashes of servers loading weights on its order."""
@@ -74,6 +79,14 @@
         """Replace the servers that a peer does not reach."""
         self._paths.apply_lost_servers(peer, lost, valid_s)
 
+    def answering_services(self) -> list[int]:
+        """Return hashes of the services that have just sent bytes to this daemon."""
+        return self._silent_paths.answering_services()
+
+    def apply_answering_services(self, services: Sequence[int]) -> None:
+        """Record the services that send bytes to a peer."""
+        self._silent_paths.apply_answering_services(services)
+
     def apply_shares(
         self,
         peer: str,
--- a/src/chivesaddle/serving/path_probe.py
+++ b/src/chivesaddle/serving/path_probe.py
@@ -86,7 +86,7 @@
             del self._probed_at_by_address[address]
         now = self._clock.seconds()
         for server in self._servers.all():
-            is_lost = server.path.lost_at is not None
+            is_lost = server.path.lost_at is not None and not server.path.awaits_bytes
             is_silent = server.unresponsive_s(now) >= MAX_SILENCE_S
             is_silent = is_silent and now - server.path.connected_at >= MAX_SILENCE_S
             if is_lost or is_silent:
--- /dev/null
+++ b/src/chivesaddle/serving/silent_paths.py
@@ -0,0 +1,212 @@
+"""Finds services whose servers accept connections of this daemon, but send no byte.
+
+Something between the daemon and the servers may accept connections and drop what is
+sent on them. Requests then wait for their deadlines, while other daemons are answered.
+"""
+
+import math
+import random
+from collections.abc import Callable, Collection, Sequence
+
+from twisted.internet.defer import Deferred
+
+from chivesaddle.core.aio import Clock, log_failure, sleep_until, start
+from chivesaddle.core.ids import ServiceId
+from chivesaddle.core.logs import ComponentLogger
+from chivesaddle.fleet.beacons import server_hash
+from chivesaddle.http1 import ConnectionPool, NotSent, ResponseBroken, exchange
+from chivesaddle.placement import ServerTable, TrackedServer
+
+INTERVAL_S = 0.1
+# No server of a service may have sent a byte for this long, and as many requests must
+# have waited as long, before its servers are asked for their health.
+SILENCE_S = 0.7
+MIN_UNANSWERED_REQUESTS = 3
+# A peer reports a service that sent it a byte within this time, and the report counts
+# for this time. The sum is below `SILENCE_S`, so that no report from before all servers
+# stopped for a moment counts once they are silent.
+HEARD_WITHIN_S = 0.2
+REPORT_LIFETIME_S = 0.45
+# Silent services are asked at this interval, at so many servers.
+HEALTH_INTERVAL_S = 0.5
+HEALTH_REQUESTS = 2
+HEALTH_TIMEOUT_S = 0.25
+
+log = ComponentLogger("paths")
+
+
+def is_silent(servers: Sequence[TrackedServer], now: float) -> bool:
+    """Return whether requests to the servers wait, and none sent a byte lately."""
+    since = now - SILENCE_S
+    if any(server.last_byte_at > since for server in servers):
+        return False
+    waiting = sum(
+        sent_at <= since for server in servers for sent_at in server.unanswered.values()
+    )
+    return waiting >= MIN_UNANSWERED_REQUESTS
+
+
+class SilentPaths:
+    """Judges the paths to all servers of a service as lost, and as regained.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of all times.
+    servers : ServerTable
+        Servers and paths.
+    pool : ConnectionPool
+        Connections to servers.
+    health_path : callable
+        Returns the target of a service's health requests, or None if it has none; its
+        paths are not judged then.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        servers: ServerTable,
+        pool: ConnectionPool,
+        health_path: Callable[[ServiceId], str | None],
+    ) -> None:
+        self._clock = clock
+        self._servers = servers
+        self._pool = pool
+        self._health_path = health_path
+        self._random = random.Random()
+        # By the hash of a service: until when a peer's report that it answers counts.
+        self._answers_until: dict[int, float] = {}
+        self._asked_at_by_service: dict[ServiceId, float] = {}
+        # When a server of the service last answered a health request.
+        self._answered_at_by_service: dict[ServiceId, float] = {}
+        self._asking: set[Deferred[None]] = set()
+        self._loop: Deferred[None] | None = None
+        self.health_requests_sent = 0
+
+    def start(self) -> None:
+        """Start judging."""
+        self._loop = start(self._run())
+        self._loop.addErrback(log_failure(log, "search for silent paths ended"))
+
+    def stop(self) -> None:
+        """Stop judging."""
+        if self._loop is not None:
+            self._loop.cancel()
+        for asking in list(self._asking):
+            asking.cancel()
+
+    def answering_services(self) -> list[int]:
+        """Return the hashes of the services that sent this daemon a byte just now."""
+        since = self._clock.seconds() - HEARD_WITHIN_S
+        answering = {
+            server.entry.service
+            for server in self._servers.all()
+            if server.last_byte_at > since
+        }
+        return sorted(server_hash(service) for service in answering)
+
+    def apply_answering_services(self, services: Collection[int]) -> None:
+        """Record the services that send bytes to a peer."""
+        until = self._clock.seconds() + REPORT_LIFETIME_S
+        for service in services:
+            self._answers_until[service] = until
+
+    async def _run(self) -> None:
+        while True:
+            await sleep_until(self._clock, self._clock.seconds() + INTERVAL_S)
+            self._check()
+
+    def _check(self) -> None:
+        now = self._clock.seconds()
+        answering = {s for s, until in self._answers_until.items() if until > now}
+        self._answers_until = {s: self._answers_until[s] for s in answering}
+        for service, servers in self._servers_by_service().items():
+            health_path = self._health_path(service)
+            if health_path is None:
+                continue
+            if any(server.path.awaits_bytes for server in servers):
+                self._ask_if_due(service, health_path)
+                continue
+            reached = [server for server in servers if server.path.lost_at is None]
+            answered_at = self._answered_at_by_service.get(service, -math.inf)
+            if (
+                server_hash(service) in answering
+                and answered_at <= now - SILENCE_S
+                and is_silent(reached, now)
+            ):
+                self._ask_if_due(service, health_path)
+
+    def _servers_by_service(self) -> dict[ServiceId, list[TrackedServer]]:
+        servers_by_service: dict[ServiceId, list[TrackedServer]] = {}
+        for server in self._servers.all():
+            servers_by_service.setdefault(server.entry.service, []).append(server)
+        return servers_by_service
+
+    def _of_service(self, service: ServiceId) -> list[TrackedServer]:
+        return [s for s in self._servers.all() if s.entry.service == service]
+
+    def _ask_if_due(self, service: ServiceId, health_path: str) -> None:
+        now = self._clock.seconds()
+        if now - self._asked_at_by_service.get(service, -math.inf) < HEALTH_INTERVAL_S:
+            return
+        self._asked_at_by_service[service] = now
+        asking = start(self._ask(service, health_path))
+        self._asking.add(asking)
+        asking.addErrback(log_failure(log, "health requests failed"))
+        asking.addBoth(lambda _: self._asking.discard(asking))
+
+    async def _ask(self, service: ServiceId, health_path: str) -> None:
+        """Judge the paths to a service by whether one of its servers answers at all."""
+        servers = self._of_service(service)
+        asked = self._random.sample(servers, min(HEALTH_REQUESTS, len(servers)))
+        requests = [
+            start(self._request_health(server, health_path)) for server in asked
+        ]
+        try:
+            answers = [await request for request in requests]
+        finally:
+            for request in requests:
+                request.cancel()
+        if any(answers):
+            self._answered_at_by_service[service] = self._clock.seconds()
+            for server in self._of_service(service):
+                self._servers.record_answer(server.entry.id)
+            return
+        reached = [s for s in self._of_service(service) if s.path.lost_at is None]
+        if is_silent(reached, self._clock.seconds()):
+            self._record_silent(service, reached)
+
+    async def _request_health(self, server: TrackedServer, health_path: str) -> bool:
+        """Return whether the server responds, whatever it responds."""
+        self.health_requests_sent += 1
+        address = server.entry.address
+        deadline = self._clock.seconds() + HEALTH_TIMEOUT_S
+        try:
+            await exchange(
+                self._pool, self._clock, address, "GET", health_path, deadline=deadline
+            )
+        except (NotSent, ResponseBroken) as error:
+            log.debug(
+                "no answer to health request",
+                extra={"server": server.entry.id, "cause": error.message},
+            )
+            return False
+        return True
+
+    def _record_silent(
+        self, service: ServiceId, servers: Sequence[TrackedServer]
+    ) -> None:
+        log.warning(
+            "service silent",
+            extra={
+                "service": service,
+                "servers": len(servers),
+                "unanswered": sum(len(server.unanswered) for server in servers),
+                "silent_for_ms": round(SILENCE_S * 1_000),
+            },
+        )
+        for server in servers:
+            self._servers.record_silent_path(server.entry.id)
+
+
+__all__ = ["SilentPaths", "is_silent"]
--- a/src/chivesaddle/tools/platform_fleet.py
+++ b/src/chivesaddle/tools/platform_fleet.py
@@ -125,7 +125,7 @@
         value = {
             "version": self._version,
             "routes": self._routes,
-            "services": [{"name": SERVICE}],
+            "services": [{"name": SERVICE, "health_path": "/health"}],
             "tenants": [{"name": "acme", "keys": [API_KEY]}],
         }
         self._put_object("config", "main", value)
--- a/src/chivesaddle/tools/soak/proxy.py
+++ b/src/chivesaddle/tools/soak/proxy.py
@@ -15,6 +15,8 @@
     DELAY = "delay"
     # Open connections are reset when the mode is set, and new ones when accepted.
     RESET = "reset"
+    # New connections are accepted, and no byte passes on them or on open ones.
+    HANG = "hang"
     # Bytes to the daemon are dropped; those to the fake pass.
     ONE_WAY = "one_way"
     # All bytes of connections open when the mode is set are dropped until they close,
@@ -61,7 +63,7 @@
             self._silenced_writers |= self._open_writers
 
     def set_source_mode(self, source: str, mode: ProxyMode) -> None:
-        """Pass or reset the connections from one IP address."""
+        """Pass, reset or hang the connections from one IP address."""
         self._mode_by_source[source] = mode
         if mode is ProxyMode.RESET:
             for writer in list(self._open_writers):
@@ -79,6 +81,12 @@
         if ProxyMode.RESET in (self.mode, self._mode_by_source.get(source)):
             writer.transport.abort()
             return
+        if self._mode_by_source.get(source) is ProxyMode.HANG:
+            with contextlib.suppress(OSError):
+                while await reader.read(CHUNK_BYTES):
+                    pass
+            writer.transport.abort()
+            return
         host, _, port = self._target.rpartition(":")
         try:
             target_reader, target_writer = await asyncio.open_connection(
@@ -89,8 +97,8 @@
             return
         self._open_writers |= {writer, target_writer}
         await asyncio.gather(
-            self._copy(reader, target_writer, to_daemon=False),
-            self._copy(target_reader, writer, to_daemon=True),
+            self._copy(reader, target_writer, source, to_daemon=False),
+            self._copy(target_reader, writer, source, to_daemon=True),
         )
         self._open_writers -= {writer, target_writer}
         self._silenced_writers -= {writer, target_writer}
@@ -99,6 +107,7 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        source: str,
         *,
         to_daemon: bool,
     ) -> None:
@@ -108,6 +117,7 @@
                 if self.mode is ProxyMode.DELAY:
                     await asyncio.sleep(DELAY_S)
                 is_dropped = self.mode is ProxyMode.ONE_WAY and to_daemon
+                is_dropped |= self._mode_by_source.get(source) is ProxyMode.HANG
                 if is_dropped or writer in self._silenced_writers:
                     continue
                 writer.write(data)
--- a/tests/e2e_platform/test_lost_paths.py
+++ b/tests/e2e_platform/test_lost_paths.py
@@ -3,6 +3,7 @@
 import asyncio
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import httpx
 import pytest
@@ -113,6 +114,36 @@
     assert [cut_fleet.send(daemon).status_code for daemon in cut] == [200, 200]
 
 
+def test_daemons_whose_connections_hang_serve_through_others(cut_fleet):
+    """Guards against requests that wait on connections that were accepted in between.
+
+    All requests after the first second of the cut have to be served.
+    """
+    cut = ["daemon-0", "daemon-1"]
+    for daemon in cut:
+        cut_fleet.set_mode(daemon, ProxyMode.HANG)
+    targets = ("/safe/x", "/unsafe/x", "/stream/x")
+    sent_before_s = {"early": 1.5, "late": 3.5}
+    responses = {"early": [], "late": []}
+    since = time.monotonic()
+    with ThreadPoolExecutor(32) as senders:
+        for phase, end_s in sent_before_s.items():
+            while time.monotonic() - since < end_s:
+                for daemon in cut_fleet.fleet.listeners:
+                    target = targets[len(responses[phase]) % 3]
+                    responses[phase].append(
+                        senders.submit(cut_fleet.send, daemon, target)
+                    )
+                time.sleep(0.1)
+    assert {response.result().status_code for response in responses["late"]} == {200}
+    for daemon in cut:
+        cut_fleet.set_mode(daemon, ProxyMode.PASS)
+    assert wait_until(
+        lambda: all(len(addresses) == 4 for addresses in cut_fleet.addresses()), 5
+    )
+    assert [cut_fleet.send(daemon).status_code for daemon in cut] == [200, 200]
+
+
 def test_wrong_key_is_refused_by_a_daemon_without_servers(cut_fleet):
     cut_fleet.set_mode("daemon-0", ProxyMode.RESET)
     cut_fleet.send("daemon-0")
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -76,6 +76,12 @@
     def lost_servers(self):
         return self.lost
 
+    def answering_services(self):
+        return []
+
+    def apply_answering_services(self, services):
+        pass
+
     def apply_lost_servers(self, peer, lost, valid_s):
         self.lost_by_peer[peer] = lost
 
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -55,6 +55,12 @@
     def lost_servers(self):
         return [], False
 
+    def answering_services(self):
+        return []
+
+    def apply_answering_services(self, services):
+        pass
+
     def apply_lost_servers(self, peer, lost, valid_s):
         pass
 
