Lose only the link of the stream in the test of resumed streams

Cause, traced for with a fixed order of peers: the test failed because its links between daemons delivered empty writes, which TCP does not. The old server ended each response with a length by an empty write. The link delivered it to the client, whose connection was already reusable, as bytes outside an exchange, and the client aborted the connection:

3.950 release link25->d2 near reusable True 3.950 EMPTY delivery link25->d2 near reusable before: True, aborted by it: True

The test lost all links in one loop, those of d1 first. If the stream ran through d1, it was resumed on an idle link to d2 before the loss of that link arrived in the same turn:

4.150 lost link5->d1 near, attempt failed 4.150 acquire d2, idle: link2->d2, link1->d2; got link1->d2 4.150 lost link1->d2 near, attempt failed

Both attempts of the route were used up then, which is what its configuration says. The pool, the resume and the order of the response's bytes are right.

Change: links ignore empty writes. The test loses exactly the link that carries the stream, once. It forces the order of the peers both ways, and has an idle link to the other daemon, which is either used or lost before.

--- a/tests/forwarding/test_lost_paths.py
+++ b/tests/forwarding/test_lost_paths.py
@@ -44,7 +44,9 @@
 
     def write(self, data):
         super().write(data)
-        self.clock.callLater(0.001, self.other.deliver, data)
+        # TCP delivers nothing for an empty write.
+        if data:
+            self.clock.callLater(0.001, self.other.deliver, data)
 
     def deliver(self, data):
         if not self.is_lost:
@@ -245,6 +247,24 @@
             run.connection.start_stream(*EVENTS, request_id=run.id)
             run.connection.end_stream()
 
+    def pass_on_first_to(self, number):
+        """Fix the order, else random, in which the first daemon tries the others."""
+        paths, first = self.daemons[0].paths, self.daemons[number].member.id
+        reaching = type(paths).reaching
+        paths.reaching = lambda service: sorted(
+            reaching(paths, service), key=lambda peer: peer.id != first
+        )
+
+    def links_of(self, run):
+        """Return the far ends of the open links that a request was passed on over."""
+        marker = f"identifier: {run.id}\r\n".encode()
+        return [
+            link
+            for daemon in self.daemons
+            for link in daemon.links
+            if not link.is_lost and marker in link.other.value().lower()
+        ]
+
     def served_shares(self, cut, since):
         """Return the served shares at the first ``cut`` daemons and at the others."""
         shares = []
@@ -428,14 +448,38 @@
         sends = sum(marker in c.transport.value() for c in fleet.reactor.connections)
         assert sends == 1
 
-    def test_stream_that_may_be_resumed_goes_on_through_another_daemon(self, fleet):
+    @pytest.mark.parametrize("first", [1, 2])
+    @pytest.mark.parametrize("loses_idle_links", [False, True])
+    def test_stream_that_may_be_resumed_goes_on_through_another_daemon(
+        self, fleet, first, loses_idle_links
+    ):
+        """Guards against a stream that ends with the link that carries it.
+
+        It goes on over an idle link to the other daemon, or over a new one if the idle
+        links were lost before.
+        """
+        second = 3 - first
+        fleet.pass_on_first_to(second)
+        earlier, connection = self.pass_one(fleet, "/unsafe/")
+        connection.respond(request_id=earlier.id)
+        fleet.advance(0.1)
+        assert earlier.is_served
+        fleet.pass_on_first_to(first)
         run, connection = self.pass_one(fleet, "/resumable/")
         connection.start_stream(EVENTS[0], request_id=run.id)
         fleet.advance(0.05)
-        for daemon in fleet.daemons[1:]:
-            for link in daemon.links:
-                link.lose_connection()
+        [link] = fleet.links_of(run)
+        assert link in fleet.daemons[first].links
+        idle = {x for d in fleet.daemons for x in d.links if not x.is_lost} - {link}
+        assert idle.intersection(fleet.daemons[second].links)
+        if loses_idle_links:
+            for other in idle:
+                other.lose_connection()
+        link.lose_connection()
         fleet.advance(0.2)
+        [resumed_link] = fleet.links_of(run)
+        assert resumed_link in fleet.daemons[second].links
+        assert (resumed_link in idle) != loses_idle_links
         resumed = fleet.connection_of(run.id)
         head = resumed.transport.value().decode().lower()
         assert resumed is not connection
