Answer many pipelined requests without nested calls, and test slow callers

Cause: the end of a response parses the next request from within the handler, so that some 140 pipelined requests that are answered at once exceeded the depth of the stack (RecursionError out of dataReceived). A writer that waited for a caller to read was resumed before it could know that the caller had left, so it could end its response and leave an idle timer. write_at_once relied on its callers not to use it after an abort. Change: parsing is one loop, the disconnect is recorded first, and write_at_once leaves an aborted connection to the reactor itself. Write_at_once calls nothing back but pauseProducing, as the queued write does: errors of the system call are found by the reactor's next write. New tests cover the order of bytes after partial writes and EAGAIN, the bytes held for slow callers and slow readers, and a loss found by a write. Without the bound of either buffer, or with bytes dropped after a partial write, they fail. 2,000 pipelined requests are answered.

--- a/src/chivesaddle/http1/server.py
+++ b/src/chivesaddle/http1/server.py
@@ -186,6 +186,7 @@
         self._write_waiters: list[Deferred[None]] | None = None
         self._pipelined_bytes = 0
         self._is_closed = False
+        self._is_parsing = False
         # Whether the response that is being sent has a chunked body.
         self._is_chunked = False
         self.responder: Responder | None = None
@@ -202,10 +203,11 @@
         self._is_closed = True
         self._listener.connections.discard(self)
         self._cancel_timer()
-        self.resumeProducing()
         if self.responder is not None:
             responder, self.responder = self.responder, None
             responder.mark_disconnected()
+        # A writer that waits must find out about the disconnect before it goes on.
+        self.resumeProducing()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse request bytes."""
@@ -264,16 +266,16 @@
             if body:
                 head += self._frame(body)
         finally:
-            self._write(head)
+            write_at_once(self.transport, head)
 
     def send_data(self, data: bytes) -> None:
         """Write body bytes of the response."""
-        self._write(self._frame(data))
+        write_at_once(self.transport, self._frame(data))
 
     def send_end(self) -> None:
         """End the response and parse the next request."""
         self._is_chunked = False
-        self._write(self._h11.send(h11.EndOfMessage()) or b"")
+        write_at_once(self.transport, self._h11.send(h11.EndOfMessage()) or b"")
         self.responder = None
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._h11.start_next_cycle()
@@ -296,12 +298,6 @@
             return b"%x\r\n%b\r\n" % (len(data), data)
         return self._h11.send(h11.Data(data=data)) or b""
 
-    def _write(self, data: bytes) -> None:
-        if self._is_closed:
-            self.transport.write(data)
-        else:
-            write_at_once(self.transport, data)
-
     def abort(self) -> None:
         """Reset the connection."""
         self._is_closed = True
@@ -317,6 +313,15 @@
             self._close()
 
     def _parse(self) -> None:
+        """Parse requests until one has no response yet.
+
+        The call that `send_end` makes from within a handler returns at once, and the
+        loop goes on after the handler. Nested calls would exceed the depth of the stack
+        if many pipelined requests were answered at once.
+        """
+        if self._is_parsing:
+            return
+        self._is_parsing = True
         try:
             while self.responder is None and not self._is_closed:
                 event = self._h11.next_event()
@@ -330,6 +335,8 @@
                 self._handle_event(event)
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint)
+        finally:
+            self._is_parsing = False
 
     def _handle_event(self, event: Any) -> None:
         match event:
--- a/src/chivesaddle/http1/sockets.py
+++ b/src/chivesaddle/http1/sockets.py
@@ -43,17 +43,20 @@
 
     A queued write costs two changes of the reactor's poll set and a turn of its loop,
     which is more than the system call itself. What the kernel does not accept is queued
-    and counts for back-pressure, and errors are found by the queued write as usual.
+    and counts for back-pressure, and errors are found by the queued write as usual. So
+    the protocol's ``connectionLost`` never runs within this call; its producer's
+    ``pauseProducing`` does if the queue gets too long.
 
     Parameters
     ----------
     transport : twisted.internet.interfaces.ITCPTransport
-        A transport that was not aborted. One without a socket queues all data.
+        One without a socket, closing or aborted gets all data by its own ``write``.
     """
     if (
         isinstance(transport, Connection)
         and transport.connected
         and not transport.disconnecting
+        and not transport._aborting
         and not transport.dataBuffer
         and not transport._tempDataBuffer
     ):
--- a/tests/http1/test_chunks.py
+++ b/tests/http1/test_chunks.py
@@ -10,6 +10,7 @@
 from chivesaddle.core.aio import start
 from chivesaddle.core.errors import ChivesaddleError
 from chivesaddle.http1 import ServerConnection
+from chivesaddle.http1.client import READ_BUFFER_HIGH_WATER_BYTES
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
 SIZES = (b"%x", b"%X", b"0%x", b"%017x", b"%x;a=b", b"%x ", b"-%x", b"%x\n", b"+%x")
@@ -83,6 +84,28 @@
     return seen, connection.lost, connection.is_reusable
 
 
+class TestSlowReaders:
+    def test_bytes_held_are_bounded_until_they_are_read(self, run):
+        """Guards against a response that fills the memory behind a slow caller."""
+        connection = ServerConnection()
+        transport = StringTransport()
+        connection.makeConnection(transport)
+        connection.send(b"GET", b"/", [(b"host", b"h")], b"")
+        connection.dataReceived(HEAD + b"\r\n")
+        run(connection.read_head())
+        for _ in range(3):
+            held = b""
+            while transport.producerState == "producing":
+                connection.dataReceived(b"3e8\r\n" + b"x" * 1_000 + b"\r\n")
+                held += b"x" * 1_000
+                assert len(held) <= READ_BUFFER_HIGH_WATER_BYTES + 1_000
+            while transport.producerState == "paused":
+                held = held.removeprefix(run(connection.read_chunk()))
+            assert len(held) <= READ_BUFFER_HIGH_WATER_BYTES // 2
+            while held:
+                held = held.removeprefix(run(connection.read_chunk()))
+
+
 class TestChunkedBodies:
     @given(responses(), st.booleans())
     @settings(derandomize=True, max_examples=400)
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -3,6 +3,7 @@
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
+from chivesaddle.core.aio import start
 from chivesaddle.http1 import CallerConnection, CallerLimits
 from chivesaddle.http1.server import Listener
 
@@ -72,6 +73,14 @@
         requests[0][1].answer(200)
         assert len(requests) == 2
 
+    def test_many_pipelined_requests_that_are_answered_at_once(self, listener, clock):
+        """Guards against nested calls that exceed the depth of the stack."""
+        listener.handler = lambda request, responder: responder.answer(404)
+        connection = CallerConnection(listener)
+        connection.makeConnection(Transport(clock))
+        connection.dataReceived(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n" * 2_000)
+        assert connection.transport.value().count(b" 404 ") == 2_000
+
     def test_two_framings_of_one_body_are_rejected(self, connection, requests):
         """Guards against a request smuggled in the body of another one."""
         connection.dataReceived(
@@ -133,8 +142,6 @@
     def test_writer_waits_while_the_caller_does_not_read(
         self, connection, requests, run, clock
     ):
-        from chivesaddle.core.aio import start
-
         connection.dataReceived(REQUEST)
         connection.pauseProducing()
         waiting = start(requests[0][1].wait_writable())
@@ -142,9 +149,25 @@
         connection.resumeProducing()
         assert waiting.called
 
-    def test_writer_does_not_wait_for_a_disconnected_caller(self, connection, requests):
-        from chivesaddle.core.aio import start
+    def test_writer_that_waited_for_a_lost_caller_does_not_finish(
+        self, connection, requests, clock
+    ):
+        """Guards against a response that counts as complete though its end is lost."""
+        connection.dataReceived(REQUEST)
+        responder = requests[0][1]
+        responder.start(200, b"", [])
+        connection.pauseProducing()
+
+        async def finish():
+            await responder.wait_writable()
+            responder.finish()
 
+        start(finish())
+        connection.connectionLost(Failure(ConnectionLost()))
+        assert not responder.finished
+        assert not clock.getDelayedCalls()
+
+    def test_writer_does_not_wait_for_a_disconnected_caller(self, connection, requests):
         connection.dataReceived(REQUEST)
         connection.pauseProducing()
         waiting = start(requests[0][1].wait_writable())
--- a/tests/http1/test_write.py
+++ b/tests/http1/test_write.py
@@ -4,26 +4,35 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from twisted.internet.address import IPv4Address
 from twisted.internet.protocol import Protocol
 from twisted.internet.tcp import Connection
 from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
 
+from chivesaddle.core.aio import start
 from chivesaddle.http1 import CallerConnection
 from chivesaddle.http1.server import CallerLimits, Listener
 from chivesaddle.http1.sockets import write_at_once
 
 
 class PollSet:
-    """Counts the changes of the poll set of a reactor that never runs."""
+    """The poll set of a reactor that never runs."""
 
     def __init__(self):
-        self.writers = []
+        self.writers = set()
 
     def addWriter(self, writer):  # noqa: N802
-        self.writers.append(writer)
+        self.writers.add(writer)
 
     def removeWriter(self, writer):  # noqa: N802
-        self.writers.remove(writer)
+        self.writers.discard(writer)
+
+    def removeReader(self, reader):  # noqa: N802
+        pass
+
+    def callLater(self, *_):  # noqa: N802
+        pass
 
 
 @pytest.fixture
@@ -45,19 +54,24 @@
         assert far.recv(10) == b"abc"
         assert not connection.reactor.writers
 
-    def test_order_is_kept_while_data_is_queued(self, pair):
+    @pytest.mark.parametrize("turns", [0, 1])
+    def test_order_is_kept_while_data_is_queued(self, pair, turns):
         """Guards against bytes that overtake what the kernel did not accept yet."""
         connection, far = pair
         expected = b""
-        received = b""
         for number in range(40):
             block = bytes([number]) * 65_536
             write_at_once(connection, block)
             expected += block
         assert connection.reactor.writers
+        for _ in range(turns):
+            connection.doWrite()
+        received = far.recv(1 << 20)
+        write_at_once(connection, b"end")
+        expected += b"end"
         while len(received) < len(expected):
-            received += far.recv(1 << 20)
             connection.doWrite()
+            received += far.recv(1 << 20)
         assert received == expected
 
     def test_closed_connection_is_left_to_the_reactor(self, pair):
@@ -67,6 +81,77 @@
         assert connection.reactor.writers
         assert isinstance(connection.doWrite(), Exception)
 
+    def test_aborted_connection_sends_nothing(self, pair):
+        """Guards against bytes between an abort and the loss of the connection."""
+        connection, far = pair
+        connection.abortConnection()
+        write_at_once(connection, b"abc")
+        with pytest.raises(BlockingIOError):
+            far.recv(10)
+
+
+@pytest.fixture
+def stream(pair):
+    """A chunked response that has begun, on a connection with a socket."""
+    connection, far = pair
+    requests = []
+    listener = Listener(FakeClock(), lambda *call: requests.append(call), CallerLimits)
+    connection.protocol = CallerConnection(listener)
+    connection.protocol.transport = connection
+    connection.getPeer = lambda: IPv4Address("TCP", "127.0.0.1", 9)
+    connection.registerProducer(connection.protocol, True)
+    connection.protocol.dataReceived(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    responder = requests[0][1]
+    responder.start(200, b"X", [], b"begin")
+    return responder, connection, far
+
+
+async def write_pieces(responder, pieces):
+    for piece in pieces:
+        responder.write(piece)
+        await responder.wait_writable()
+    responder.finish()
+
+
+class TestSlowCallers:
+    @pytest.mark.parametrize("size", [1_000, 65_536, 300_000])
+    def test_bytes_held_are_bounded_and_all_arrive_in_order(self, stream, size):
+        """Guards against a writer that goes on while a caller does not read.
+
+        The last size is above what one call sends, so that a part of it is accepted.
+        """
+        responder, connection, far = stream
+        pieces = [bytes([number % 251]) * size for number in range(8_000_000 // size)]
+        written = start(write_pieces(responder, pieces))
+        received = bytearray()
+        while not written.called or connection.reactor.writers:
+            held = len(connection.dataBuffer) - connection.offset
+            held += connection._tempDataLen
+            assert held <= connection.bufferSize + size + 10
+            received += far.recv(100_000)
+            connection.doWrite()
+        received += far.recv(1 << 20)
+        reader = h11.Connection(h11.CLIENT)
+        reader.send(h11.Request(method=b"GET", target=b"/", headers=[(b"host", b"h")]))
+        reader.send(h11.EndOfMessage())
+        reader.receive_data(bytes(received))
+        body = bytearray()
+        while not isinstance(event := reader.next_event(), h11.EndOfMessage):
+            body += event.data if isinstance(event, h11.Data) else b""
+        assert body == b"begin" + b"".join(pieces)
+
+    def test_loss_is_reported_by_the_reactor_and_not_by_a_write(self, stream):
+        """Guards against a disconnect that is handled in the middle of a write."""
+        responder, connection, far = stream
+        far.close()
+        responder.write(b"lost")
+        assert not responder.is_disconnected
+        connection.connectionLost(Failure(connection.doWrite()))
+        assert responder.is_disconnected
+        responder.write(b"after")
+        responder.finish()
+        assert not responder.finished
+
 
 class TestResponseFraming:
     @given(
