Pass whole events of a stream on without copying them

Each chunk was copied into a buffer, searched for all boundaries and all ids, copied out and deleted again, although servers mostly write whole events.

A chunk that ends with two LF after another byte, with nothing left over before it, is returned as it is. The last id is searched for from the end.

--- a/src/chivesaddle/forwarding/events.py
+++ b/src/chivesaddle/forwarding/events.py
@@ -6,6 +6,7 @@
 # end that was cut.
 _BOUNDARY = re.compile(rb"\r?\n\r?\n|\r\r")
 _ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
+_LINE_END_BYTES = b"\r\n"
 # Empty lines and comments, which belong to no event.
 _NO_FIELD = re.compile(rb"(?:(?::[^\r\n]*)?[\r\n])*")
 
@@ -49,6 +50,16 @@
 
     def feed(self, chunk: bytes) -> bytes:
         """Return the events that ``chunk`` completes."""
+        # Servers mostly write whole events. Two LF after another byte are a boundary,
+        # which no earlier one can overlap.
+        if (
+            not self._buffer
+            and chunk[-2:] == b"\n\n"
+            and len(chunk) > 2
+            and chunk[-3] not in _LINE_END_BYTES
+        ):
+            self._record_id(chunk)
+            return chunk
         # A boundary may start in the last bytes of the remainder.
         search_from = max(0, len(self._buffer) - 3)
         self._buffer += chunk
@@ -59,10 +70,15 @@
             return b""
         events = bytes(self._buffer[:end])
         del self._buffer[:end]
-        ids = _ID.findall(events)
-        if ids:
-            self.last_id = ids[-1].decode("latin-1")
+        self._record_id(events)
         return events
 
+    def _record_id(self, events: bytes) -> None:
+        """Record the last id, which begins at the last line with that field."""
+        start = max(events.rfind(b"\nid:"), events.rfind(b"\rid:"), 0)
+        last = _ID.match(events, start)
+        if last is not None:
+            self.last_id = last[1].decode("latin-1")
+
 
 __all__ = ["EventSplitter"]
