Read chunks of responses without a second coroutine and clock reading

The exchange now reads the clock once and calls `Run.record_bytes` itself. A run whose response is known to be one of a living server needs no time for further events.

--- a/src/chivesaddle/forwarding/exchange.py
+++ b/src/chivesaddle/forwarding/exchange.py
@@ -81,6 +81,12 @@
         The server.
     decode_response : callable
         Decodes the head of a response.
+
+    Attributes
+    ----------
+    on_bytes : callable
+        Called after body bytes, or the end of the body, with the times at which the
+        connection was opened and at which they arrived.
     """
 
     def __init__(
@@ -101,6 +107,7 @@
         self._connection: ServerConnection | None = None
         self._serial = 0
         self.was_sent = False
+        self.on_bytes: Callable[[float, float], None] = lambda connected_at, now: None
 
     async def send(
         self,
@@ -166,22 +173,19 @@
         self._check_response(request, response)
         return response
 
-    @property
-    def connected_at(self) -> float:
-        """When the connection was opened, in seconds of the daemon's clock."""
-        assert self._connection is not None
-        return self._connection.connected_at
-
     async def read_chunk(self) -> bytes | None:
         """Read body bytes; raises `NoUsableResponse`."""
-        assert self._connection is not None
+        connection = self._connection
+        assert connection is not None
         try:
-            chunk = await self._connection.read_chunk()
+            chunk = await connection.read_chunk()
         except ResponseBroken as error:
             raise NoUsableResponse(error.message, may_be_crash=True) from error
+        connected_at, now = connection.connected_at, self._clock.seconds()
         self._servers.record_response_bytes(
-            self._server.id, self._serial, self._connection.connected_at
+            self._server.id, self._serial, connected_at, now
         )
+        self.on_bytes(connected_at, now)
         return chunk
 
     def finish(self, response: ServerResponse) -> None:
--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -589,11 +589,7 @@
             run.record_events()
             context.server_began_at = run.first_event_at
 
-        async def read_chunk() -> bytes | None:
-            chunk = await exchange.read_chunk()
-            run.record_bytes(exchange.connected_at)
-            return chunk
-
+        exchange.on_bytes = run.record_bytes
         relay.on_progress = record_progress
         outcome: ExchangeOutcome | None = None
         context.framing, context.unfinished_bytes = None, 0
@@ -622,7 +618,7 @@
                 )
             context.framing = response.framing
             try:
-                await relay.forward(response, read_chunk)
+                await relay.forward(response, exchange.read_chunk)
             finally:
                 context.unfinished_bytes = relay.unfinished_bytes
             context.first_event_at = relay.started_at
--- a/src/chivesaddle/forwarding/run.py
+++ b/src/chivesaddle/forwarding/run.py
@@ -54,15 +54,16 @@
         self.first_event_at: float | None = None
         crashes.start_run(suspects.request, *suspects.parts)
 
-    def record_bytes(self, connected_at: float) -> None:
+    def record_bytes(self, connected_at: float, now: float) -> None:
         """Record that response bytes arrived on a connection of that age."""
-        now = self._clock.seconds()
         if self._bytes_at is not None and now - self._bytes_at >= MIN_GAP_S:
             self._crashes.disprove(self._server, connected_at, self._bytes_at)
         self._bytes_at = now
 
     def record_events(self) -> None:
         """Record that complete events, or the begin of another body, arrived."""
+        if self._is_answered and self.first_event_at is not None:
+            return
         now = self._clock.seconds()
         if self.first_event_at is None:
             self.first_event_at = now
--- a/src/chivesaddle/placement/paths.py
+++ b/src/chivesaddle/placement/paths.py
@@ -43,8 +43,9 @@
         """
         if connected_at > now:
             return
-        overlaps = connected_at <= self.up_until
-        self.up_since = min(self.up_since, connected_at) if overlaps else connected_at
+        has_gap = connected_at > self.up_until
+        if has_gap or connected_at < self.up_since:
+            self.up_since = connected_at
         self.up_until = now
 
     def was_up_at(self, at: float) -> bool:
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -426,13 +426,22 @@
         return self._serial
 
     def record_response_bytes(
-        self, server: BackendServerId, serial: int, connected_at: float = math.inf
+        self,
+        server: BackendServerId,
+        serial: int,
+        connected_at: float = math.inf,
+        now: float | None = None,
     ) -> None:
-        """Record response bytes on a connection that was opened ``connected_at``."""
+        """Record response bytes on a connection that was opened ``connected_at``.
+
+        ``now`` is the current time, if the caller has read the clock already.
+        """
         tracked = self._by_id.get(server)
         if tracked is not None:
+            if now is None:
+                now = self._clock.seconds()
             tracked.unanswered.pop(serial, None)
-            tracked.last_byte_at = now = self._clock.seconds()
+            tracked.last_byte_at = now
             tracked.path.record_bytes(connected_at, now)
             tracked.in_flight.record_bytes(serial, now)
 
