Spend less on the log line and the metrics of a request

`dataclasses.asdict` copied the load recursively, the logging module walked the stack and looked up thread and process for fields that no line has, and each metric looked up its labels under a lock.

Measured: logging and counting one answered request to /dev/null, best of 9, two runs each: 34 and 36 us of processor time before, 23 and 26 us after.

--- a/src/chivesaddle/forwarding/request_context.py
+++ b/src/chivesaddle/forwarding/request_context.py
@@ -1,6 +1,6 @@
 """State of a request that is being forwarded, and its log fields."""
 
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass, field
 
 from chivesaddle.core.ids import (
     AccountId,
@@ -128,7 +128,7 @@
             "server": candidate.server.entry.id,
             "software": candidate.server.entry.software_version,
             "predicted_ms": round(candidate.predicted_ms),
-            "known": asdict(candidate.load),
+            "known": candidate.load.log_fields(),
             "load_age_ms": round(load_age_s * 1_000),
         }
         if candidate.speed_factor is not None:
--- a/src/chivesaddle/placement/load.py
+++ b/src/chivesaddle/placement/load.py
@@ -40,6 +40,14 @@
     unread_tokens: int
     memory_tokens: int
 
+    def log_fields(self) -> dict[str, int]:
+        """Return the totals by name; `dataclasses.asdict` copies each one."""
+        return {
+            "requests": self.requests,
+            "unread_tokens": self.unread_tokens,
+            "memory_tokens": self.memory_tokens,
+        }
+
 
 class InFlightRequests:
     """Unfinished requests of this daemon at one server, by serial number."""
--- a/src/chivesaddle/serving/logs.py
+++ b/src/chivesaddle/serving/logs.py
@@ -102,6 +102,11 @@
 
 def configure_logs(daemon: str, level: str, lines_per_s: float) -> None:
     """Send all logs of the process to standard output."""
+    # No line names the caller, thread or process, which are looked up for each record.
+    logging._srcfile = None
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
     root = logging.getLogger()
     root.handlers = [RateLimitedStdoutHandler(daemon, lines_per_s)]
     root.setLevel(level)
--- a/src/chivesaddle/serving/metrics.py
+++ b/src/chivesaddle/serving/metrics.py
@@ -30,14 +30,21 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        # Kept, because `labels` checks and looks up the values under a lock.
+        self._series_by_result: dict[str, tuple[Counter, Histogram]] = {}
         self._values = Gauge(
             "chivesaddle_value", "Current values", ["name"], registry=self.registry
         )
 
     def observe_request(self, result: str, seconds: float) -> None:
         """Record the result and duration of a finished request."""
-        self._requests.labels(result).inc()
-        self._latency.labels(result).observe(seconds)
+        series = self._series_by_result.get(result)
+        if series is None:
+            series = self._requests.labels(result), self._latency.labels(result)
+            self._series_by_result[result] = series
+        requests, latency = series
+        requests.inc()
+        latency.observe(seconds)
 
     def set_value(self, name: str, value: float) -> None:
         """Set the gauge ``name``."""
--- a/tests/placement/test_table.py
+++ b/tests/placement/test_table.py
@@ -1,4 +1,4 @@
-from dataclasses import replace
+from dataclasses import asdict, replace
 
 import pytest
 
@@ -6,6 +6,7 @@
 from chivesaddle.core.ids import ZoneId
 from chivesaddle.placement import (
     ExchangeOutcome,
+    Load,
     ServerRequirements,
     ServerTable,
     choose,
@@ -25,6 +26,12 @@
     return decode_server(f"s{number}", value)
 
 
+def test_logged_load_has_all_fields():
+    """Guards against a field that is added to the load and missing in log lines."""
+    load = Load(1, 2, 3)
+    assert load.log_fields() == asdict(load)
+
+
 @pytest.fixture
 def table(clock):
     found = ServerTable(clock)
