Look headers up in a mapping of first values

Each of some ten headers of a request or response was searched for in the list of all, and the sets of dropped headers were joined for each request.

--- a/src/chivesaddle/platform/headers.py
+++ b/src/chivesaddle/platform/headers.py
@@ -16,7 +16,7 @@
     ServerLoad,
     ServerResponse,
 )
-from chivesaddle.http1 import HeaderList, Request, ResponseHead, header_value
+from chivesaddle.http1 import HeaderList, Request, ResponseHead
 
 _PREFIX = b"x-chivesaddle-"
 # Unique per attempt: a retry by the caller has a new id.
@@ -91,6 +91,7 @@
     EXPECTED_VERSION,
     EARLIER_RUNS,
 }
+_NOT_PASSED_HEADERS = _HOP_BY_HOP_HEADERS | _DAEMON_HEADERS
 # A server that refuses for longer than a day is not refusing for lack of capacity.
 MAX_RETRY_AFTER_S = 24 * 3_600.0
 # Longer numbers are not counts of requests.
@@ -100,31 +101,32 @@
 
 def decode_request(request: Request) -> CallerRequest:
     """Decode a caller's request; malformed optional headers are treated as absent."""
-    headers = request.headers
-    dropped = _HOP_BY_HOP_HEADERS | _DAEMON_HEADERS | _connection_options(headers.items)
-    host = (headers.get("host") or "").rpartition(":")
+    items = request.headers.items
+    first = _first_values(items)
+    dropped = _NOT_PASSED_HEADERS
+    if b"connection" in first:
+        dropped = dropped | _connection_options(items)
+    host = (_text(first.get(b"host")) or "").rpartition(":")
     host_name = (host[0] if host[1] and host[2].isdigit() else "".join(host)).lower()
-    time_limit_ms = _parse_number(header_value(headers.items, TIME_LIMIT))
-    prompt_tokens, output_tokens = _parse_token_counts(
-        header_value(headers.items, TOKENS)
-    )
-    model = header_value(headers.items, MODEL)
+    time_limit_ms = _parse_number(_text(first.get(TIME_LIMIT)))
+    prompt_tokens, output_tokens = _parse_token_counts(_text(first.get(TOKENS)))
+    model = _text(first.get(MODEL))
     return CallerRequest(
-        id=RequestId(header_value(headers.items, REQUEST_ID) or ""),
+        id=RequestId(_text(first.get(REQUEST_ID)) or ""),
         method=request.method,
         target=request.target,
         host=host_name,
-        passed_headers=[item for item in headers.items if item[0] not in dropped],
+        passed_headers=[item for item in items if item[0] not in dropped],
         body=request.body,
-        key=_parse_bearer_key(headers.get("authorization")),
+        key=_parse_bearer_key(_text(first.get(b"authorization"))),
         time_limit_s=None if time_limit_ms is None else time_limit_ms / 1_000,
         model=None if model is None else ModelId(model),
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
-        parts=_parse_parts(header_value(headers.items, PROMPT_PARTS)),
-        resume_after=header_value(headers.items, LAST_EVENT) or None,
-        resumed_request=_parse_request_id(header_value(headers.items, RESUMES)),
-        earlier_runs=_parse_integer(header_value(headers.items, EARLIER_RUNS)),
+        parts=_parse_parts(_text(first.get(PROMPT_PARTS))),
+        resume_after=_text(first.get(LAST_EVENT)) or None,
+        resumed_request=_parse_request_id(_text(first.get(RESUMES))),
+        earlier_runs=_parse_integer(_text(first.get(EARLIER_RUNS))),
     )
 
 
@@ -171,32 +173,42 @@
 
 def decode_response(head: ResponseHead) -> ServerResponse:
     """Decode the head of a backend server's response."""
-    keep_alive = _KEEP_ALIVE_TIMEOUT.search(head.get(b"keep-alive") or "")
-    request_id = head.get(REQUEST_ID)
-    server = head.get(ANSWERING_SERVER)
-    length = head.get(b"content-length")
+    first = _first_values(head.headers)
+    keep_alive = _KEEP_ALIVE_TIMEOUT.search(_text(first.get(b"keep-alive")) or "")
+    request_id = _text(first.get(REQUEST_ID))
+    server = _text(first.get(ANSWERING_SERVER))
+    length = first.get(b"content-length")
     return ServerResponse(
         status=head.status,
         reason=head.reason,
         request_id=None if request_id is None else RequestId(request_id),
-        is_signed=head.get(SIGNATURE) is not None,
-        was_not_executed=head.get(NOT_EXECUTED) is not None or head.status == 421,
+        is_signed=SIGNATURE in first,
+        was_not_executed=NOT_EXECUTED in first or head.status == 421,
         server=None if server is None else BackendServerId(server),
-        load=_parse_load(head.get(LOAD)),
-        is_leaving=head.get(SERVER_LEAVING) == "1",
-        limit=_parse_limit(head),
-        weight_version=_parse_integer(head.get(WEIGHT_VERSION)),
+        load=_parse_load(_text(first.get(LOAD))),
+        is_leaving=first.get(SERVER_LEAVING) == b"1",
+        limit=_parse_limit(head) if SERVER_LIMIT in first else None,
+        weight_version=_parse_integer(_text(first.get(WEIGHT_VERSION))),
         keep_alive_s=None if keep_alive is None else float(keep_alive[1]),
-        retry_after=_parse_retry_after(head),
+        retry_after=_parse_retry_after(_text(first.get(b"retry-after"))),
         framing=head.framing,
         content_length=None if length is None else int(length),
         passed_headers=[
             item for item in head.headers if item[0] not in _HOP_BY_HOP_HEADERS
         ],
-        cold=_parse_cold(head.get(COLD)),
+        cold=_parse_cold(_text(first.get(COLD))),
     )
 
 
+def _first_values(items: HeaderList) -> dict[bytes, bytes]:
+    """Return the first value of each header."""
+    return dict(reversed(items))
+
+
+def _text(value: bytes | None) -> str | None:
+    return None if value is None else value.decode("latin-1")
+
+
 def _connection_options(items: HeaderList) -> set[bytes]:
     """Return the headers that ``Connection`` declares to be hop-by-hop.
 
@@ -240,7 +252,7 @@
 
 def _parse_load(value: str | None) -> ServerLoad | None:
     numbers = [number.strip() for number in (value or "").split(",")]
-    if len(numbers) < 3 or not all(_is_count(number) for number in numbers[:3]):
+    if len(numbers) < 3 or not all(map(_is_count, numbers[:3])):
         return None
     running, waiting, slots = (int(number) for number in numbers[:3])
     # An invalid figure, or one that is not known yet, does not invalidate the others.
@@ -254,9 +266,8 @@
 
 
 def _parse_limit(head: ResponseHead) -> RequestLimit | InvalidValue | None:
+    """Parse all values of a limit that the response names."""
     values = [value for name, value in head.headers if name == SERVER_LIMIT]
-    if not values:
-        return None
     text = b",".join(values).decode("latin-1")
     per_s = _parse_number(text)
     if per_s is None:
@@ -264,8 +275,7 @@
     return RequestLimit(per_s) if per_s else None
 
 
-def _parse_retry_after(head: ResponseHead) -> RetryAfter | InvalidValue | None:
-    text = head.get(b"retry-after")
+def _parse_retry_after(text: str | None) -> RetryAfter | InvalidValue | None:
     if text is None:
         return None
     seconds = _parse_number(text)
