Search the queue once for all requests that end in one turn

Each end of a request scheduled a search of the queue of waiting requests of its own, although the first one of a turn of the reactor already sees the capacity of all. Under load many requests end in one turn.

--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -220,7 +220,8 @@
         self.before_choice: Callable[[], None] = lambda: None
         # Called when a server's response broke.
         self.on_broken: Callable[[TrackedServer], None] = lambda server: None
-        # Called when a server of the service may have free capacity.
+        # Called when servers of the service may have free capacity, in the next turn of
+        # the reactor, so that all changes of one turn cost one call.
         self.on_capacity_freed: Callable[[ServiceId], None] = lambda service: None
         # Called with the entry before and the new one when a server is listed, removed
         # or replaced; None stands for no entry.
@@ -236,6 +237,8 @@
         # Start times of servers that left the list.
         self._departed: OrderedDict[BackendServerId, int] = OrderedDict()
         self._serial = 0
+        # Services for which `on_capacity_freed` is about to be called.
+        self._freed_services: set[ServiceId] = set()
 
     def get(self, server: BackendServerId) -> TrackedServer | None:
         """Return a listed server."""
@@ -464,7 +467,7 @@
                 extra={"server": server, "after_ms": round((now - lost_at) * 1_000)},
             )
             self.on_path_regained(tracked, lost_at)
-            self._clock.callLater(0, self.on_capacity_freed, tracked.entry.service)
+            self._schedule_capacity_freed(tracked.entry.service)
 
     def record_connection_failure(self, server: BackendServerId, cause: str) -> None:
         """Record that this daemon could not open a connection to the server."""
@@ -482,7 +485,7 @@
             },
         )
         self.on_path_lost(tracked.entry)
-        self._clock.callLater(0, self.on_capacity_freed, tracked.entry.service)
+        self._schedule_capacity_freed(tracked.entry.service)
 
     def record_replaced(self, server: BackendServerId) -> None:
         """Record that another server responds at the server's address."""
@@ -502,6 +505,15 @@
             and tracked.entry.state is ServerState.READY
         ]
 
+    def _schedule_capacity_freed(self, service: ServiceId) -> None:
+        if service not in self._freed_services:
+            self._freed_services.add(service)
+            self._clock.callLater(0, self._report_capacity_freed, service)
+
+    def _report_capacity_freed(self, service: ServiceId) -> None:
+        self._freed_services.discard(service)
+        self.on_capacity_freed(service)
+
     def _check_down(self, unreachable: TrackedServer, since: float) -> None:
         """Report a server as down that other servers have outlived."""
         if unreachable.last_contact_at > since:
@@ -600,7 +612,7 @@
             return
         tracked.in_flight.remove(serial)
         tracked.unanswered.pop(serial, None)
-        self._clock.callLater(0, self.on_capacity_freed, tracked.entry.service)
+        self._schedule_capacity_freed(tracked.entry.service)
         match outcome:
             case None | ExchangeOutcome.REFUSED:
                 return
--- a/tests/placement/test_table.py
+++ b/tests/placement/test_table.py
@@ -32,6 +32,27 @@
     assert load.log_fields() == asdict(load)
 
 
+def test_waiting_requests_are_told_once_of_requests_that_end_together(table, clock):
+    """Guards against a search of the queue for each of them, and against a missed end.
+
+    With many requests waiting, the searches of a turn took longer than the turn.
+    """
+    told = []
+    table.on_capacity_freed = told.append
+    for number, service in enumerate(("app", "app", "other")):
+        table.put(entry(number, service=service))
+    for _ in range(2):
+        for number in range(3):
+            serial = table.record_send(f"s{number}")
+            table.record_end(f"s{number}", serial, ExchangeOutcome.ANSWERED)
+        assert told == []
+        clock.advance(0)
+        assert sorted(told) == ["app", "other"]
+        told.clear()
+        clock.advance(1)
+        assert told == []
+
+
 @pytest.fixture
 def table(clock):
     found = ServerTable(clock)
