Search for the id of a stream's last event only when it is asked for

The id of each event was extracted and decoded, but only a request that is sent again needs the last one.

--- a/src/chivesaddle/forwarding/events.py
+++ b/src/chivesaddle/forwarding/events.py
@@ -27,7 +27,16 @@
 
     def __init__(self) -> None:
         self._buffer = bytearray()
-        self.last_id: str | None = None
+        # The last events of which one has an id; few streams are asked for it.
+        self._events_with_id = b""
+
+    @property
+    def last_id(self) -> str | None:
+        """Id of the last event that has one, which begins at its last id field."""
+        events = self._events_with_id
+        start = max(events.rfind(b"\nid:"), events.rfind(b"\rid:"), 0)
+        last = _ID.match(events, start)
+        return None if last is None else last[1].decode("latin-1")
 
     @property
     def remainder(self) -> bytes:
@@ -58,7 +67,7 @@
             and len(chunk) > 2
             and chunk[-3] not in _LINE_END_BYTES
         ):
-            self._record_id(chunk)
+            self._record_events(chunk)
             return chunk
         # A boundary may start in the last bytes of the remainder.
         search_from = max(0, len(self._buffer) - 3)
@@ -70,15 +79,12 @@
             return b""
         events = bytes(self._buffer[:end])
         del self._buffer[:end]
-        self._record_id(events)
+        self._record_events(events)
         return events
 
-    def _record_id(self, events: bytes) -> None:
-        """Record the last id, which begins at the last line with that field."""
-        start = max(events.rfind(b"\nid:"), events.rfind(b"\rid:"), 0)
-        last = _ID.match(events, start)
-        if last is not None:
-            self.last_id = last[1].decode("latin-1")
+    def _record_events(self, events: bytes) -> None:
+        if events.startswith(b"id:") or b"\nid:" in events or b"\rid:" in events:
+            self._events_with_id = events
 
 
 __all__ = ["EventSplitter"]
