--- a/src/chivesaddle/forwarding/events.py
+++ b/src/chivesaddle/forwarding/events.py
@@ -6,6 +6,7 @@
 # end that was cut.
 _BOUNDARY = re.compile(rb"\r?\n\r?\n|\r\r")
 _ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
+_LINE_END_BYTES = b"\r\n"
 # Empty lines and comments, which belong to no event.
 _NO_FIELD = re.compile(rb"(?:(?::[^\r\n]*)?[\r\n])*")
 
@@ -26,7 +27,16 @@
 
     def __init__(self) -> None:
         self._buffer = bytearray()
-        self.last_id: str | None = None
+        # The last events of which one has an id; few streams are asked for it.
+        self._events_with_id = b""
+
+    @property
+    def last_id(self) -> str | None:
+        """Id of the last event that has one, which begins at its last id field."""
+        events = self._events_with_id
+        start = max(events.rfind(b"\nid:"), events.rfind(b"\rid:"), 0)
+        last = _ID.match(events, start)
+        return None if last is None else last[1].decode("latin-1")
 
     @property
     def remainder(self) -> bytes:
@@ -49,6 +59,16 @@
 
     def feed(self, chunk: bytes) -> bytes:
         """Return the events that ``chunk`` completes."""
+        # Servers mostly write whole events. Two LF after another byte are a boundary,
+        # which no earlier one can overlap.
+        if (
+            not self._buffer
+            and chunk[-2:] == b"\n\n"
+            and len(chunk) > 2
+            and chunk[-3] not in _LINE_END_BYTES
+        ):
+            self._record_events(chunk)
+            return chunk
         # A boundary may start in the last bytes of the remainder.
         search_from = max(0, len(self._buffer) - 3)
         self._buffer += chunk
@@ -59,10 +79,12 @@
             return b""
         events = bytes(self._buffer[:end])
         del self._buffer[:end]
-        ids = _ID.findall(events)
-        if ids:
-            self.last_id = ids[-1].decode("latin-1")
+        self._record_events(events)
         return events
 
+    def _record_events(self, events: bytes) -> None:
+        if events.startswith(b"id:") or b"\nid:" in events or b"\rid:" in events:
+            self._events_with_id = events
+
 
 __all__ = ["EventSplitter"]
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -33,6 +33,7 @@
 # 2 s of the store's return. The grace period is 0.5 s shorter than the time limit for
 # draining, because the notification of a removal also takes time.
 REMOVAL_GRACE_S = 1.5
+NEVER = -math.inf
 # More than any request takes.
 UNLIMITED_TOKENS = 1 << 62
 # Servers that are remembered after they left the list.
@@ -171,13 +172,18 @@
 
     def was_sent(self, scope: str, part: PromptPartId, since: float) -> bool:
         """Return whether this daemon sent the server a part at or after ``since``."""
-        return self.sent_parts.get((scope, part), -math.inf) >= since
+        return self.sent_parts.get((scope, part), NEVER) >= since
 
     def sent_since(
         self, scope: str, parts: Iterable[PromptPartId], since: float
     ) -> frozenset[PromptPartId]:
         """Return the parts that this daemon sent the server at or after ``since``."""
-        return frozenset([part for part in parts if self.was_sent(scope, part, since)])
+        sent_at = self.sent_parts
+        if not sent_at:
+            return frozenset()
+        return frozenset(
+            [part for part in parts if sent_at.get((scope, part), NEVER) >= since]
+        )
 
     def record_sent_parts(
         self, scope: str, parts: Iterable[PromptPartId], now: float
@@ -214,7 +220,8 @@
         self.before_choice: Callable[[], None] = lambda: None
         # Called when a server's response broke.
         self.on_broken: Callable[[TrackedServer], None] = lambda server: None
-        # Called when a server of the service may have free capacity.
+        # Called when servers of the service may have free capacity, in the next turn of
+        # the reactor, so that all changes of one turn cost one call.
         self.on_capacity_freed: Callable[[ServiceId], None] = lambda service: None
         # Called with the entry before and the new one when a server is listed, removed
         # or replaced; None stands for no entry.
@@ -230,6 +237,8 @@
         # Start times of servers that left the list.
         self._departed: OrderedDict[BackendServerId, int] = OrderedDict()
         self._serial = 0
+        # Services for which `on_capacity_freed` is about to be called.
+        self._freed_services: set[ServiceId] = set()
 
     def get(self, server: BackendServerId) -> TrackedServer | None:
         """Return a listed server."""
@@ -420,13 +429,22 @@
         return self._serial
 
     def record_response_bytes(
-        self, server: BackendServerId, serial: int, connected_at: float = math.inf
+        self,
+        server: BackendServerId,
+        serial: int,
+        connected_at: float = math.inf,
+        now: float | None = None,
     ) -> None:
-        """Record response bytes on a connection that was opened ``connected_at``."""
+        """Record response bytes on a connection that was opened ``connected_at``.
+
+        ``now`` is the current time, if the caller has read the clock already.
+        """
         tracked = self._by_id.get(server)
         if tracked is not None:
+            if now is None:
+                now = self._clock.seconds()
             tracked.unanswered.pop(serial, None)
-            tracked.last_byte_at = now = self._clock.seconds()
+            tracked.last_byte_at = now
             tracked.path.record_bytes(connected_at, now)
             if tracked.path.awaits_bytes:
                 self.record_answer(server)
@@ -464,7 +482,7 @@
             extra={"server": tracked.entry.id, "after_ms": round(after_s * 1_000)},
         )
         self.on_path_regained(tracked, lost_at)
-        self._clock.callLater(0, self.on_capacity_freed, tracked.entry.service)
+        self._schedule_capacity_freed(tracked.entry.service)
 
     def record_connection_failure(self, server: BackendServerId, cause: str) -> None:
         """Record that this daemon could not open a connection to the server."""
@@ -490,7 +508,7 @@
             },
         )
         self.on_path_lost(tracked.entry)
-        self._clock.callLater(0, self.on_capacity_freed, tracked.entry.service)
+        self._schedule_capacity_freed(tracked.entry.service)
 
     def record_replaced(self, server: BackendServerId) -> None:
         """Record that another server responds at the server's address."""
@@ -510,6 +528,15 @@
             and tracked.entry.state is ServerState.READY
         ]
 
+    def _schedule_capacity_freed(self, service: ServiceId) -> None:
+        if service not in self._freed_services:
+            self._freed_services.add(service)
+            self._clock.callLater(0, self._report_capacity_freed, service)
+
+    def _report_capacity_freed(self, service: ServiceId) -> None:
+        self._freed_services.discard(service)
+        self.on_capacity_freed(service)
+
     def _check_down(self, unreachable: TrackedServer, since: float) -> None:
         """Report a server as down that other servers have outlived."""
         if unreachable.last_contact_at > since:
@@ -608,7 +635,7 @@
             return
         tracked.in_flight.remove(serial)
         tracked.unanswered.pop(serial, None)
-        self._clock.callLater(0, self.on_capacity_freed, tracked.entry.service)
+        self._schedule_capacity_freed(tracked.entry.service)
         match outcome:
             case None | ExchangeOutcome.REFUSED:
                 return
