--- a/src/chivesaddle/core/aio.py
+++ b/src/chivesaddle/core/aio.py
@@ -12,7 +12,6 @@
 
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 from twisted.python.failure import Failure
-from twisted.python.log import callWithLogger
 
 from chivesaddle.core.errors import DeadlineExceeded
 
@@ -41,38 +40,6 @@
         """Schedule a call after ``delay`` seconds."""
 
 
-class ReactorLoop(asyncio.SelectorEventLoop):
-    """Event loop that calls the reactor's sockets without a log context for each event.
-
-    Twisted names the socket in all log lines of an event, which the daemon's lines do
-    not contain. The reactor catches and logs exceptions of sockets itself; any other
-    exception is logged by the event loop.
-    """
-
-    def add_reader(  # type: ignore[override]
-        self, fd: Any, callback: Callable[..., Any], *args: Any
-    ) -> None:
-        """Call ``callback`` when a file descriptor can be read."""
-        callback, args = _without_log_context(callback, args)
-        super().add_reader(fd, callback, *args)
-
-    def add_writer(  # type: ignore[override]
-        self, fd: Any, callback: Callable[..., Any], *args: Any
-    ) -> None:
-        """Call ``callback`` when a file descriptor can be written."""
-        callback, args = _without_log_context(callback, args)
-        super().add_writer(fd, callback, *args)
-
-
-def _without_log_context(
-    callback: Callable[..., Any], args: tuple[Any, ...]
-) -> tuple[Callable[..., Any], tuple[Any, ...]]:
-    if callback is callWithLogger:
-        _, callback, *rest = args
-        return callback, tuple(rest)
-    return callback, args
-
-
 def install_reactor() -> None:
     """Install the asyncio reactor with a clock that includes suspended time.
 
@@ -88,7 +55,7 @@
     """
     from twisted.internet import asyncioreactor
 
-    loop = ReactorLoop()
+    loop = asyncio.new_event_loop()
     # Makes this the current loop, so that coroutines started before it runs are not
     # scheduled on another one.
     asyncio.set_event_loop(loop)
@@ -243,7 +210,6 @@
 __all__ = [
     "Clock",
     "DelayedCall",
-    "ReactorLoop",
     "Signal",
     "from_asyncio",
     "install_reactor",
--- a/tests/core/test_core.py
+++ b/tests/core/test_core.py
@@ -1,11 +1,9 @@
 import json
-import socket
 
 import pytest
 from twisted.internet.defer import Deferred
-from twisted.python.log import callWithLogger
 
-from chivesaddle.core.aio import ReactorLoop, sleep_until, start, with_deadline
+from chivesaddle.core.aio import sleep_until, start, with_deadline
 from chivesaddle.core.errors import DeadlineExceeded
 from chivesaddle.core.events import (
     Event,
@@ -62,56 +60,6 @@
         assert clock.getDelayedCalls() == []
 
 
-class NamelessSocket:
-    def logPrefix(self):  # noqa: N802
-        raise AssertionError("looked up for a log context")
-
-
-class TestReactorLoop:
-    @pytest.fixture
-    def loop(self):
-        loop = ReactorLoop()
-        yield loop
-        loop.close()
-
-    @pytest.mark.parametrize("is_wrapped", [True, False])
-    def test_sockets_are_called_without_a_log_context(self, loop, is_wrapped):
-        """Guards against a callback that is lost with the log context around it."""
-        calls = []
-
-        def record(*args):
-            calls.append(args)
-            loop.remove_reader(reader)
-            loop.remove_writer(writer)
-            loop.call_soon(loop.stop)
-
-        wrapper = (callWithLogger, NamelessSocket()) if is_wrapped else ()
-        reader, writer = socket.socketpair()
-        with reader, writer:
-            writer.send(b"x")
-            loop.add_reader(reader, *wrapper, record, "read", True)
-            loop.run_forever()
-            loop.add_writer(writer, *wrapper, record, "write", False)
-            loop.run_forever()
-        assert calls == [("read", True), ("write", False)]
-
-    def test_exception_of_a_socket_is_reported(self, loop):
-        """Guards against an exception that ends the loop or that nobody sees."""
-        reported = []
-
-        def fail():
-            loop.remove_writer(writer)
-            loop.call_soon(loop.stop)
-            raise ValueError("bad")
-
-        loop.set_exception_handler(lambda _, found: reported.append(found["exception"]))
-        reader, writer = socket.socketpair()
-        with reader, writer:
-            loop.add_writer(writer, callWithLogger, NamelessSocket(), fail)
-            loop.run_forever()
-        assert [str(error) for error in reported] == ["bad"]
-
-
 class TestHybridClock:
     def test_event_after_a_received_message_is_ordered_after_its_cause(self):
         """Guards against effects ordered before their causes when clocks differ."""
