Check once for all kinds whether an idle daemon has to watch the store

Each of the five watchers of a daemon without callers asked four times a second whether it has to watch, 18.5 timers a second. They share one check now, at the same interval of 0.25 s.

--- a/src/chivesaddle/fleet/__init__.py
+++ b/src/chivesaddle/fleet/__init__.py
@@ -8,7 +8,7 @@
 from chivesaddle.fleet.notices import NoticeSender
 from chivesaddle.fleet.replica import Entry, Replica
 from chivesaddle.fleet.updates import Update, UpdateRelay
-from chivesaddle.fleet.watch_role import WatchRole
+from chivesaddle.fleet.watch_role import RoleWait, WatchRole
 from chivesaddle.fleet.watcher import StoreReachability, Watcher
 from chivesaddle.fleet.working_set import WorkingSet
 
@@ -24,6 +24,7 @@
     "PeerDatagrams",
     "Replica",
     "RequestDemand",
+    "RoleWait",
     "ServerLoadShare",
     "StoreReachability",
     "Update",
--- a/src/chivesaddle/fleet/watch_role.py
+++ b/src/chivesaddle/fleet/watch_role.py
@@ -1,8 +1,11 @@
 """Whether this daemon watches the platform's store or gets changes from its peers."""
 
+from collections.abc import Callable
+
 import xxhash
+from twisted.internet.defer import Deferred
 
-from chivesaddle.core.aio import Clock
+from chivesaddle.core.aio import Clock, DelayedCall
 from chivesaddle.fleet.members import Members
 from chivesaddle.fleet.working_set import WorkingSet
 
@@ -11,6 +14,8 @@
 REPORT_TIMEOUT_S = 3.0
 # Daemons that do so. The store may refuse some of them as well.
 MAX_STAND_INS = 10
+# Interval at which a daemon that does not watch checks whether it has to.
+ROLE_CHECK_INTERVAL_S = 0.25
 
 
 class WatchRole:
@@ -49,4 +54,57 @@
         return self._members.own.id in others[:MAX_STAND_INS]
 
 
-__all__ = ["WatchRole"]
+class RoleWait:
+    """Waits until this daemon has to watch the store.
+
+    All watchers of a daemon share one, so that a daemon that does not watch has one
+    periodic timer instead of one for each kind of objects.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of the checks.
+    may_watch : callable
+        Returns whether this daemon watches the store.
+    """
+
+    def __init__(self, clock: Clock, may_watch: Callable[[], bool]) -> None:
+        self._clock = clock
+        self._may_watch = may_watch
+        self._waiting: list[Deferred[None]] = []
+        self._check_call: DelayedCall | None = None
+
+    def may_watch(self) -> bool:
+        """Return whether this daemon should watch the store now."""
+        return self._may_watch()
+
+    def wait(self) -> "Deferred[None]":
+        """Return a Deferred that fires once this daemon may watch."""
+        waiting: Deferred[None] = Deferred(self._cancel)
+        self._waiting.append(waiting)
+        if self._check_call is None:
+            self._schedule_check()
+        return waiting
+
+    def _schedule_check(self) -> None:
+        self._check_call = self._clock.callLater(ROLE_CHECK_INTERVAL_S, self._check)
+
+    def _check(self) -> None:
+        self._check_call = None
+        if not self._may_watch():
+            self._schedule_check()
+            return
+        waiting, self._waiting = self._waiting, []
+        for deferred in waiting:
+            # One that was granted the role may have stopped the others.
+            if not deferred.called:
+                deferred.callback(None)
+
+    def _cancel(self, cancelled: "Deferred[None]") -> None:
+        self._waiting = [w for w in self._waiting if w is not cancelled]
+        if not self._waiting and self._check_call is not None:
+            self._check_call.cancel()
+            self._check_call = None
+
+
+__all__ = ["RoleWait", "WatchRole"]
--- a/src/chivesaddle/fleet/watcher.py
+++ b/src/chivesaddle/fleet/watcher.py
@@ -16,6 +16,7 @@
     RevisionCompacted,
 )
 from chivesaddle.fleet.replica import Replica
+from chivesaddle.fleet.watch_role import RoleWait
 
 # A watch is a single long-polling call, whatever its duration; the store ends it after
 # at most 30 s.
@@ -25,8 +26,6 @@
 # recovers.
 RETRY_BASE_S = 0.1
 RETRY_MAX_S = 1.0
-# Interval at which a daemon that does not watch checks whether it has to.
-ROLE_CHECK_INTERVAL_S = 0.25
 # Delay before the next watch after a change, per daemon of the fleet, so that one call
 # returns several changes: when 80 daemons register within 2 s, each of them makes at
 # most 10 calls instead of 80. The maximum is a quarter of the 2 s within which a change
@@ -93,9 +92,9 @@
         Records whether each call was answered.
     fleet_size : callable
         Returns the number of daemons, whose registrations may all change at once.
-    may_watch : callable
-        Returns whether this daemon watches the store. Otherwise it only lists the kind
-        once, and peers send it the changes.
+    role : RoleWait or None
+        Whether this daemon watches the store. Otherwise it only lists the kind once,
+        and peers send it the changes. None lets it always watch.
     """
 
     def __init__(
@@ -105,14 +104,14 @@
         replica: Replica,
         reachability: StoreReachability,
         fleet_size: Callable[[], int],
-        may_watch: Callable[[], bool] = lambda: True,
+        role: RoleWait | None = None,
     ) -> None:
         self._api = api
         self._clock = clock
         self._replica = replica
         self._reachability = reachability
         self._fleet_size = fleet_size
-        self._may_watch = may_watch
+        self._role = role
         self._jitter = random.Random()
         self._loop: Deferred[None] | None = None
         # Revision after which to watch; None if a listing is needed first.
@@ -131,8 +130,9 @@
 
     async def _run(self) -> None:
         while True:
-            if self._replica.applied_revision and not self._may_watch():
-                await self._wait_for_role()
+            role = self._role
+            if role and self._replica.applied_revision and not role.may_watch():
+                await self._wait_for(role)
             try:
                 await self._list_or_watch()
                 self._failures = 0
@@ -157,12 +157,10 @@
                 )
                 await sleep_until(self._clock, self._clock.seconds() + RETRY_MAX_S)
 
-    async def _wait_for_role(self) -> None:
+    async def _wait_for(self, role: RoleWait) -> None:
         self._reachability.stop_observing()
-        while not self._may_watch():
-            await sleep_until(
-                self._clock, self._clock.seconds() + ROLE_CHECK_INTERVAL_S
-            )
+        while not role.may_watch():
+            await role.wait()
         # Peers sent the changes since the last call, if not all of them: continue from
         # where the replica is complete.
         self._watch_after = self._replica.applied_revision or None
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -26,6 +26,7 @@
     PeerDatagrams,
     Replica,
     RequestDemand,
+    RoleWait,
     StoreReachability,
     Update,
     UpdateRelay,
@@ -177,6 +178,7 @@
         self._servers.on_path_lost = self._give_up_connections
         self._servers.on_broken = self._path_probe.check
         watch_role = WatchRole(reactor, self._members, self._working_set)
+        role_wait = RoleWait(reactor, watch_role.may_watch)
         self._watchers = [
             Watcher(
                 self.store,
@@ -184,7 +186,7 @@
                 replica,
                 self._reachability,
                 self._members.fleet_size,
-                watch_role.may_watch,
+                role_wait,
             )
             for replica in self._replicas.values()
         ]
--- a/tests/fleet/test_watcher.py
+++ b/tests/fleet/test_watcher.py
@@ -9,7 +9,7 @@
     PlatformUnavailable,
     StoredObject,
 )
-from chivesaddle.fleet import Replica, StoreReachability, Watcher
+from chivesaddle.fleet import Replica, RoleWait, StoreReachability, Watcher
 
 
 class Store:
@@ -116,7 +116,8 @@
     def start(self, store, clock, may_watch):
         replica = Replica("daemons")
         reachability = StoreReachability(clock)
-        Watcher(store, clock, replica, reachability, lambda: 80, may_watch).start()
+        role = RoleWait(clock, may_watch)
+        Watcher(store, clock, replica, reachability, lambda: 80, role).start()
         return replica, reachability
 
     def test_kind_is_listed_once_and_not_watched(self, store, clock):
@@ -144,3 +145,19 @@
         store.is_unavailable = False
         advance_in_steps(clock, 2.0)
         assert replica.applied_revision == store.revision
+
+    def test_watchers_share_one_check_of_the_role(self, store, clock):
+        """Guards against a timer for each kind, most of the cost of an idle daemon."""
+        role = RoleWait(clock, lambda: False)
+        watchers = []
+        for kind in ("config", "daemons", "servers", "versions"):
+            watcher = Watcher(
+                store, clock, Replica(kind), StoreReachability(clock), lambda: 80, role
+            )
+            watcher.start()
+            watchers.append(watcher)
+        advance_in_steps(clock, 1.0)
+        assert len(clock.getDelayedCalls()) == 1
+        for watcher in watchers:
+            watcher.stop()
+        assert clock.getDelayedCalls() == []
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -10,6 +10,7 @@
     Member,
     Members,
     Replica,
+    RoleWait,
     StoreReachability,
     UpdateRelay,
     Watcher,
@@ -92,6 +93,7 @@
         self.working_set = WorkingSet(clock, self.members)
         self.watch_role = WatchRole(clock, self.members, self.working_set)
         self.lease = Lease(self.client, clock, "weights", own.id, "1", era=self.era)
+        role_wait = RoleWait(clock, self.watch_role.may_watch)
         self.watchers = [
             Watcher(
                 self.client,
@@ -99,7 +101,7 @@
                 replica,
                 self.reachability,
                 self.members.fleet_size,
-                self.watch_role.may_watch,
+                role_wait,
             )
             for replica in self.replicas.values()
         ]
