Walk over the servers only while there are requests or lost paths

The probe of paths walked over all servers ten times a second, and each beacon walked over them three times, also on a daemon that has no request at any server and reaches them all. ServerActivity knows from the callers' listener and from the report of a lost path that there is nothing to find. The probe checks each 0.4 s then instead of each 0.1 s; a server is still probed within 0.5 s of silence, and a lost path within 0.1 s.

The tests of lost paths now build their daemons with ServerActivity, as the daemon does, so that they cover the shorter walks; none of their assertions changed.

--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -89,6 +89,7 @@
 from chivesaddle.serving.peer_paths import FleetPaths
 from chivesaddle.serving.registration import Registration
 from chivesaddle.serving.request_senders import RequestSenders
+from chivesaddle.serving.server_activity import ServerActivity
 from chivesaddle.serving.settings import ServingSettings, SettingsError
 from chivesaddle.serving.software_view import SoftwareView
 from chivesaddle.serving.store_hints import StoreHints
@@ -171,10 +172,15 @@
         )
         self._members = Members(reactor, own, self._replicas[MEMBERS_KIND])
         self._working_set = WorkingSet(reactor, self._members)
+        self._activity = ServerActivity(
+            self._servers, self._has_callers_requests, reports_lost_paths=True
+        )
         self._paths = FleetPaths(
-            reactor, self._members, self._working_set, self._servers
+            reactor, self._members, self._working_set, self._servers, self._activity
+        )
+        self._path_probe = PathProbe(
+            reactor, self._servers, self._server_pool, self._activity
         )
-        self._path_probe = PathProbe(reactor, self._servers, self._server_pool)
         self._servers.on_path_lost = self._give_up_connections
         self._servers.on_broken = self._path_probe.check
         watch_role = WatchRole(reactor, self._members, self._working_set)
@@ -255,7 +261,10 @@
             self._order_rank,
         )
         shares = ServerLoadShares(
-            reactor, self._servers, lambda: self._rollout.excluded_servers
+            reactor,
+            self._servers,
+            lambda: self._rollout.excluded_servers,
+            self._activity,
         )
         self._demand = RequestDemand(reactor)
         self._datagrams = PeerDatagrams(
@@ -477,8 +486,14 @@
         self.metrics.observe_request(result, seconds)
         self._demand.record_request()
 
+    def _has_callers_requests(self) -> bool:
+        """Return whether a caller or a peer waits for a response of this daemon."""
+        return self._caller_listener is not None and self._caller_listener.in_flight > 0
+
     def _give_up_connections(self, server: ServerEntry) -> None:
         """Close the idle connections of a lost path, and probe similar ones."""
+        self._activity.record_path_lost()
+        self._path_probe.check_lost_path()
         self._server_pool.close_address(server.address)
         self._path_probe.probe_service(server.service)
 
@@ -561,7 +576,7 @@
                 self.metrics.set_value(f"streams_resumed_{result}", count)
             self._evacuations.check()
             self.metrics.set_value("evacuated_zones", len(self._evacuations))
-            self.metrics.set_value("lost_paths", len(self._servers.lost_servers()))
+            self.metrics.set_value("lost_paths", self._paths.lost_count)
             self.metrics.set_value("is_cut_off", self._paths.is_cut_off)
             self.metrics.set_value("path_probes", self._path_probe.probes)
             self.metrics.set_value("in_flight", self._caller_listener.in_flight)
--- a/src/chivesaddle/serving/hints.py
+++ b/src/chivesaddle/serving/hints.py
@@ -8,6 +8,7 @@
 from chivesaddle.fleet import ServerLoadShare
 from chivesaddle.fleet.beacons import server_hash
 from chivesaddle.placement import Load, ServerTable, TrackedServer
+from chivesaddle.serving.server_activity import ServerActivity
 
 # Older load reports are too outdated to be useful to the receiver.
 LOAD_MAX_AGE_S = 1.5
@@ -71,6 +72,8 @@
         Table that holds the load of all daemons.
     loading : callable
         Returns the servers that are loading weights on this daemon's order.
+    activity : ServerActivity or None
+        Finds the servers with requests of this daemon; None walks over all.
     """
 
     def __init__(
@@ -78,10 +81,12 @@
         clock: Clock,
         servers: ServerTable,
         loading: Callable[[], Iterable[BackendServerId]],
+        activity: ServerActivity | None = None,
     ) -> None:
         self._clock = clock
         self._servers = servers
         self._loading_servers = loading
+        self._activity = activity or ServerActivity(servers)
         self._ids_by_hash: dict[int, list[BackendServerId]] = {}
         self._ids_version = -1
         # Hashes of the servers on which each peer has load.
@@ -91,7 +96,7 @@
         """Return this daemon's load shares, and hashes of servers loading weights."""
         shares = []
         now = self._clock.seconds()
-        for tracked in self._servers.all():
+        for tracked in self._activity.with_requests():
             if tracked.in_flight:
                 own = tracked.own_load(now)
                 shares.append(
--- a/src/chivesaddle/serving/path_probe.py
+++ b/src/chivesaddle/serving/path_probe.py
@@ -6,17 +6,27 @@
 
 from twisted.internet.defer import Deferred
 
-from chivesaddle.core.aio import Clock, log_failure, sleep_until, start
+from chivesaddle.core.aio import (
+    Clock,
+    DelayedCall,
+    log_failure,
+    sleep_until,
+    start,
+)
 from chivesaddle.core.ids import ServiceId
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.http1 import ConnectionPool, NotSent
 from chivesaddle.placement import ServerTable, TrackedServer
+from chivesaddle.serving.server_activity import ServerActivity
 
 INTERVAL_S = 0.1
 # Servers accept connections within milliseconds.
 CONNECT_TIMEOUT_S = 0.35
 # A server that owes responses and has sent nothing for this long is probed.
 MAX_SILENCE_S = 0.4
+# Interval while no request is at a server and no path is lost: a request that is sent
+# after a check cannot be silent for `MAX_SILENCE_S` before the next one.
+IDLE_INTERVAL_S = MAX_SILENCE_S
 # A connection that is accepted and then reset is reset within this time.
 SETTLED_AFTER_S = 0.05
 # Interval of probes of one server.
@@ -39,35 +49,55 @@
         Servers and paths.
     pool : ConnectionPool
         Opens connections and keeps them for requests.
+    activity : ServerActivity or None
+        The servers to check; None walks over all.
     """
 
     def __init__(
-        self, clock: Clock, servers: ServerTable, pool: ConnectionPool
+        self,
+        clock: Clock,
+        servers: ServerTable,
+        pool: ConnectionPool,
+        activity: ServerActivity | None = None,
     ) -> None:
         self._clock = clock
         self._servers = servers
         self._pool = pool
+        self._activity = activity or ServerActivity(servers)
         self._probes_by_address: dict[str, Deferred[None]] = {}
         self._probed_at_by_address: dict[str, float] = {}
-        self._loop: Deferred[None] | None = None
+        self._listed_version = -1
+        self._check_call: DelayedCall | None = None
+        self._check_at = 0.0
         self.probes = 0
 
     def start(self) -> None:
         """Start probing."""
-        self._loop = start(self._run())
-        self._loop.addErrback(log_failure(log, "probes of paths ended"))
+        self._schedule(INTERVAL_S)
 
     def stop(self) -> None:
         """Stop probing."""
-        if self._loop is not None:
-            self._loop.cancel()
+        if self._check_call is not None:
+            self._check_call.cancel()
+            self._check_call = None
         for probe in list(self._probes_by_address.values()):
             probe.cancel()
 
-    async def _run(self) -> None:
-        while True:
-            await sleep_until(self._clock, self._clock.seconds() + INTERVAL_S)
-            self._probe_due()
+    def check_lost_path(self) -> None:
+        """Check within `INTERVAL_S`, because a path was lost."""
+        if (
+            self._check_call is not None
+            and self._check_at > self._clock.seconds() + INTERVAL_S
+        ):
+            self._check_call.cancel()
+            self._schedule(INTERVAL_S)
+
+    def _schedule(self, delay_s: float) -> None:
+        self._check_at = self._clock.seconds() + delay_s
+        self._check_call = self._clock.callLater(delay_s, self._run)
+
+    def _run(self) -> None:
+        self._schedule(INTERVAL_S if self._probe_due() else IDLE_INTERVAL_S)
 
     def check(self, server: TrackedServer) -> None:
         """Probe a server whose response broke, unless it was probed just before."""
@@ -77,17 +107,28 @@
         ):
             self._start_probe(server)
 
-    def _probe_due(self) -> None:
-        listed = {server.entry.address for server in self._servers.all()}
-        for address in self._probed_at_by_address.keys() - listed:
-            del self._probed_at_by_address[address]
+    def _probe_due(self) -> bool:
+        """Probe the servers that are due; return whether others may be due soon."""
+        self._forget_unlisted()
         now = self._clock.seconds()
-        for server in self._servers.all():
-            is_lost = server.path.lost_at is not None
+        lost = self._activity.lost()
+        with_requests = self._activity.with_requests()
+        for server in lost:
+            self.check(server)
+        for server in with_requests:
             is_silent = server.unresponsive_s(now) >= MAX_SILENCE_S
-            is_silent = is_silent and now - server.path.connected_at >= MAX_SILENCE_S
-            if is_lost or is_silent:
+            if is_silent and now - server.path.connected_at >= MAX_SILENCE_S:
                 self.check(server)
+        return bool(lost or with_requests)
+
+    def _forget_unlisted(self) -> None:
+        version = self._servers.version
+        if not self._probed_at_by_address or version == self._listed_version:
+            return
+        self._listed_version = version
+        listed = {server.entry.address for server in self._servers.all()}
+        for address in self._probed_at_by_address.keys() - listed:
+            del self._probed_at_by_address[address]
 
     def _start_probe(self, server: TrackedServer) -> None:
         address = server.entry.address
--- a/src/chivesaddle/serving/peer_paths.py
+++ b/src/chivesaddle/serving/peer_paths.py
@@ -9,7 +9,8 @@
 from chivesaddle.fleet import Member, Members, WorkingSet
 from chivesaddle.fleet.beacons import server_hash
 from chivesaddle.forwarding import PeerDaemon
-from chivesaddle.placement import ServerTable
+from chivesaddle.placement import ServerTable, TrackedServer
+from chivesaddle.serving.server_activity import ServerActivity
 
 # A daemon of the own zone is this much more likely to get a request that is passed on:
 # traffic between zones is billed, but one daemon must not get all requests of others.
@@ -33,6 +34,8 @@
         The daemons that take callers.
     servers : ServerTable
         Servers and this daemon's paths.
+    activity : ServerActivity or None
+        Finds the lost servers; None walks over all.
     """
 
     def __init__(
@@ -41,11 +44,13 @@
         members: Members,
         working_set: WorkingSet,
         servers: ServerTable,
+        activity: ServerActivity | None = None,
     ) -> None:
         self._clock = clock
         self._members = members
         self._working_set = working_set
         self._servers = servers
+        self._activity = activity or ServerActivity(servers)
         self._random = random.Random()
         # Hashes of the servers that each peer does not reach, and until when the
         # report is valid.
@@ -57,7 +62,7 @@
 
         Empty if this daemon reaches a server of the service itself.
         """
-        if not self._servers.lost_servers():
+        if not self._lost_ready():
             return ()
         if self._servers.has_path(service):
             return ()
@@ -79,6 +84,8 @@
     def is_cut_off(self) -> bool:
         """Whether this daemon reaches no server, or did so only for a moment."""
         now = self._clock.seconds()
+        if not self._lost_ready():
+            return now < self._cut_off_until
         ready = [
             server
             for server in self._servers.all()
@@ -96,9 +103,17 @@
 
         The second value is whether it reaches none, while another daemon does.
         """
-        lost = sorted(server_hash(s.entry.id) for s in self._servers.lost_servers())
+        lost = sorted(server_hash(s.entry.id) for s in self._lost_ready())
         return lost[:MAX_NAMED_SERVERS], self.is_cut_off
 
+    @property
+    def lost_count(self) -> int:
+        """Number of ready servers that this daemon does not reach."""
+        return len(self._lost_ready())
+
+    def _lost_ready(self) -> list[TrackedServer]:
+        return [s for s in self._activity.lost() if s.entry.state is ServerState.READY]
+
     def apply_lost_servers(
         self, peer: str, lost: Sequence[int], valid_s: float
     ) -> None:
--- a/tests/forwarding/test_lost_paths.py
+++ b/tests/forwarding/test_lost_paths.py
@@ -12,6 +12,7 @@
 from chivesaddle.serving.hints import ServerLoadShares
 from chivesaddle.serving.path_probe import PathProbe
 from chivesaddle.serving.peer_paths import FleetPaths
+from chivesaddle.serving.server_activity import ServerActivity
 
 from .conftest import CrashFleet, Harness, Transport
 
@@ -135,16 +136,25 @@
             is_cut_off=lambda daemon: False,
             registered=lambda: [d.member for d in fleet.daemons],
         )
-        self.paths = FleetPaths(self.reactor, members, working_set, self.servers)
+        self.activity = ServerActivity(
+            self.servers, lambda: self.listener.in_flight > 0, reports_lost_paths=True
+        )
+        self.paths = FleetPaths(
+            self.reactor, members, working_set, self.servers, self.activity
+        )
         self.peer_paths = self.paths
         self.forwarder = self.make_forwarder()
-        self.probe = PathProbe(self.reactor, self.servers, self.pool)
+        self.probe = PathProbe(self.reactor, self.servers, self.pool, self.activity)
         self.servers.on_path_lost = self._lose_path
         self.servers.on_broken = self.probe.check
-        self.shares = ServerLoadShares(self.reactor, self.servers, lambda: [])
+        self.shares = ServerLoadShares(
+            self.reactor, self.servers, lambda: [], self.activity
+        )
         self.probe.start()
 
     def _lose_path(self, entry):
+        self.activity.record_path_lost()
+        self.probe.check_lost_path()
         self.pool.close_address(entry.address)
         self.probe.probe_service(entry.service)
 
