Leave out the periodic walks of an idle daemon over all servers and members

With 5,600 servers and 500 daemons the housekeeping of each second took most of the time: the check of evacuations, without an evacuated zone, the oldest weight version, which only a working daemon uses, and metrics that nobody had asked for. The check runs while a zone is evacuated, the version is followed by working daemons, and the metrics are set when they are read. The liveness timeout is computed once for an exchange instead of once for each daemon, a replica whose peer lacks nothing is not walked, and counts of members copy no lists.

--- a/src/chivesaddle/fleet/members.py
+++ b/src/chivesaddle/fleet/members.py
@@ -109,11 +109,15 @@
         A daemon whose registration the store has lost is included for a while, since
         daemons do not remove their registrations.
         """
+        return list(self._current_registered())
+
+    def _current_registered(self) -> list[Member]:
+        """Return the cached list itself, which callers must not change."""
         now = self._clock.seconds()
         if self._registered is None or now >= self._registered_until:
             self._registered = self._find_registered(now)
             self._registered_until = now + REGISTERED_CACHE_S
-        return list(self._registered)
+        return self._registered
 
     def _forget_registered(self, entry: Entry) -> None:
         self._registered = None
@@ -145,7 +149,8 @@
 
     def peers(self) -> list[Member]:
         """Return the other registered daemons."""
-        return [member for member in self.registered() if member.id != self.own.id]
+        own = self.own.id
+        return [member for member in self._current_registered() if member.id != own]
 
     def addresses_in_own_zone(self) -> set[str]:
         """Return the addresses for exchanges of the daemons in this daemon's zone."""
@@ -206,7 +211,7 @@
         """Return the processor demand in cores that working daemons report, by zone."""
         oldest = self._clock.seconds() - WORKING_TIMEOUT_S
         demand_by_zone: dict[str, float] = {}
-        for member in self.registered():
+        for member in self._current_registered():
             last_seen = self._last_seen_by_id.get(member.id)
             if last_seen is not None and last_seen.beacon_at >= oldest:
                 demand = demand_by_zone.get(member.zone, 0.0) + last_seen.demand
@@ -216,6 +221,7 @@
     def last_seen_ages(self) -> dict[str, tuple[str, int, bool]]:
         """Return incarnation, age in ms and leaving state by running daemon."""
         now = self._clock.seconds()
+        timeout_s = self._liveness_timeout_s()
         return {
             daemon: (
                 last_seen.incarnation,
@@ -223,7 +229,7 @@
                 last_seen.is_leaving,
             )
             for daemon, last_seen in self._last_seen_by_id.items()
-            if now - last_seen.at <= self._liveness_timeout_s()
+            if now - last_seen.at <= timeout_s
         }
 
     def is_serving(self, daemon: str) -> bool:
@@ -267,7 +273,7 @@
 
     def fleet_size(self) -> int:
         """Return the number of registrations, this daemon's own included."""
-        return len(self.registered())
+        return len(self._current_registered())
 
     def caller_addresses(self, zone: str, include_own: bool) -> list[str]:
         """Return addresses for a caller in ``zone``, of its own zone if it has enough.
--- a/src/chivesaddle/fleet/replica.py
+++ b/src/chivesaddle/fleet/replica.py
@@ -63,6 +63,7 @@
         self.applied_revision = 0
         self._entries_by_name: dict[str, Entry] = {}
         self._live_entries: list[Entry] | None = None
+        self._newest_revision = 0
         self._listeners: list[Listener] = []
 
     def add_listener(self, listener: Listener) -> None:
@@ -149,6 +150,9 @@
                 for entry in self.live()
                 if self._version_of(entry) > known.get(entry.name, -1)
             ]
+        # Most peers lack nothing.
+        if applied_revision >= self._newest_revision:
+            return []
         return [
             entry
             for entry in self._entries_by_name.values()
@@ -173,6 +177,7 @@
         if current is not None and not self._replaces(entry, current):
             return
         self._entries_by_name[entry.name] = entry
+        self._newest_revision = max(self._newest_revision, entry.revision)
         self._live_entries = None
         if entry.is_deleted:
             self._drop_old_tombstones()
--- a/src/chivesaddle/fleet/working_set.py
+++ b/src/chivesaddle/fleet/working_set.py
@@ -10,6 +10,7 @@
 different lists choose different sets, which only spreads callers over more daemons.
 """
 
+import functools
 from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
@@ -88,6 +89,7 @@
     ]
 
 
+@functools.lru_cache(maxsize=4_096)
 def _preference(member: Member) -> tuple[float, int]:
     return -member.capacity, xxhash.xxh32_intdigest(member.id.encode())
 
@@ -163,6 +165,10 @@
             return sorted(
                 [own, *self._members.serving_peers()], key=lambda member: member.id
             )
+        return list(self._current_chosen())
+
+    def _current_chosen(self) -> list[Member]:
+        """Return the chosen daemons of a large fleet, a list not to be changed."""
         now = self._clock.seconds()
         if now >= self._refresh_at:
             self._refresh(now)
@@ -170,7 +176,7 @@
             self._refresh_at = now + (
                 REFRESH_INTERVAL_S if is_working else IDLE_REFRESH_INTERVAL_S
             )
-        return list(self._chosen)
+        return self._chosen
 
     def peers(self) -> list[Member]:
         """Return the other daemons that take callers."""
@@ -187,7 +193,10 @@
     @property
     def includes_own(self) -> bool:
         """Whether this daemon is in the working set."""
-        return self.is_whole_fleet or self.rank(self._members.own.id) is not None
+        if self.is_whole_fleet:
+            return True
+        own = self._members.own.id
+        return any(member.id == own for member in self._current_chosen())
 
     @property
     def own_rank_if_settled(self) -> int | None:
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -315,7 +315,7 @@
         self._cache_index = CacheIndex(reactor)
         self._feeds = CacheEventFeeds(reactor, backend_client, self._cache_index)
         self._cleaner = StoreCleaner(
-            reactor, self._cache_index, backend_client, self._servers.oldest_version
+            reactor, self._cache_index, backend_client, self._oldest_version
         )
         self._transfers = TransferPlanner(reactor, self._cache_index)
         self._forwarder = Forwarder(
@@ -355,7 +355,7 @@
         listeners = [
             listen(self._reactor, addresses.readiness, self._answer_readiness),
             listen(self._reactor, addresses.addresses, self._answer_addresses),
-            listen(self._reactor, addresses.metrics, self.metrics.handle),
+            listen(self._reactor, addresses.metrics, self._answer_metrics),
         ]
         self._caller_listener = listen(
             self._reactor,
@@ -542,6 +542,14 @@
                 is_store_by_address[tracked.entry.address] = False
         self._feeds.set_holders(is_store_by_address)
 
+    def _oldest_version(self) -> int | None:
+        """Return the oldest weight version that runs, None if this daemon is idle.
+
+        It is followed for the stores, which only a working daemon cleans.
+        """
+        is_working = self._working_set.includes_own
+        return self._servers.oldest_version() if is_working else None
+
     async def _clean_stores(self) -> None:
         configuration = self._serving_state.configuration
         if configuration is not None:
@@ -559,28 +567,37 @@
             self._server_pool.close_expired()
             self._store_pool.close_expired()
             self._peer_pool.close_expired()
-            self.metrics.set_value("store_calls", self.store.calls)
-            self.metrics.set_value(
-                "connections_opened", self._server_pool.connections_opened
-            )
-            self.metrics.set_value("working_set", len(self._working_set.daemons()))
-            self.metrics.set_value("limited_servers", self._limits.in_force())
-            self.metrics.set_value("cold_servers", self._cold_starts.count())
-            self.metrics.set_value("stream_origins", len(self._origins))
-            crashing_parts = self._crashes.count_crashing_parts()
-            self.metrics.set_value("crashing_parts", crashing_parts)
-            self.metrics.set_value("refused_as_crashing", self._crashes.refused)
-            for name, count in self._forwarder.admission_counts.by_name.items():
-                self.metrics.set_value(name, count)
-            for result, count in self._origins.resumed_by_result.items():
-                self.metrics.set_value(f"streams_resumed_{result}", count)
-            self._evacuations.check()
-            self.metrics.set_value("evacuated_zones", len(self._evacuations))
-            self.metrics.set_value("lost_paths", self._paths.lost_count)
-            self.metrics.set_value("is_cut_off", self._paths.is_cut_off)
-            self.metrics.set_value("path_probes", self._path_probe.probes)
-            self.metrics.set_value("in_flight", self._caller_listener.in_flight)
-            self.metrics.set_value("callers", len(self._caller_listener.connections))
+            # Without an evacuated zone there is nothing to find.
+            if len(self._evacuations):
+                self._evacuations.check()
+
+    def _answer_metrics(self, request: Request, responder: Responder) -> None:
+        self._update_metrics()
+        self.metrics.handle(request, responder)
+
+    def _update_metrics(self) -> None:
+        """Set the current values, some of which are found by walks over all servers."""
+        self.metrics.set_value("store_calls", self.store.calls)
+        self.metrics.set_value(
+            "connections_opened", self._server_pool.connections_opened
+        )
+        self.metrics.set_value("working_set", len(self._working_set.daemons()))
+        self.metrics.set_value("limited_servers", self._limits.in_force())
+        self.metrics.set_value("cold_servers", self._cold_starts.count())
+        self.metrics.set_value("stream_origins", len(self._origins))
+        crashing_parts = self._crashes.count_crashing_parts()
+        self.metrics.set_value("crashing_parts", crashing_parts)
+        self.metrics.set_value("refused_as_crashing", self._crashes.refused)
+        for name, count in self._forwarder.admission_counts.by_name.items():
+            self.metrics.set_value(name, count)
+        for result, count in self._origins.resumed_by_result.items():
+            self.metrics.set_value(f"streams_resumed_{result}", count)
+        self.metrics.set_value("evacuated_zones", len(self._evacuations))
+        self.metrics.set_value("lost_paths", self._paths.lost_count)
+        self.metrics.set_value("is_cut_off", self._paths.is_cut_off)
+        self.metrics.set_value("path_probes", self._path_probe.probes)
+        self.metrics.set_value("in_flight", self._caller_listener.in_flight)
+        self.metrics.set_value("callers", len(self._caller_listener.connections))
 
 
 __all__ = ["ServingDaemon"]
--- a/tests/fleet/test_replica.py
+++ b/tests/fleet/test_replica.py
@@ -61,3 +61,15 @@
             replica.apply_changes(2, [change("a", 2)])
         replica.apply_changes(3, [change("a", 2, deleted=True)])
         assert [entry.is_deleted for entry in notified] == [False, True]
+
+    def test_peer_gets_entries_and_tombstones_after_its_revision(self):
+        """Entries that a datagram brought are newer than the applied revision.
+
+        Guards against a shortcut for peers that lack nothing which leaves these out.
+        """
+        replica = Replica("k")
+        replica.apply_changes(3, [change("a", 2), change("b", 3)])
+        replica.put_entries([Entry("c", 9, {"v": 1}), Entry("a", 8)])
+        assert {e.name for e in replica.entries_after(3)} == {"a", "c"}
+        assert [e.name for e in replica.entries_after(8)] == ["c"]
+        assert replica.entries_after(9) == []
