Skip the pull of a large object that another peer has brought

Three working daemons notify each idle daemon of an object that is too large for a datagram, and the idle daemon made an exchange with each of them.

The fake puller of tests/fleet takes the new argument.

--- a/src/chivesaddle/fleet/exchange.py
+++ b/src/chivesaddle/fleet/exchange.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Protocol
 
 import msgspec
@@ -126,6 +126,8 @@
         self._backoff_until: dict[str, float] = {}
         self._loop: Deferred[None] | None = None
         self._pulls_by_address: dict[str, Deferred[None]] = {}
+        # Whether each of the objects for which a pull is planned is still missing.
+        self._needs_by_address: dict[str, list[Callable[[], bool]]] = {}
 
     def start(self) -> None:
         """Start exchanging messages."""
@@ -151,20 +153,36 @@
         for _ in range(2):
             await self._exchange_once()
 
-    def pull_from(self, address: str, delay_s: float) -> None:
-        """Exchange with one peer after a delay, unless that is planned already."""
+    def pull_from(
+        self,
+        address: str,
+        delay_s: float,
+        is_needed: Callable[[], bool] = lambda: True,
+    ) -> None:
+        """Exchange with one peer after a delay, unless that is not needed any more.
+
+        Several peers may offer the same object; the first exchange brings it.
+        """
+        needs = self._needs_by_address.setdefault(address, [])
+        needs.append(is_needed)
         if address in self._pulls_by_address:
             return
 
         async def pull() -> None:
             await sleep_until(self._clock, self._clock.seconds() + delay_s)
+            if not any(is_needed() for is_needed in needs):
+                return
             if not await self._exchange_with(address):
                 # Any other peer may have the same objects.
                 await self._exchange_once()
 
+        def finish(result: Any) -> None:
+            del self._pulls_by_address[address]
+            del self._needs_by_address[address]
+
         pulling = self._pulls_by_address[address] = start(pull())
         pulling.addErrback(log_failure(log, f"exchange with {address} failed"))
-        pulling.addBoth(lambda _: self._pulls_by_address.pop(address, None))
+        pulling.addBoth(finish)
 
     async def _run(self) -> None:
         while True:
--- a/src/chivesaddle/fleet/updates.py
+++ b/src/chivesaddle/fleet/updates.py
@@ -47,8 +47,10 @@
 class Puller(Protocol):
     """Exchange with a peer on demand."""
 
-    def pull_from(self, address: str, delay_s: float) -> None:
-        """Exchange with the peer after a delay."""
+    def pull_from(
+        self, address: str, delay_s: float, is_needed: Callable[[], bool]
+    ) -> None:
+        """Exchange with the peer after a delay if that is still needed then."""
 
 
 class UpdateRelay:
@@ -104,12 +106,14 @@
             return
         oversize = set(update.oversize)
         replica.put_entries(e for e in update.entries if e.name not in oversize)
-        if any(
-            entry.name in oversize and replica.revision_of(entry.name) < entry.revision
-            for entry in update.entries
-        ):
+        offered = [entry for entry in update.entries if entry.name in oversize]
+
+        def lacks_any() -> bool:
+            return any(replica.revision_of(e.name) < e.revision for e in offered)
+
+        if lacks_any():
             delay_s = self._random.uniform(0.0, MAX_PULL_DELAY_S)
-            self._puller.pull_from(update.peer, delay_s)
+            self._puller.pull_from(update.peer, delay_s, lacks_any)
 
     def _recorder(self, kind: str, replica: Replica) -> Callable[[Entry], None]:
         def record(entry: Entry) -> None:
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -88,7 +88,7 @@
     def observe_store(self, peer, reaches_store):
         self.watch_role.observe_store(peer, reaches_store)
 
-    def pull_from(self, address, delay_s):
+    def pull_from(self, address, delay_s, is_needed):
         self.pulls.append(address)
 
 
--- a/tests/fleet/test_exchange.py
+++ b/tests/fleet/test_exchange.py
@@ -131,6 +131,58 @@
         assert sent[0].through["config"] == 40
 
 
+class TestPulls:
+    """Several working daemons notify a daemon of the same large object."""
+
+    @pytest.fixture
+    def calls(self, fleet):
+        calls = []
+        call = fleet.call
+
+        async def count_call(address, message, deadline):
+            calls.append(address)
+            return await call(address, message, deadline)
+
+        fleet.call = count_call
+        return calls
+
+    def pull_all(self, fleet, name, revision):
+        replica = fleet.replicas["a"]
+        for number, peer in enumerate(("b", "c")):
+            fleet.exchanges["a"].pull_from(
+                f"{peer}:81",
+                0.1 + 0.1 * number,
+                lambda: replica.revision_of(name) < revision,
+            )
+
+    def test_object_is_pulled_from_one_of_them(self, fleet, clock, calls):
+        """Guards against three exchanges of an idle daemon for each configuration."""
+        for peer in ("b", "c"):
+            fleet.replicas[peer].merge(5, [Entry("main", 5, {"v": 1})])
+        self.pull_all(fleet, "main", 5)
+        clock.pump([0.05] * 10)
+        assert fleet.replicas["a"].get("main") is not None
+        assert calls == ["b:81"]
+
+    def test_object_that_the_first_lacks_is_pulled_from_the_next(
+        self, fleet, clock, calls
+    ):
+        fleet.replicas["c"].merge(5, [Entry("main", 5, {"v": 1})])
+        self.pull_all(fleet, "main", 5)
+        clock.pump([0.05] * 10)
+        assert fleet.replicas["a"].get("main") is not None
+        assert calls == ["b:81", "c:81"]
+
+    def test_second_object_offered_before_the_pull_is_pulled(self, fleet, clock, calls):
+        """A planned pull of an object that has arrived must not hide the second."""
+        fleet.replicas["b"].merge(6, [Entry("second", 6, {"v": 1})])
+        pull_from = fleet.exchanges["a"].pull_from
+        pull_from("b:81", 0.1, lambda: False)
+        pull_from("b:81", 0.1, lambda: True)
+        clock.pump([0.05] * 10)
+        assert fleet.replicas["a"].get("second") is not None
+
+
 class TestTrafficOfLargeFleets:
     """78 daemons of 3 zones; traffic between zones is billed."""
 
