Let the periodic tasks of an idle daemon share wake-ups

The check of the role, the idle beacons, the housekeeping and the check of paths each woke the process at times of their own, 9.5 times a second. They run at common times now, four a second, each no less often than before. The times of daemons differ, since they count from their starts.

--- a/src/chivesaddle/fleet/beacons.py
+++ b/src/chivesaddle/fleet/beacons.py
@@ -19,6 +19,7 @@
 from chivesaddle.core.aio import Clock
 from chivesaddle.fleet.datagrams import PeerDatagrams
 from chivesaddle.fleet.members import Members
+from chivesaddle.fleet.tick_grid import TickGrid
 from chivesaddle.fleet.working_set import WorkingSet
 
 # In a fleet of 9 daemons, 10 datagrams per second to each of the 8 peers.
@@ -165,6 +166,8 @@
         Content of this daemon's beacons.
     receiver : BeaconReceiver
         Applies the content of received beacons.
+    grid : TickGrid or None
+        Times at which an idle daemon checks whether it has load; None for its own.
     """
 
     def __init__(
@@ -175,8 +178,10 @@
         datagrams: PeerDatagrams,
         source: BeaconSource,
         receiver: BeaconReceiver,
+        grid: TickGrid | None = None,
     ) -> None:
         self._clock = clock
+        self._grid = grid or TickGrid(clock)
         self._members = members
         self._working_set = working_set
         self._datagrams = datagrams
@@ -244,7 +249,10 @@
         return max(MIN_PERIOD_S, peers / MAX_DATAGRAMS_PER_S)
 
     def _send_when_due(self) -> None:
-        self._timer = self._clock.callLater(self._send_period_s(), self._send_when_due)
+        period_s = self._send_period_s()
+        if period_s == IDLE_PERIOD_S:
+            period_s = self._grid.delay_s(period_s)
+        self._timer = self._clock.callLater(period_s, self._send_when_due)
         shares, loading = self._source.load_shares()
         lost = self._source.lost_servers()
         current = (shares, loading, lost)
--- a/src/chivesaddle/fleet/watch_role.py
+++ b/src/chivesaddle/fleet/watch_role.py
@@ -7,6 +7,7 @@
 
 from chivesaddle.core.aio import Clock, DelayedCall
 from chivesaddle.fleet.members import Members
+from chivesaddle.fleet.tick_grid import TickGrid
 from chivesaddle.fleet.working_set import WorkingSet
 
 # Working daemons report each second whether they reach the store. Without such a
@@ -66,10 +67,18 @@
         Clock of the checks.
     may_watch : callable
         Returns whether this daemon watches the store.
+    grid : TickGrid or None
+        Times of the checks; None for one of its own.
     """
 
-    def __init__(self, clock: Clock, may_watch: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        may_watch: Callable[[], bool],
+        grid: TickGrid | None = None,
+    ) -> None:
         self._clock = clock
+        self._grid = grid or TickGrid(clock)
         self._may_watch = may_watch
         self._waiting: list[Deferred[None]] = []
         self._check_call: DelayedCall | None = None
@@ -87,7 +96,8 @@
         return waiting
 
     def _schedule_check(self) -> None:
-        self._check_call = self._clock.callLater(ROLE_CHECK_INTERVAL_S, self._check)
+        delay_s = self._grid.delay_s(ROLE_CHECK_INTERVAL_S)
+        self._check_call = self._clock.callLater(delay_s, self._check)
 
     def _check(self) -> None:
         self._check_call = None
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -28,6 +28,7 @@
     RequestDemand,
     RoleWait,
     StoreReachability,
+    TickGrid,
     Update,
     UpdateRelay,
     Watcher,
@@ -128,6 +129,7 @@
         self._settings = settings
         self._reactor = reactor
         self._is_leaving = False
+        self._grid = TickGrid(reactor)
         bounds = settings.bounds
         self.metrics = ServingMetrics()
         connector = Connector(reactor, settings.connect_from)
@@ -179,12 +181,12 @@
             reactor, self._members, self._working_set, self._servers, self._activity
         )
         self._path_probe = PathProbe(
-            reactor, self._servers, self._server_pool, self._activity
+            reactor, self._servers, self._server_pool, self._activity, self._grid
         )
         self._servers.on_path_lost = self._give_up_connections
         self._servers.on_broken = self._path_probe.check
         watch_role = WatchRole(reactor, self._members, self._working_set)
-        role_wait = RoleWait(reactor, watch_role.may_watch)
+        role_wait = RoleWait(reactor, watch_role.may_watch, self._grid)
         self._watchers = [
             Watcher(
                 self.store,
@@ -302,7 +304,13 @@
             self._paths,
         )
         self._beacons = Beacons(
-            reactor, self._members, self._working_set, self._datagrams, content, content
+            reactor,
+            self._members,
+            self._working_set,
+            self._datagrams,
+            content,
+            content,
+            self._grid,
         )
         self._updates = UpdateRelay(
             reactor,
@@ -558,9 +566,8 @@
 
     async def _run_housekeeping(self) -> None:
         while not self._is_leaving:
-            await sleep_until(
-                self._reactor, self._reactor.seconds() + HOUSEKEEPING_INTERVAL_S
-            )
+            delay_s = self._grid.delay_s(HOUSEKEEPING_INTERVAL_S)
+            await sleep_until(self._reactor, self._reactor.seconds() + delay_s)
             self._update_cache_feeds()
             await self._clean_stores()
             await self._departed.step(self._rollout.holds_lease)
--- a/src/chivesaddle/serving/path_probe.py
+++ b/src/chivesaddle/serving/path_probe.py
@@ -15,6 +15,7 @@
 )
 from chivesaddle.core.ids import ServiceId
 from chivesaddle.core.logs import ComponentLogger
+from chivesaddle.fleet import TickGrid
 from chivesaddle.http1 import ConnectionPool, NotSent
 from chivesaddle.placement import ServerTable, TrackedServer
 from chivesaddle.serving.server_activity import ServerActivity
@@ -25,8 +26,9 @@
 # A server that owes responses and has sent nothing for this long is probed.
 MAX_SILENCE_S = 0.4
 # Interval while no request is at a server and no path is lost: a request that is sent
-# after a check cannot be silent for `MAX_SILENCE_S` before the next one.
-IDLE_INTERVAL_S = MAX_SILENCE_S
+# after a check cannot be silent for `MAX_SILENCE_S` before the next one. Less than
+# that, so that the checks share wake-ups with other tasks.
+IDLE_INTERVAL_S = 0.25
 # A connection that is accepted and then reset is reset within this time.
 SETTLED_AFTER_S = 0.05
 # Interval of probes of one server.
@@ -51,6 +53,8 @@
         Opens connections and keeps them for requests.
     activity : ServerActivity or None
         The servers to check; None walks over all.
+    grid : TickGrid or None
+        Times of the checks while there is nothing to probe; None for one of its own.
     """
 
     def __init__(
@@ -59,11 +63,13 @@
         servers: ServerTable,
         pool: ConnectionPool,
         activity: ServerActivity | None = None,
+        grid: TickGrid | None = None,
     ) -> None:
         self._clock = clock
         self._servers = servers
         self._pool = pool
         self._activity = activity or ServerActivity(servers)
+        self._grid = grid or TickGrid(clock)
         self._probes_by_address: dict[str, Deferred[None]] = {}
         self._probed_at_by_address: dict[str, float] = {}
         self._listed_version = -1
@@ -97,7 +103,10 @@
         self._check_call = self._clock.callLater(delay_s, self._run)
 
     def _run(self) -> None:
-        self._schedule(INTERVAL_S if self._probe_due() else IDLE_INTERVAL_S)
+        if self._probe_due():
+            self._schedule(INTERVAL_S)
+        else:
+            self._schedule(self._grid.delay_s(IDLE_INTERVAL_S))
 
     def check(self, server: TrackedServer) -> None:
         """Probe a server whose response broke, unless it was probed just before."""
