--- a/src/chivesaddle/fleet/__init__.py
+++ b/src/chivesaddle/fleet/__init__.py
@@ -7,8 +7,9 @@
 from chivesaddle.fleet.members import Member, Members
 from chivesaddle.fleet.notices import NoticeSender
 from chivesaddle.fleet.replica import Entry, Replica
+from chivesaddle.fleet.tick_grid import TickGrid
 from chivesaddle.fleet.updates import Update, UpdateRelay
-from chivesaddle.fleet.watch_role import WatchRole
+from chivesaddle.fleet.watch_role import RoleWait, WatchRole
 from chivesaddle.fleet.watcher import StoreReachability, Watcher
 from chivesaddle.fleet.working_set import WorkingSet
 
@@ -24,8 +25,10 @@
     "PeerDatagrams",
     "Replica",
     "RequestDemand",
+    "RoleWait",
     "ServerLoadShare",
     "StoreReachability",
+    "TickGrid",
     "Update",
     "UpdateRelay",
     "WatchRole",
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -26,7 +26,9 @@
     PeerDatagrams,
     Replica,
     RequestDemand,
+    RoleWait,
     StoreReachability,
+    TickGrid,
     Update,
     UpdateRelay,
     Watcher,
@@ -88,6 +90,7 @@
 from chivesaddle.serving.peer_paths import FleetPaths
 from chivesaddle.serving.registration import Registration
 from chivesaddle.serving.request_senders import RequestSenders
+from chivesaddle.serving.server_activity import ServerActivity
 from chivesaddle.serving.settings import ServingSettings, SettingsError
 from chivesaddle.serving.silent_paths import SilentPaths
 from chivesaddle.serving.software_view import SoftwareView
@@ -127,6 +130,7 @@
         self._settings = settings
         self._reactor = reactor
         self._is_leaving = False
+        self._grid = TickGrid(reactor)
         bounds = settings.bounds
         self.metrics = ServingMetrics()
         connector = Connector(reactor, settings.connect_from)
@@ -171,19 +175,27 @@
         )
         self._members = Members(reactor, own, self._replicas[MEMBERS_KIND])
         self._working_set = WorkingSet(reactor, self._members)
+        self._activity = ServerActivity(
+            self._servers, self._has_callers_requests, reports_lost_paths=True
+        )
         self._paths = FleetPaths(
-            reactor, self._members, self._working_set, self._servers
+            reactor, self._members, self._working_set, self._servers, self._activity
+        )
+        self._path_probe = PathProbe(
+            reactor, self._servers, self._server_pool, self._activity, self._grid
         )
-        self._path_probe = PathProbe(reactor, self._servers, self._server_pool)
         self._silent_paths = SilentPaths(
             reactor,
             self._servers,
             self._server_pool,
             self._serving_state.health_path,
+            self._activity,
+            self._grid,
         )
         self._servers.on_path_lost = self._give_up_connections
         self._servers.on_broken = self._path_probe.check
         watch_role = WatchRole(reactor, self._members, self._working_set)
+        role_wait = RoleWait(reactor, watch_role.may_watch, self._grid)
         self._watchers = [
             Watcher(
                 self.store,
@@ -191,7 +203,7 @@
                 replica,
                 self._reachability,
                 self._members.fleet_size,
-                watch_role.may_watch,
+                role_wait,
             )
             for replica in self._replicas.values()
         ]
@@ -260,7 +272,10 @@
             self._order_rank,
         )
         shares = ServerLoadShares(
-            reactor, self._servers, lambda: self._rollout.excluded_servers
+            reactor,
+            self._servers,
+            lambda: self._rollout.excluded_servers,
+            self._activity,
         )
         self._demand = RequestDemand(reactor)
         self._datagrams = PeerDatagrams(
@@ -299,7 +314,13 @@
             self._silent_paths,
         )
         self._beacons = Beacons(
-            reactor, self._members, self._working_set, self._datagrams, content, content
+            reactor,
+            self._members,
+            self._working_set,
+            self._datagrams,
+            content,
+            content,
+            self._grid,
         )
         self._updates = UpdateRelay(
             reactor,
@@ -312,7 +333,7 @@
         self._cache_index = CacheIndex(reactor)
         self._feeds = CacheEventFeeds(reactor, backend_client, self._cache_index)
         self._cleaner = StoreCleaner(
-            reactor, self._cache_index, backend_client, self._servers.oldest_version
+            reactor, self._cache_index, backend_client, self._oldest_version
         )
         self._transfers = TransferPlanner(reactor, self._cache_index)
         self._forwarder = Forwarder(
@@ -352,7 +373,7 @@
         listeners = [
             listen(self._reactor, addresses.readiness, self._answer_readiness),
             listen(self._reactor, addresses.addresses, self._answer_addresses),
-            listen(self._reactor, addresses.metrics, self.metrics.handle),
+            listen(self._reactor, addresses.metrics, self._answer_metrics),
         ]
         self._caller_listener = listen(
             self._reactor,
@@ -485,8 +506,14 @@
         self.metrics.observe_request(result, seconds)
         self._demand.record_request()
 
+    def _has_callers_requests(self) -> bool:
+        """Return whether a caller or a peer waits for a response of this daemon."""
+        return self._caller_listener is not None and self._caller_listener.in_flight > 0
+
     def _give_up_connections(self, server: ServerEntry) -> None:
         """Close the idle connections of a lost path, and probe similar ones."""
+        self._activity.record_path_lost()
+        self._path_probe.check_lost_path()
         self._server_pool.close_address(server.address)
         self._path_probe.probe_service(server.service)
 
@@ -535,6 +562,14 @@
                 is_store_by_address[tracked.entry.address] = False
         self._feeds.set_holders(is_store_by_address)
 
+    def _oldest_version(self) -> int | None:
+        """Return the oldest weight version that runs, None if this daemon is idle.
+
+        It is followed for the stores, which only a working daemon cleans.
+        """
+        is_working = self._working_set.includes_own
+        return self._servers.oldest_version() if is_working else None
+
     async def _clean_stores(self) -> None:
         configuration = self._serving_state.configuration
         if configuration is not None:
@@ -543,40 +578,48 @@
 
     async def _run_housekeeping(self) -> None:
         while not self._is_leaving:
-            await sleep_until(
-                self._reactor, self._reactor.seconds() + HOUSEKEEPING_INTERVAL_S
-            )
+            delay_s = self._grid.delay_s(HOUSEKEEPING_INTERVAL_S)
+            await sleep_until(self._reactor, self._reactor.seconds() + delay_s)
             self._update_cache_feeds()
             await self._clean_stores()
             await self._departed.step(self._rollout.holds_lease)
             self._server_pool.close_expired()
             self._store_pool.close_expired()
             self._peer_pool.close_expired()
-            self.metrics.set_value("store_calls", self.store.calls)
-            self.metrics.set_value(
-                "connections_opened", self._server_pool.connections_opened
-            )
-            self.metrics.set_value("working_set", len(self._working_set.daemons()))
-            self.metrics.set_value("limited_servers", self._limits.in_force())
-            self.metrics.set_value("cold_servers", self._cold_starts.count())
-            self.metrics.set_value("stream_origins", len(self._origins))
-            crashing_parts = self._crashes.count_crashing_parts()
-            self.metrics.set_value("crashing_parts", crashing_parts)
-            self.metrics.set_value("refused_as_crashing", self._crashes.refused)
-            for name, count in self._forwarder.admission_counts.by_name.items():
-                self.metrics.set_value(name, count)
-            for result, count in self._origins.resumed_by_result.items():
-                self.metrics.set_value(f"streams_resumed_{result}", count)
-            self._evacuations.check()
-            self.metrics.set_value("evacuated_zones", len(self._evacuations))
-            self.metrics.set_value("lost_paths", len(self._servers.lost_servers()))
-            self.metrics.set_value("is_cut_off", self._paths.is_cut_off)
-            self.metrics.set_value("path_probes", self._path_probe.probes)
-            self.metrics.set_value(
-                "health_requests", self._silent_paths.health_requests_sent
-            )
-            self.metrics.set_value("in_flight", self._caller_listener.in_flight)
-            self.metrics.set_value("callers", len(self._caller_listener.connections))
+            # Without an evacuated zone there is nothing to find.
+            if len(self._evacuations):
+                self._evacuations.check()
+
+    def _answer_metrics(self, request: Request, responder: Responder) -> None:
+        self._update_metrics()
+        self.metrics.handle(request, responder)
+
+    def _update_metrics(self) -> None:
+        """Set the current values, some of which are found by walks over all servers."""
+        self.metrics.set_value("store_calls", self.store.calls)
+        self.metrics.set_value(
+            "connections_opened", self._server_pool.connections_opened
+        )
+        self.metrics.set_value("working_set", len(self._working_set.daemons()))
+        self.metrics.set_value("limited_servers", self._limits.in_force())
+        self.metrics.set_value("cold_servers", self._cold_starts.count())
+        self.metrics.set_value("stream_origins", len(self._origins))
+        crashing_parts = self._crashes.count_crashing_parts()
+        self.metrics.set_value("crashing_parts", crashing_parts)
+        self.metrics.set_value("refused_as_crashing", self._crashes.refused)
+        for name, count in self._forwarder.admission_counts.by_name.items():
+            self.metrics.set_value(name, count)
+        for result, count in self._origins.resumed_by_result.items():
+            self.metrics.set_value(f"streams_resumed_{result}", count)
+        self.metrics.set_value("evacuated_zones", len(self._evacuations))
+        self.metrics.set_value("lost_paths", self._paths.lost_count)
+        self.metrics.set_value("is_cut_off", self._paths.is_cut_off)
+        self.metrics.set_value("path_probes", self._path_probe.probes)
+        self.metrics.set_value(
+            "health_requests", self._silent_paths.health_requests_sent
+        )
+        self.metrics.set_value("in_flight", self._caller_listener.in_flight)
+        self.metrics.set_value("callers", len(self._caller_listener.connections))
 
 
 __all__ = ["ServingDaemon"]
--- a/src/chivesaddle/serving/silent_paths.py
+++ b/src/chivesaddle/serving/silent_paths.py
@@ -13,11 +13,15 @@
 from chivesaddle.core.aio import Clock, log_failure, sleep_until, start
 from chivesaddle.core.ids import ServiceId
 from chivesaddle.core.logs import ComponentLogger
+from chivesaddle.fleet import TickGrid
 from chivesaddle.fleet.beacons import server_hash
 from chivesaddle.http1 import ConnectionPool, NotSent, ResponseBroken, exchange
 from chivesaddle.placement import ServerTable, TrackedServer
+from chivesaddle.serving.server_activity import ServerActivity
 
 INTERVAL_S = 0.1
+# Interval while no request is at a server and no path is lost.
+IDLE_INTERVAL_S = 0.25
 # No server of a service may have sent a byte for this long, and as many requests must
 # have waited as long, before its servers are asked for their health.
 SILENCE_S = 0.7
@@ -60,6 +64,10 @@
     health_path : callable
         Returns the target of a service's health requests, or None if it has none; its
         paths are not judged then.
+    activity : ServerActivity or None
+        Servers with requests; None walks over all.
+    grid : TickGrid or None
+        Times of the checks while there are none; None for one of its own.
     """
 
     def __init__(
@@ -68,11 +76,15 @@
         servers: ServerTable,
         pool: ConnectionPool,
         health_path: Callable[[ServiceId], str | None],
+        activity: ServerActivity | None = None,
+        grid: TickGrid | None = None,
     ) -> None:
         self._clock = clock
         self._servers = servers
         self._pool = pool
         self._health_path = health_path
+        self._activity = activity or ServerActivity(servers)
+        self._grid = grid or TickGrid(clock)
         self._random = random.Random()
         # By the hash of a service: until when a peer's report that it answers counts.
         self._answers_until: dict[int, float] = {}
@@ -97,6 +109,8 @@
 
     def answering_services(self) -> list[int]:
         """Return the hashes of the services that sent this daemon a byte just now."""
+        if not self._activity.with_requests():
+            return []
         since = self._clock.seconds() - HEARD_WITHIN_S
         answering = {
             server.entry.service
@@ -113,8 +127,11 @@
 
     async def _run(self) -> None:
         while True:
-            await sleep_until(self._clock, self._clock.seconds() + INTERVAL_S)
-            self._check()
+            is_idle = not self._activity.with_requests() and not self._activity.lost()
+            if not is_idle:
+                self._check()
+            delay_s = self._grid.delay_s(IDLE_INTERVAL_S) if is_idle else INTERVAL_S
+            await sleep_until(self._clock, self._clock.seconds() + delay_s)
 
     def _check(self) -> None:
         now = self._clock.seconds()
--- a/tests/serving/test_path_probe.py
+++ b/tests/serving/test_path_probe.py
@@ -19,6 +19,7 @@
     def __init__(self, clock):
         self._clock = clock
         self.path = ServerPath(lost_at=0.0)
+        self.version = 0
         self._server = SimpleNamespace(
             entry=SimpleNamespace(id=BackendServerId("s"), address="10.0.0.1:80"),
             path=self.path,
