Keep responses to earlier calls from being taken by later ones

Cause: calls to the store, reports and polls for cache events have no id in their responses. A second copy that a server sends late, on a connection that is in use again, was the response to the next call: a list of one kind could be taken for another kind, and a poll's response for a server's report, whose fields are all optional. Connections were also shared with callers' requests. A response without an id to a caller's request counted as its own on a connection's first use, also if it arrived before the request was written or after a response to another request; if it said 421 or "not executed", the request was sent to another server as well.

Change: a call has a connection of its own unless it tells how to recognize a response that is not its own. Only polls for cache events do, by the position that the response names; they have a pool of their own. Connections with unread bytes in the kernel, or closed by the server, are not reused. A response that arrives before the transport has written the request is refused. The connection of a failed, late or cancelled call is closed.

Tests changed: test_reads_reuse_a_connection required that a list and the next share a connection; it is replaced by test_each_call_opens_its_own_connection. Two tests of lists with several pages answered each page on the first connection and now answer on the second one.

--- a/src/chivesaddle/forwarding/exchange.py
+++ b/src/chivesaddle/forwarding/exchange.py
@@ -18,6 +18,7 @@
     ConnectionPool,
     HeaderList,
     NotSent,
+    RequestWrite,
     ResponseBroken,
     ResponseHead,
     ServerConnection,
@@ -100,6 +101,7 @@
         self._decode = decode_response
         self._connection: ServerConnection | None = None
         self._serial = 0
+        self._is_first_response = False
         self.was_sent = False
 
     async def send(
@@ -141,12 +143,13 @@
         if self._connection.requests_sent == 1:
             self._servers.record_connected(self._server.id)
         self.was_sent = True
+        request_write = RequestWrite(self._connection.transport)
         on_sent()
         try:
             response = await with_deadline(
                 self._clock,
                 response_deadline,
-                start(self._read_own_response(request)),
+                start(self._read_own_response(request, request_write)),
                 "response",
             )
         except ResponseBroken as error:
@@ -221,21 +224,30 @@
             case InvalidValue(text):
                 self._servers.record_invalid_header(self._server.id, text)
 
-    async def _read_own_response(self, request: CallerRequest) -> ServerResponse:
+    async def _read_own_response(
+        self, request: CallerRequest, request_write: RequestWrite
+    ) -> ServerResponse:
         assert self._connection is not None
+        self._is_first_response = self._connection.requests_sent == 1
         for _ in range(MAX_STALE_RESPONSES + 1):
             response = self._decode(await self._connection.read_head())
-            if response.request_id in (None, request.id):
+            if response.request_id == request.id:
+                return response
+            if response.request_id is None:
+                if not request_write.is_complete:
+                    raise NoUsableResponse(
+                        "Response without a request id arrived before the request was "
+                        "written"
+                    )
                 return response
+            self._is_first_response = False
             await self._connection.skip_response()
         raise ResponseBroken("Only responses to other requests arrived")
 
     def _check_response(self, request: CallerRequest, response: ServerResponse) -> None:
-        assert self._connection is not None
-        # A response without an id on a reused connection may belong to another request.
-        is_own = (
-            response.request_id == request.id or self._connection.requests_sent == 1
-        )
+        # A response without an id that follows another one on its connection may belong
+        # to another request.
+        is_own = response.request_id == request.id or self._is_first_response
         if is_own and response.server in (None, self._server.id):
             self._record_limit(response)
             self._record_cold(response)
--- a/src/chivesaddle/http1/__init__.py
+++ b/src/chivesaddle/http1/__init__.py
@@ -14,7 +14,7 @@
     ResponseLate,
     ServerConnection,
 )
-from chivesaddle.http1.exchange import exchange
+from chivesaddle.http1.exchange import Reuse, exchange
 from chivesaddle.http1.fields import HeaderList, header_value
 from chivesaddle.http1.pool import ConnectionPool
 from chivesaddle.http1.server import (
@@ -25,6 +25,7 @@
     Responder,
     listen,
 )
+from chivesaddle.http1.written import RequestWrite
 
 __all__ = [
     "CallerConnection",
@@ -36,10 +37,12 @@
     "Headers",
     "NotSent",
     "Request",
+    "RequestWrite",
     "Responder",
     "ResponseBroken",
     "ResponseHead",
     "ResponseLate",
+    "Reuse",
     "ServerConnection",
     "exchange",
     "header_value",
--- a/src/chivesaddle/http1/exchange.py
+++ b/src/chivesaddle/http1/exchange.py
@@ -1,5 +1,8 @@
 """Sends one request to a server and reads the complete response."""
 
+from collections.abc import Callable
+from dataclasses import dataclass
+
 from chivesaddle.core.aio import Clock, start, with_deadline
 from chivesaddle.core.errors import DeadlineExceeded
 from chivesaddle.http1.client import (
@@ -10,6 +13,7 @@
 )
 from chivesaddle.http1.fields import HeaderList
 from chivesaddle.http1.pool import ConnectionPool
+from chivesaddle.http1.written import RequestWrite
 
 # Opening a connection takes one round trip; a lost SYN is retransmitted after 1 s.
 CONNECT_TIMEOUT_S = 1.0
@@ -17,6 +21,27 @@
 MAX_BODY_BYTES = 16_000_000
 
 
+@dataclass(frozen=True, slots=True)
+class Reuse:
+    """When a connection may be used for more than one call.
+
+    Responses to these calls have no id, and a server may send a second copy of one when
+    the next call is waiting. Calls whose responses cannot be told from those to earlier
+    calls must use a connection of their own.
+
+    Attributes
+    ----------
+    max_idle_s : float
+        A pooled connection is reused if it was idle for less than this.
+    may_be_own : callable
+        Returns whether a response on a reused connection may be that to this call,
+        given its head and body.
+    """
+
+    max_idle_s: float
+    may_be_own: Callable[[ResponseHead, bytes], bool]
+
+
 async def exchange(
     pool: ConnectionPool,
     clock: Clock,
@@ -27,19 +52,21 @@
     deadline: float,
     headers: HeaderList | None = None,
     body: bytes = b"",
-    max_idle_s: float = 0.0,
+    reuse: Reuse | None = None,
 ) -> tuple[ResponseHead, bytes]:
     """Send a request and return the head and body of the complete response.
 
+    The connection is closed if the call fails, times out or is cancelled.
+
     Parameters
     ----------
     address : str
         ``ip:port`` of the server.
     deadline : float
         Seconds on ``clock``.
-    max_idle_s : float
-        A pooled connection is reused if it was idle for less than this; with 0 a new
-        one is opened.
+    reuse : Reuse or None
+        When the connection is shared with other calls to the address; None opens one
+        for this call and closes it afterwards.
 
     Raises
     ------
@@ -50,31 +77,46 @@
         passed.
     """
     connect_deadline = min(deadline, clock.seconds() + CONNECT_TIMEOUT_S)
-    connection = await pool.acquire(address, connect_deadline, max_idle_s=max_idle_s)
+    if reuse is None:
+        connection = await pool.open(address, connect_deadline)
+    else:
+        connection = await pool.acquire(
+            address, connect_deadline, max_idle_s=reuse.max_idle_s
+        )
+    is_complete = False
 
     async def send_and_read() -> tuple[ResponseHead, bytes]:
         all_headers = [(b"host", address.encode()), *(headers or [])]
         if body:
             all_headers.append((b"content-type", b"application/json"))
         connection.send(method.encode(), target.encode(), all_headers, body)
-        return await _read_response(connection)
+        return await _read_response(connection, RequestWrite(connection.transport))
 
     operation = f"{method} {target} at {address}"
     try:
-        response = await with_deadline(
+        head, content = await with_deadline(
             clock, deadline, start(send_and_read()), operation
         )
+        is_reused = connection.requests_sent > 1
+        if reuse and is_reused and not reuse.may_be_own(head, content):
+            raise ResponseBroken(f"{operation}: response to an earlier request")
+        is_complete = True
     except DeadlineExceeded as error:
         raise ResponseLate(error.message) from error
     finally:
-        if not connection.is_reusable:
+        if reuse is None or not (is_complete and connection.is_reusable):
             connection.abort()
-    pool.release(address, connection, None)
-    return response
+    if reuse is not None:
+        pool.release(address, connection, None)
+    return head, content
 
 
-async def _read_response(connection: ServerConnection) -> tuple[ResponseHead, bytes]:
+async def _read_response(
+    connection: ServerConnection, request_write: RequestWrite
+) -> tuple[ResponseHead, bytes]:
     head = await connection.read_head()
+    if not request_write.is_complete:
+        raise ResponseBroken("Response arrived before the request was written")
     chunks = []
     size = 0
     while (chunk := await connection.read_chunk()) is not None:
@@ -85,4 +127,4 @@
     return head, b"".join(chunks)
 
 
-__all__ = ["exchange"]
+__all__ = ["Reuse", "exchange"]
--- a/src/chivesaddle/http1/pool.py
+++ b/src/chivesaddle/http1/pool.py
@@ -1,5 +1,8 @@
 """Pool of idle connections to servers, by address."""
 
+import socket
+from typing import Any
+
 from chivesaddle.core.aio import Clock
 from chivesaddle.http1.client import Connector, ServerConnection
 
@@ -51,7 +54,8 @@
             usable_until = self._usable_until.pop(connection, 0.0)
             if not connection.is_reusable:
                 continue
-            if now < usable_until and now - connection.idle_since < max_idle_s:
+            is_fresh = now < usable_until and now - connection.idle_since < max_idle_s
+            if is_fresh and not _has_unread_input(connection.transport):
                 connection.on_idle_loss = None
                 return connection
             connection.abort()
@@ -108,4 +112,23 @@
             idle.remove(connection)
 
 
+def _has_unread_input(transport: Any) -> bool:
+    """Return whether bytes, or the end of the connection, wait in the kernel.
+
+    The reactor has not read them yet. They would be taken as the response to the next
+    request.
+    """
+    get_handle = getattr(transport, "getHandle", None)
+    if get_handle is None:
+        return False
+    try:
+        get_handle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        # The connection has failed.
+        return True
+    return True
+
+
 __all__ = ["ConnectionPool"]
--- a/src/chivesaddle/platform/backend_client.py
+++ b/src/chivesaddle/platform/backend_client.py
@@ -21,6 +21,7 @@
     NotSent,
     ResponseBroken,
     ResponseHead,
+    Reuse,
     exchange,
 )
 
@@ -51,11 +52,14 @@
     models: list[_LoadedModel] = msgspec.field(default_factory=list)
 
 
-class _CacheEvents(msgspec.Struct):
-    # Changes when the cache holder (a backend server or KV store) restarts.
-    boot_epoch: int
+class _NextPoll(msgspec.Struct):
     # Value of the query parameter ``since`` for the next call.
     next_token: int
+
+
+class _CacheEvents(_NextPoll):
+    # Changes when the cache holder (a backend server or KV store) restarts.
+    boot_epoch: int
     # Whether events before these were discarded.
     lost: bool = False
     # Event number, "+" or "-", cache scope, prompt part, tokens stored after the event,
@@ -75,7 +79,8 @@
     Parameters
     ----------
     pool : ConnectionPool
-        Connections to backend servers and KV stores.
+        Connections to backend servers and KV stores, used for cache events only: a
+        response to any other call could be taken for one to a poll.
     clock : Clock
         Clock on which deadlines are expressed.
     """
@@ -159,7 +164,10 @@
         """Wait for cache events from ``position`` on; raises `ServerCallFailed`."""
         target = f"/kv-events?since={position}"
         headers = [(b"wait-ms", str(int(wait_s * 1_000)).encode())]
-        decoded = await self._read_cache(address, target, headers, deadline)
+        reuse = Reuse(
+            MAX_POOLED_IDLE_S, lambda head, body: _may_follow(position, head, body)
+        )
+        decoded = await self._read_cache(address, target, headers, deadline, reuse)
         events = [
             CacheEvent((scope, PromptPartId(part)), tokens)
             for _, _, scope, part, tokens, _ in decoded.events
@@ -191,7 +199,12 @@
             )
 
     async def _read_cache(
-        self, address: str, target: str, headers: HeaderList, deadline: float
+        self,
+        address: str,
+        target: str,
+        headers: HeaderList,
+        deadline: float,
+        reuse: Reuse | None = None,
     ) -> _CacheEvents:
         endpoint = f"cache holder {address}"
         head, body = await self._exchange(
@@ -201,7 +214,7 @@
             target,
             deadline,
             headers=headers,
-            max_idle_s=MAX_POOLED_IDLE_S,
+            reuse=reuse,
         )
         return _decode_body(head, body, _CacheEvents, endpoint)
 
@@ -222,7 +235,6 @@
             deadline,
             headers=[(_EXPECTED_SERVER_HEADER, server.encode())],
             body=body,
-            max_idle_s=MAX_POOLED_IDLE_S if method == "GET" else 0.0,
         )
 
     async def _exchange(
@@ -235,7 +247,7 @@
         *,
         headers: HeaderList | None = None,
         body: bytes = b"",
-        max_idle_s: float = 0.0,
+        reuse: Reuse | None = None,
     ) -> tuple[ResponseHead, bytes]:
         """Call ``address``, named ``endpoint`` in errors; raises `ServerCallFailed`."""
         try:
@@ -248,7 +260,7 @@
                 deadline=deadline,
                 headers=headers,
                 body=body,
-                max_idle_s=max_idle_s,
+                reuse=reuse,
             )
         except (NotSent, ResponseBroken) as error:
             raise ServerCallFailed(
@@ -256,6 +268,20 @@
             ) from error
 
 
+def _may_follow(position: int, head: ResponseHead, body: bytes) -> bool:
+    """Return whether a response may be that to a poll from ``position`` on.
+
+    A second copy of a response to an earlier poll names an older position. A copy of
+    one that names the same position changes nothing if it is applied again.
+    """
+    if head.status != 200:
+        return True
+    try:
+        return msgspec.json.decode(body, type=_NextPoll).next_token >= position
+    except msgspec.MsgspecError:
+        return False
+
+
 def _decode_body(
     head: ResponseHead, body: bytes, expected_type: type[T], endpoint: str
 ) -> T:
--- a/src/chivesaddle/platform/store.py
+++ b/src/chivesaddle/platform/store.py
@@ -43,11 +43,10 @@
 WATCH_RESPONSE_RESERVE_S = 1.0
 MAX_WATCH_S = 30.0
 MAX_VALUE_BYTES = 1_000_000
-# A pooled connection may be dead, so a read that gets no response on one within
-# POOLED_READ_TIMEOUT_S is repeated on a new connection. The store responds in 4 ms
-# normally, and in 0.3 s while it is slow.
-MAX_POOLED_IDLE_S = 2.0
-POOLED_READ_TIMEOUT_S = 0.5
+# A read that gets no response within this is repeated on another connection: a lost SYN
+# is retransmitted after 1 s only. The store responds in 4 ms normally, and in 0.3 s
+# while it is slow.
+FIRST_READ_TIMEOUT_S = 0.5
 
 
 class _Metadata(msgspec.Struct):
@@ -198,7 +197,7 @@
             deadline, self._clock.seconds() + wait_ms / 1_000 + WATCH_RESPONSE_RESERVE_S
         )
         target = f"{_object_path(kind)}?{query}"
-        reply = await self._call("GET", target, b"", call_deadline, MAX_POOLED_IDLE_S)
+        reply = await self._call("GET", target, b"", call_deadline)
         self._check_watchable(after)
         decoded = _decode_body(reply.content, _Events)
         return ObjectChanges(
@@ -244,32 +243,34 @@
         return body
 
     async def _read(self, target: str, deadline: float) -> "_Reply":
-        """Read over a pooled connection; if there is no response, over a new one."""
-        first_deadline = min(deadline, self._clock.seconds() + POOLED_READ_TIMEOUT_S)
+        """Read; if there is no response soon, read once more."""
+        first_deadline = min(deadline, self._clock.seconds() + FIRST_READ_TIMEOUT_S)
         try:
-            return await self._call(
-                "GET", target, b"", first_deadline, MAX_POOLED_IDLE_S
-            )
+            return await self._call("GET", target, b"", first_deadline)
         except (_ResponseMissing, DeadlineExceeded):
             if self._clock.seconds() >= deadline:
                 raise
-        return await self._call("GET", target, b"", deadline, 0.0)
+        return await self._call("GET", target, b"", deadline)
 
     async def _write(
         self, method: str, target: str, body: bytes, deadline: float
     ) -> "_Reply":
-        # A write that gets no response may have taken effect, so writes never use a
-        # pooled connection, which may be dead.
         try:
-            return await self._call(method, target, body, deadline, 0.0)
+            return await self._call(method, target, body, deadline)
         except (_ResponseMissing, DeadlineExceeded) as error:
             raise WriteOutcomeUnknown(
                 f"No response to {method} {target}: {error.message}"
             ) from error
 
     async def _call(
-        self, method: str, target: str, body: bytes, deadline: float, max_idle_s: float
+        self, method: str, target: str, body: bytes, deadline: float
     ) -> "_Reply":
+        """Call the store on a connection of its own.
+
+        The store's responses have no id, so one to an earlier call cannot be told from
+        that to this call. A write on a reused connection, which may be dead, could also
+        be lost without a statement whether it took effect.
+        """
         operation = f"{method} {target}"
         if self._clock.seconds() >= deadline:
             raise PlatformUnavailable(
@@ -285,7 +286,6 @@
                 target,
                 deadline=deadline,
                 body=body,
-                max_idle_s=max_idle_s,
             )
         except NotSent as error:
             raise PlatformUnavailable(
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -130,6 +130,8 @@
         self.metrics = ServingMetrics()
         connector = Connector(reactor, settings.connect_from)
         self._server_pool = ConnectionPool(connector, reactor)
+        # Responses to control calls have no id, unlike those to callers' requests.
+        self._control_pool = ConnectionPool(connector, reactor)
         self._store_pool = ConnectionPool(connector, reactor)
         self._peer_pool = ConnectionPool(connector, reactor)
         self._era = StoreEra(reactor)
@@ -165,7 +167,7 @@
             self._evacuations,
             self._reachability,
             self._era,
-            self._server_pool.close_address,
+            self._close_address,
             lambda entry: self._cold_starts.record_entry(entry),
         )
         self._members = Members(reactor, own, self._replicas[MEMBERS_KIND])
@@ -241,7 +243,7 @@
         self._registration = Registration(
             self.store, reactor, own, self._replicas[MEMBERS_KIND], self._era
         )
-        backend_client = BackendClient(self._server_pool, reactor)
+        backend_client = BackendClient(self._control_pool, reactor)
         self._departed = DepartedMembers(self.store, reactor, self._members)
         self._rollout = Rollout(
             reactor,
@@ -477,9 +479,13 @@
 
     def _give_up_connections(self, server: ServerEntry) -> None:
         """Close the idle connections of a lost path, and probe similar ones."""
-        self._server_pool.close_address(server.address)
+        self._close_address(server.address)
         self._path_probe.probe_service(server.service)
 
+    def _close_address(self, address: str) -> None:
+        self._server_pool.close_address(address)
+        self._control_pool.close_address(address)
+
     def _trial_rank(self, part: str) -> int | None:
         """Return this daemon's position among those that may try a part of prompts."""
         daemons = [member.id for member in self._working_set.daemons()]
@@ -540,6 +546,7 @@
             await self._clean_stores()
             await self._departed.step(self._rollout.holds_lease)
             self._server_pool.close_expired()
+            self._control_pool.close_expired()
             self._store_pool.close_expired()
             self._peer_pool.close_expired()
             self.metrics.set_value("store_calls", self.store.calls)
--- a/tests/forwarding/test_late_copies.py
+++ b/tests/forwarding/test_late_copies.py
@@ -1,5 +1,7 @@
 import pytest
 
+from .conftest import Transport
+
 EVENT = b"id: 1\ndata: a\n\n"
 
 
@@ -54,3 +56,44 @@
         harness.advance()
         assert b"other" not in caller.received()
         assert server.transport.is_lost
+
+
+class TestResponseWithoutAnId:
+    @pytest.mark.parametrize("status", [421, 503])
+    def test_that_arrives_before_the_request_is_written_is_not_taken(
+        self, harness, caller, monkeypatch, status
+    ):
+        """Guards against a request that runs twice.
+
+        A server that says of something else that it did not run it still gets the
+        request.
+        """
+        register = Transport.registerProducer
+
+        def register_and_wait(transport, producer, streaming):
+            register(transport, producer, streaming)
+            producer.resumeProducing()
+
+        monkeypatch.setattr(Transport, "registerProducer", register_and_wait)
+        caller.request("/unsafe/x")
+        server = harness.connections[0]
+        server.send(
+            f"HTTP/1.1 {status} X\r\nX-Chivesaddle-Not-Executed: 1\r\n"
+            "Content-Length: 0\r\n\r\n".encode()
+        )
+        harness.advance()
+        assert caller.status == 502
+        assert server.transport.is_lost
+        assert len(harness.connections) == 1
+
+    def test_after_a_response_to_another_request_is_not_taken(self, harness, caller):
+        caller.request("/unsafe/x")
+        server = harness.connections[0]
+        server.respond(200, b"other", request_id="a0")
+        server.send(
+            b"HTTP/1.1 503 X\r\nX-Chivesaddle-Not-Executed: 1\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+        harness.advance()
+        assert caller.status == 502
+        assert len(harness.connections) == 1
--- /dev/null
+++ b/tests/platform/test_backend_client.py
@@ -0,0 +1,83 @@
+import json
+
+import pytest
+from twisted.internet.error import ConnectionLost
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
+
+from chivesaddle.core.aio import start
+from chivesaddle.http1 import ConnectionPool, Connector
+from chivesaddle.platform.backend_client import BackendClient, ServerCallFailed
+
+ADDRESS = "127.0.0.1:9"
+
+
+class Holder:
+    """A backend server whose responses tests write."""
+
+    def __init__(self):
+        self.reactor = MemoryReactorClock()
+        pool = ConnectionPool(Connector(self.reactor), self.reactor)
+        self.client = BackendClient(pool, self.reactor)
+        self.protocols = []
+
+    def poll(self, position):
+        return self._call(self.client.read_events(ADDRESS, position, 1.0, 9.0))
+
+    def read_version(self):
+        return self._call(self.client.read_version("s1", ADDRESS, "m", 9.0))
+
+    def _call(self, coroutine):
+        result = start(coroutine)
+        if len(self.reactor.tcpClients) > len(self.protocols):
+            protocol = self.reactor.tcpClients[-1][2].buildProtocol(None)
+            transport = StringTransport()
+            transport.abortConnection = lambda: self.reactor.callLater(
+                0, protocol.connectionLost, Failure(ConnectionLost())
+            )
+            protocol.makeConnection(transport)
+            self.protocols.append(protocol)
+        return result
+
+    def respond(self, **content):
+        body = json.dumps(content).encode()
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        self.protocols[-1].dataReceived(head + body)
+
+
+@pytest.fixture
+def holder():
+    return Holder()
+
+
+class TestPollsForCacheEvents:
+    def test_share_a_connection(self, holder):
+        for position in (0, 3):
+            result = holder.poll(position)
+            holder.respond(boot_epoch=1, next_token=3)
+            assert result.result.next_position == 3
+        assert len(holder.protocols) == 1
+
+    def test_do_not_take_a_late_copy_of_an_older_response(self, holder):
+        """Guards against a map of cached parts that goes back to an older state."""
+        for position in (0, 3):
+            holder.poll(position)
+            holder.respond(boot_epoch=1, next_token=position + 3)
+        result = holder.poll(6)
+        holder.respond(
+            boot_epoch=1, next_token=3, events=[[1, "+", "scope", "part", 8, "m"]]
+        )
+        assert isinstance(result.result.value, ServerCallFailed)
+        result.addErrback(lambda _: None)
+        assert holder.protocols[0].lost
+
+
+class TestReport:
+    def test_is_not_a_late_copy_of_the_response_to_a_poll(self, holder):
+        """All fields of a report are optional, so any object looks like one."""
+        holder.poll(0)
+        holder.respond(boot_epoch=1, next_token=3)
+        result = holder.read_version()
+        assert len(holder.protocols) == 2
+        holder.respond(sequence=4, models=[{"name": "m", "version": 7}])
+        assert result.result == (4, 7, False)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -174,14 +174,20 @@
         respond(network.open()[0], 200, ITEM)
         assert result.result.value == {"x": 1}
 
-    def test_reads_reuse_a_connection(self, network):
-        for _ in range(2):
-            start(network.api.get("k", "a/b", deadline=2))
-            protocol, transport = (
-                network.connections[0] if network.connections else network.open()
-            )
-            respond(protocol, 200, ITEM)
-        assert transport.value().count(b"GET ") == 2
+    @pytest.mark.parametrize("is_watch", [False, True])
+    def test_each_call_opens_its_own_connection(self, network, is_watch):
+        """Guards against a late second copy of a list of another kind.
+
+        The responses have no id, and name no kind.
+        """
+        start(network.api.list_objects("servers", deadline=2))
+        respond(network.open()[0], 200, {"items": [ITEM], "at": 9})
+        if is_watch:
+            start(network.api.wait_for_changes("k", after=3, deadline=5))
+        else:
+            start(network.api.list_objects("k", deadline=2))
+        _, transport = network.open()
+        assert transport.value().startswith(b"GET /objects/k?" if is_watch else b"GET ")
 
     def test_read_without_any_response_fails_at_its_deadline(self, network):
         result = start(network.api.get("k", "a/b", deadline=2))
@@ -199,11 +205,10 @@
     def test_list_reads_all_pages_and_returns_the_first_pages_revision(self, network):
         """Guards against missing a change that is made between two pages."""
         result = start(network.api.list_objects("k", deadline=2))
-        protocol, transport = network.open()
-        respond(protocol, 200, {"items": [ITEM], "more": True, "at": 9})
-        assert b"GET /objects/k?after=a%2Fb " in transport.value()
+        respond(network.open()[0], 200, {"items": [ITEM], "more": True, "at": 9})
         last = {**ITEM, "metadata": {"name": "c", "revision": 11}}
-        respond(protocol, 200, {"items": [last], "more": False, "at": 12})
+        respond(network.open()[0], 200, {"items": [last], "more": False, "at": 12})
+        assert b"GET /objects/k?after=a%2Fb " in network.connections[1][1].value()
         assert result.result.revision == 9
         assert sorted(result.result.items_by_name) == ["a/b", "c"]
 
@@ -296,10 +301,7 @@
         respond(
             protocol, 200, {"items": [ITEM], "at": 9, "more": True}, "Store-Era: 3\r\n"
         )
-        last = network.reactor.tcpClients and network.connections[-1]
-        if len(network.reactor.tcpClients) > len(network.connections):
-            last = network.open()
-        respond(last[0], 200, {"items": [], "at": 4}, "Store-Era: 4\r\n")
+        respond(network.open()[0], 200, {"items": [], "at": 4}, "Store-Era: 4\r\n")
         expect_error(result, PlatformUnavailable)
 
     def test_malformed_era_changes_nothing(self, network):
