Break off unframed responses of a server that died

Cause: a response without length and chunks ends with its connection. The kernel closes the connections of a process that died properly, so a stream cut between two events, or any part of another body, reached the caller as a complete success.

Change: such a success is complete if its last event is [DONE] or its body is a whole JSON object, list or string, and broken off if the JSON value is cut. Any other is complete if the server accepts another connection and keeps it for 50 ms, which a dead process does not; the connection is kept for the next request. Else it is broken off as after a reset. Responses that have no body (HEAD, 204, 304) need no check. The check is that of the path probe, moved to the connection pool. Platform streams carry no end marker that this code knows, and whole unframed ones are normal, so a living server's early close between two events still passes.

--- a/src/chivesaddle/forwarding/exchange.py
+++ b/src/chivesaddle/forwarding/exchange.py
@@ -1,6 +1,7 @@
 """One request to a backend server, and whether the server may have run it."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from chivesaddle.core.aio import Clock, start, with_deadline
 from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded
@@ -14,8 +15,10 @@
     RetryAfter,
     ServerResponse,
 )
+from chivesaddle.forwarding.response_end import has_body
 from chivesaddle.http1 import (
     ConnectionPool,
+    Framing,
     HeaderList,
     NotSent,
     RequestWrite,
@@ -167,6 +170,8 @@
                 work_time_percent=response.load.work_time_percent,
             )
         self._check_response(request, response)
+        if not has_body(request.method, response.status):
+            return replace(response, framing=Framing.LENGTH, content_length=0)
         return response
 
     @property
@@ -187,6 +192,20 @@
         )
         return chunk
 
+    async def is_server_alive(self) -> bool:
+        """Return whether the server accepts another connection now.
+
+        A process that died accepts none: its listener closes with its connections.
+        """
+        deadline = self._clock.seconds() + CONNECT_TIMEOUT_S
+        try:
+            await self._pool.probe(self._server.address, deadline)
+        except NotSent as error:
+            self._servers.record_connection_failure(self._server.id, error.message)
+            return False
+        self._servers.record_connected(self._server.id)
+        return True
+
     def finish(self, response: ServerResponse) -> None:
         """Return the connection to the pool after a complete response."""
         if self._connection is not None:
--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -619,7 +619,7 @@
                 )
             context.framing = response.framing
             try:
-                await relay.forward(response, read_chunk)
+                await relay.forward(response, read_chunk, exchange.is_server_alive)
             finally:
                 context.unfinished_bytes = relay.unfinished_bytes
             context.first_event_at = relay.started_at
--- a/src/chivesaddle/forwarding/passing.py
+++ b/src/chivesaddle/forwarding/passing.py
@@ -12,6 +12,7 @@
 from chivesaddle.core.aio import Clock, start, with_deadline
 from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded
 from chivesaddle.core.ids import DaemonId, ServiceId
+from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.forwarding.attempts import Attempts
 from chivesaddle.forwarding.budget import RetryBudget
 from chivesaddle.forwarding.errors import NotRun
@@ -33,6 +34,8 @@
     ResponseHead,
 )
 
+log = ComponentLogger("forward")
+
 # Daemons are on the same network and accept connections within milliseconds.
 CONNECT_TIMEOUT_S = 0.35
 # A daemon closes idle connections of callers, and itself when it restarts.
@@ -193,7 +196,11 @@
             response = self._decode_response(head)
             context.framing = response.framing
             self._check(context, response, peer)
-            await relay.forward(response, connection.read_chunk)
+            await relay.forward(
+                response,
+                connection.read_chunk,
+                lambda: self._accepts_connection(peer),
+            )
             is_complete = True
         except ResponseBroken as error:
             raise NoUsableResponse(f"Daemon {peer.id}: {error.message}") from error
@@ -208,6 +215,17 @@
             else:
                 connection.abort()
 
+    async def _accepts_connection(self, peer: PeerDaemon) -> bool:
+        deadline = self._clock.seconds() + CONNECT_TIMEOUT_S
+        try:
+            await self._pool.probe(peer.address, deadline)
+        except NotSent as error:
+            log.info(
+                "daemon not reached", extra={"daemon": peer.id, "cause": error.message}
+            )
+            return False
+        return True
+
     def _options(self, context: RequestContext, relay: Relay) -> PassOptions:
         time_left_s = context.deadline - self._clock.seconds()
         if relay.last_event_id is None:
--- a/src/chivesaddle/forwarding/relay.py
+++ b/src/chivesaddle/forwarding/relay.py
@@ -6,10 +6,11 @@
 from chivesaddle.forwarding.events import EventSplitter
 from chivesaddle.forwarding.exchange import NoUsableResponse
 from chivesaddle.forwarding.messages import ServerResponse
-from chivesaddle.forwarding.response_end import StreamEnd, stream_end
+from chivesaddle.forwarding.response_end import ResponseEnd, body_end, stream_end
 from chivesaddle.http1 import Framing, HeaderList, Responder
 
 ReadChunk = Callable[[], Awaitable[bytes | None]]
+IsServerAlive = Callable[[], Awaitable[bool]]
 
 # Bodies up to this size are buffered completely before the caller gets the status, so
 # that a truncated response can be retried or reported as an error. Larger bodies are
@@ -61,19 +62,33 @@
         """Bytes of an event whose end has not arrived."""
         return self._splitter.remaining_bytes
 
-    async def forward(self, response: ServerResponse, read_chunk: ReadChunk) -> None:
-        """Forward a response; raises `NoUsableResponse` if it is incomplete."""
+    async def forward(
+        self,
+        response: ServerResponse,
+        read_chunk: ReadChunk,
+        is_server_alive: IsServerAlive,
+    ) -> None:
+        """Forward a response.
+
+        Raises
+        ------
+        NoUsableResponse
+            If the response is incomplete, or may be and its server is not alive.
+        """
         if self._is_stream and 200 <= response.status < 300:
-            await self._forward_events(response, read_chunk)
+            await self._forward_events(response, read_chunk, is_server_alive)
         elif self.has_started:
             raise NoUsableResponse(
                 f"Server responded with status {response.status} to a resumed stream"
             )
         else:
-            await self._forward_body(response, read_chunk)
+            await self._forward_body(response, read_chunk, is_server_alive)
 
     async def _forward_body(
-        self, response: ServerResponse, read_chunk: ReadChunk
+        self,
+        response: ServerResponse,
+        read_chunk: ReadChunk,
+        is_server_alive: IsServerAlive,
     ) -> None:
         buffered: list[bytes] = []
         size = 0
@@ -87,44 +102,61 @@
                 self.on_progress()
                 self._start(response, response.content_length)
                 await self._write(b"".join(buffered))
-        if not self.has_started:
+        body = None if self.has_started else b"".join(buffered)
+        await self._check_end(body_end(response, body), response, is_server_alive)
+        if body is not None:
             self.on_progress()
             self._start(response, size)
-            await self._write(b"".join(buffered))
+            await self._write(body)
         self._responder.finish()
 
     async def _forward_events(
-        self, response: ServerResponse, read_chunk: ReadChunk
+        self,
+        response: ServerResponse,
+        read_chunk: ReadChunk,
+        is_server_alive: IsServerAlive,
     ) -> None:
         """Forward events as they arrive; the first one starts the response."""
         # A resumed stream starts with a complete event.
         self._splitter.drop_remainder()
-        has_event = False
+        last_events = b""
         while (chunk := await read_chunk()) is not None:
             events = self._splitter.feed(chunk)
             if self._splitter.remaining_bytes > MAX_EVENT_BYTES:
                 raise NoUsableResponse(f"Event has over {MAX_EVENT_BYTES} bytes")
             if not events:
                 continue
-            has_event = True
+            last_events = events
             self.on_progress()
             if not self.has_started:
                 self._start(response, None)
             await self._write(events)
-        end = stream_end(response.framing, self._splitter, has_event)
-        if end is not StreamEnd.COMPLETE:
-            raise NoUsableResponse(
-                f"Stream ended {end.value}",
-                # The kernel closes the connections of a process that crashed.
-                may_be_crash=response.framing is Framing.CONNECTION,
-            )
-        if not has_event:
+        end = stream_end(response.framing, self._splitter, last_events)
+        await self._check_end(end, response, is_server_alive)
+        if not last_events:
             self.on_progress()
         if not self.has_started:
             self._start(response, None)
         await self._write(self._splitter.remainder)
         self._responder.finish()
 
+    async def _check_end(
+        self,
+        end: ResponseEnd,
+        response: ServerResponse,
+        is_server_alive: IsServerAlive,
+    ) -> None:
+        """Raise `NoUsableResponse` unless a response is known to be complete."""
+        if end is ResponseEnd.COMPLETE:
+            return
+        if end is ResponseEnd.BY_CONNECTION and await is_server_alive():
+            return
+        raise NoUsableResponse(
+            f"Response ended {end.value}",
+            # The kernel closes the connections of a process that crashed.
+            may_be_crash=response.framing is Framing.CONNECTION,
+        )
+
     def _start(self, response: ServerResponse, length: int | None) -> None:
         headers: HeaderList = list(response.passed_headers)
         if length is not None:
--- a/src/chivesaddle/http1/pool.py
+++ b/src/chivesaddle/http1/pool.py
@@ -3,8 +3,8 @@
 import socket
 from typing import Any
 
-from chivesaddle.core.aio import Clock
-from chivesaddle.http1.client import Connector, ServerConnection
+from chivesaddle.core.aio import Clock, sleep_until
+from chivesaddle.http1.client import Connector, NotSent, ServerConnection
 
 # Idle time after which a connection is not reused, for servers that do not send their
 # idle timeout in a Keep-Alive header. 3 s is safely below the shortest idle timeout in
@@ -12,6 +12,8 @@
 DEFAULT_MAX_IDLE_S = 3.0
 # Further connections to the same address are aborted instead of kept.
 MAX_IDLE_CONNECTIONS_PER_ADDRESS = 8
+# A connection that is accepted and then reset is reset within this time.
+SETTLED_AFTER_S = 0.05
 
 
 class ConnectionPool:
@@ -66,6 +68,24 @@
         self.connections_opened += 1
         return await self._connector.connect(address, deadline)
 
+    async def probe(self, address: str, deadline: float) -> None:
+        """Open a connection and keep it for reuse.
+
+        Raises
+        ------
+        NotSent
+            If the connection was not opened, or was reset when it was accepted.
+        """
+        connection = await self.open(address, deadline)
+        try:
+            await sleep_until(self._clock, self._clock.seconds() + SETTLED_AFTER_S)
+        except BaseException:
+            connection.abort()
+            raise
+        if connection.lost:
+            raise NotSent("reset when accepted")
+        self.release(address, connection, None)
+
     def release(
         self, address: str, connection: ServerConnection, keep_alive_s: float | None
     ) -> None:
--- a/src/chivesaddle/serving/path_probe.py
+++ b/src/chivesaddle/serving/path_probe.py
@@ -17,8 +17,6 @@
 CONNECT_TIMEOUT_S = 0.35
 # A server that owes responses and has sent nothing for this long is probed.
 MAX_SILENCE_S = 0.4
-# A connection that is accepted and then reset is reset within this time.
-SETTLED_AFTER_S = 0.05
 # Interval of probes of one server.
 PROBE_INTERVAL_S = 0.5
 # If a server is not reached, the others of its service are probed at once unless they
@@ -103,16 +101,11 @@
         entry = server.entry
         now = self._clock.seconds()
         try:
-            connection = await self._pool.open(entry.address, now + CONNECT_TIMEOUT_S)
+            await self._pool.probe(entry.address, now + CONNECT_TIMEOUT_S)
         except NotSent as error:
             self._servers.record_connection_failure(entry.id, error.message)
             return
-        await sleep_until(self._clock, self._clock.seconds() + SETTLED_AFTER_S)
-        if connection.lost:
-            self._servers.record_connection_failure(entry.id, "reset when accepted")
-            return
         self._servers.record_connected(entry.id)
-        self._pool.release(entry.address, connection, None)
 
     def probe_service(self, service: ServiceId) -> None:
         """Probe the servers of a service of which one is not reached any more.
--- a/tests/forwarding/test_response_ends.py
+++ b/tests/forwarding/test_response_ends.py
@@ -8,20 +8,24 @@
 from twisted.internet.error import ConnectionDone
 
 from chivesaddle.http1 import Framing
+from chivesaddle.http1.pool import SETTLED_AFTER_S
 
 from .conftest import Harness
 
 EVENT_1 = b"id: 1\ndata: a\n\n"
 EVENT_2 = b"id: 2\ndata: b\n\n"
+JSON = b"Content-Type: application/json\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
 FRAMINGS = list(Framing)
 
 
-def respond(connection, framing, body, *, pieces=()):
+def respond(connection, framing, body, *, pieces=(), status=200, headers=b""):
     """Send a whole response whose framing says that it is complete."""
+    clock = connection.transport.clock
     connection.send(
-        b"HTTP/1.1 200 OK\r\nX-Chivesaddle-Server-Signature: sig\r\n"
+        b"HTTP/1.1 %d X\r\nX-Chivesaddle-Server-Signature: sig\r\n" % status
         + f"X-Chivesaddle-Attempt-Identifier: {connection.request_id}\r\n".encode()
+        + headers
     )
     match framing:
         case Framing.LENGTH:
@@ -41,7 +45,11 @@
             connection.end_stream()
         case Framing.CONNECTION:
             connection.transport.lose_connection(ConnectionDone)
-    connection.protocol.transport.clock.advance(0)
+    clock.advance(0)
+    if framing is Framing.CONNECTION:
+        # The daemon checks whether the server is alive.
+        clock.advance(0)
+        clock.advance(SETTLED_AFTER_S)
 
 
 def passed_events(caller):
@@ -156,3 +164,110 @@
             assert caller.transport.is_lost == (cut != len(whole))
         elif cut:
             assert caller.status == 502
+
+
+def respond_and_die(harness, connection, body, *, is_restarting=False, headers=b""):
+    """Send a response without framing and let the server's process die.
+
+    The kernel closes its connections cleanly and refuses new ones, or accepts them and
+    resets them when it closes the listener.
+    """
+    if not is_restarting:
+        harness.reactor.refusing_addresses.add(connection.address)
+    known = len(harness.connections)
+    connection.send(
+        b"HTTP/1.1 200 OK\r\nX-Chivesaddle-Server-Signature: sig\r\n"
+        + f"X-Chivesaddle-Attempt-Identifier: {connection.request_id}\r\n".encode()
+        + headers
+        + b"\r\n"
+        + body
+    )
+    connection.transport.lose_connection(ConnectionDone)
+    harness.advance()
+    harness.advance()
+    if is_restarting:
+        harness.connections[known].transport.lose_connection()
+    harness.advance(SETTLED_AFTER_S)
+    harness.advance()
+
+
+class TestUnframedResponseOfAServerThatDied:
+    """Guards against a cut response that its caller takes for a complete one."""
+
+    @pytest.mark.parametrize("is_restarting", [False, True])
+    def test_is_broken_off_between_two_events(self, harness, caller, is_restarting):
+        caller.request("/stream/x")
+        server = harness.connections[0]
+        respond_and_die(harness, server, EVENT_1, is_restarting=is_restarting)
+        assert passed_events(caller) == EVENT_1
+        assert not looks_complete(caller)
+        assert caller.transport.is_lost
+        failed = harness.servers.get(f"i-{server.address[7]}")
+        assert failed.failure_rate > 0
+
+    def test_goes_on_at_another_server_if_it_may_be_resumed(self, harness, caller):
+        caller.request("/resumable/x")
+        respond_and_die(harness, harness.connections[0], EVENT_1)
+        second = harness.connections[-1]
+        assert second.header("last-event-id") == "1"
+        respond(second, Framing.CHUNKS, EVENT_2)
+        assert passed_events(caller) == EVENT_1 + EVENT_2
+        assert looks_complete(caller)
+
+    @pytest.mark.parametrize("marker", [b"data: [DONE]\n\n", b"data:[DONE]\r\n\r\n"])
+    def test_is_complete_after_the_end_marker_of_a_stream(
+        self, harness, caller, marker
+    ):
+        caller.request("/stream/x")
+        respond_and_die(harness, harness.connections[0], EVENT_1 + marker)
+        assert passed_events(caller) == EVENT_1 + marker
+        assert looks_complete(caller)
+
+    def test_is_no_response_if_it_is_text(self, harness, caller):
+        caller.request("/unsafe/x")
+        respond_and_die(harness, harness.connections[0], b"half of a te")
+        assert caller.status == 502
+        assert b"half" not in caller.received()
+
+    def test_is_broken_off_if_the_caller_has_its_begin(self, harness, caller):
+        caller.request("/unsafe/x")
+        respond_and_die(harness, harness.connections[0], b"x" * 300_000)
+        assert caller.status == 200
+        assert not looks_complete(caller)
+        assert caller.transport.is_lost
+
+    def test_is_complete_if_it_is_a_whole_json_value(self, harness, caller):
+        caller.request("/unsafe/x")
+        respond_and_die(harness, harness.connections[0], b'{"a": [1]}', headers=JSON)
+        assert caller.received().endswith(b'\r\n\r\n{"a": [1]}')
+
+    @pytest.mark.parametrize("body", [b"", b'{"a": [1]', b"12"])
+    def test_is_no_response_if_its_json_value_may_be_cut(self, harness, caller, body):
+        caller.request("/unsafe/x")
+        respond_and_die(harness, harness.connections[0], body, headers=JSON)
+        assert caller.status == 502
+
+
+class TestUnframedResponseOfALivingServer:
+    def test_is_passed_on_if_it_is_text(self, harness, caller):
+        caller.request("/unsafe/x")
+        respond(harness.connections[0], Framing.CONNECTION, b"text")
+        assert caller.received().endswith(b"\r\n\r\ntext")
+
+    def test_is_no_response_if_its_json_value_is_cut(self, harness, caller):
+        caller.request("/unsafe/x")
+        respond(harness.connections[0], Framing.CONNECTION, b'{"a": [', headers=JSON)
+        assert caller.status == 502
+
+    def test_leaves_a_connection_for_the_next_request(self, harness, caller):
+        caller.request("/unsafe/x")
+        respond(harness.connections[0], Framing.CONNECTION, b"text")
+        assert len(harness.connections) == 2
+        harness.pool.close_expired()
+        assert not harness.connections[1].transport.is_lost
+
+    def test_without_a_body_needs_no_check(self, harness, caller):
+        caller.request("/unsafe/x")
+        respond(harness.connections[0], Framing.CONNECTION, b"", status=204)
+        assert caller.status == 204
+        assert len(harness.connections) == 1
