Give up stalled streams, and let slow ones go on

Cause, platform daemon: only the head of a response had to arrive in time. A server that sent the head and no event, or a byte or a comment now and then between events, held a resumable stream until the route's time limit.

Cause, engine daemon: any byte counted as progress, so bytes now and then kept a stalled stream for ever. The first byte of an answer also replaced the deadline of the first token by the 2 s between tokens, which cut a long prefill; a comment line failed the answer as malformed.

Change: both measure complete events. A resumable stream is given up if the first event is not there when the head would have been late, or after the longer of 2 s and four target latencies without an event, and goes on at another server; time in which the caller does not read is not counted. Streams that cannot be resumed keep the request's limit alone.

--- a/src/chivesaddle/engines/stream.py
+++ b/src/chivesaddle/engines/stream.py
@@ -29,10 +29,11 @@
     clock : Clock
         Clock for the idle timeout.
     idle_timeout_s : float
-        Maximum time in seconds without data while a reader waits, after the first data.
+        Maximum time in seconds without a complete event while a reader waits, after the
+        first event. Single bytes and comments do not extend it.
     first_deadline : float or None
-        Time on the clock by which the first data must arrive; if None, the idle timeout
-        applies to it too.
+        Time on the clock by which the first event must arrive; if None, the idle
+        timeout applies to it too.
     """
 
     def __init__(
@@ -63,7 +64,7 @@
         EngineReset
             If the connection was lost before the end of the body.
         EngineTimeout
-            If no data arrived before the timeout.
+            If no event arrived before the timeout.
         """
         await self._wait_for_events()
         event = self._events.popleft() if self._events else None
@@ -109,17 +110,19 @@
         """Queue the events that ``data`` completes."""
         if self._ended:
             return
-        self._idle_deadline = self._clock.seconds() + self._idle_timeout_s
-        if self._first_deadline is not None:
-            # The timer may still be set to the later deadline of the first data.
-            self._first_deadline = None
-            self._stop_timer()
         try:
-            self._events.extend(self._splitter.feed(data))
+            events = self._splitter.feed(data)
         except EngineError as error:
             self._finish(error)
             self.close()
             return
+        # An engine may send comments to keep the connection in use during a prefill.
+        events = [event for event in events if not _is_comment(event)]
+        self._events.extend(events)
+        if events and self._first_deadline is not None:
+            # The timer may still be set to the later deadline of the first event.
+            self._first_deadline = None
+            self._stop_timer()
         if not self._paused and len(self._events) > HIGH_WATER_EVENTS:
             self._paused = True
             self.transport.pauseProducing()  # type: ignore[union-attr]
@@ -189,8 +192,14 @@
         if remaining_s > TIMER_TOLERANCE_S:
             self._start_timer(remaining_s)
             return
-        self._finish(EngineTimeout("Engine sent no data before the timeout"))
+        self._finish(EngineTimeout("Engine sent no event before the timeout"))
         self.close()
 
 
+def _is_comment(event: bytes) -> bool:
+    return event.startswith((b":", b"\n")) and all(
+        line.startswith(b":") for line in event.split(b"\n") if line
+    )
+
+
 __all__ = ["HIGH_WATER_EVENTS", "LOW_WATER_EVENTS", "EngineStream"]
--- a/src/chivesaddle/forwarding/events.py
+++ b/src/chivesaddle/forwarding/events.py
@@ -10,6 +10,17 @@
 _NO_FIELD = re.compile(rb"(?:(?::[^\r\n]*)?[\r\n])*")
 
 
+def has_event(data: bytes | bytearray) -> bool:
+    r"""Return whether complete or begun events are among empty lines and comments.
+
+    Examples
+    --------
+    >>> has_event(b": wait\n\n"), has_event(b": wait\n\ndata: a\n\n")
+    (False, True)
+    """
+    return _NO_FIELD.fullmatch(data) is None
+
+
 class EventSplitter:
     r"""Extracts complete events from arbitrary chunks and keeps the last event id.
 
@@ -41,7 +52,7 @@
     @property
     def is_inside_event(self) -> bool:
         """Whether an event has begun whose end has not arrived."""
-        return _NO_FIELD.fullmatch(self._buffer) is None
+        return has_event(self._buffer)
 
     def drop_remainder(self) -> None:
         """Forget the remainder, before the response of another server."""
@@ -65,4 +76,4 @@
         return events
 
 
-__all__ = ["EventSplitter"]
+__all__ = ["EventSplitter", "has_event"]
--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass, replace
 
-from twisted.internet.defer import CancelledError
+from twisted.internet.defer import CancelledError, Deferred
 
 from chivesaddle.core.aio import Clock, start, with_deadline
 from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded
@@ -45,6 +45,7 @@
 from chivesaddle.forwarding.run import Run
 from chivesaddle.forwarding.serving_state import ServingState
 from chivesaddle.forwarding.shutdown import ShutdownAdmission
+from chivesaddle.forwarding.stalls import MIN_CALLER_TIMEOUT_S, StallWatch
 from chivesaddle.forwarding.stream_origins import StreamOrigins
 from chivesaddle.forwarding.stream_software import StreamSoftware
 from chivesaddle.forwarding.suspects import CrashSuspects
@@ -69,9 +70,6 @@
     estimate_cost,
 )
 
-# By the platform's protocol, callers wait at least this long for events of a stream.
-MIN_CALLER_TIMEOUT_S = 2.0
-
 log = ComponentLogger("forward")
 
 
@@ -401,7 +399,6 @@
                 return candidate
         now = self._clock.seconds()
         target_s = context.route.target_s
-        caller_timeout_s = max(MIN_CALLER_TIMEOUT_S, TARGET_TIMEOUT_FACTOR * target_s)
         memory_request = MemoryRequest(
             tokens=max(1, context.request.memory_tokens),
             priority=self._priority(context) or 0,
@@ -409,7 +406,7 @@
             first_event_due=context.received_at + target_s,
             expires_at=min(
                 context.deadline - target_s,
-                context.received_at + caller_timeout_s - target_s,
+                context.received_at + _caller_timeout_s(context.route) - target_s,
             ),
             account=context.account_id,
             cost=self._estimate_cost(context),
@@ -595,6 +592,7 @@
         outcome: ExchangeOutcome | None = None
         context.framing, context.unfinished_bytes = None, 0
         context.server_began_at = None
+        response_deadline = self._attempts.response_deadline(context)
         try:
             headers = self._codec.encode_server_headers(context.request, options)
             response = await exchange.send(
@@ -602,7 +600,7 @@
                 headers,
                 serial,
                 is_repeatable=context.route.is_repeatable,
-                response_deadline=self._attempts.response_deadline(context),
+                response_deadline=response_deadline,
                 on_sent=lambda: self._record_run(context),
             )
             if (
@@ -619,7 +617,10 @@
                 )
             context.framing = response.framing
             try:
-                await relay.forward(response, read_chunk, exchange.is_server_alive)
+                forwarding = start(
+                    relay.forward(response, read_chunk, exchange.is_server_alive)
+                )
+                await self._watch(context, relay, forwarding, response_deadline)
             finally:
                 context.unfinished_bytes = relay.unfinished_bytes
             context.first_event_at = relay.started_at
@@ -646,6 +647,26 @@
             exchange.close()
             self._servers.record_end(server.entry.id, serial, outcome)
 
+    async def _watch(
+        self,
+        context: RequestContext,
+        relay: Relay,
+        forwarding: "Deferred[None]",
+        first_deadline: float,
+    ) -> None:
+        """Wait for the end of the forwarding; give up a stalled stream if it can go on.
+
+        A stream that cannot be resumed ends with the request's time limit only, since
+        its server may go on.
+        """
+        is_stream = context.route.kind is RouteKind.STREAM
+        if not is_stream or not self._attempts.may_retry(context):
+            await forwarding
+            return
+        max_gap_s = _caller_timeout_s(context.route)
+        watch = StallWatch(self._clock, relay, first_deadline, max_gap_s)
+        await watch.watch(forwarding)
+
     def _record_run(self, context: RequestContext) -> None:
         context.runs += 1
         context.arrivals += 1
@@ -689,4 +710,9 @@
         return max(0, min(9, context.route.priority))
 
 
+def _caller_timeout_s(route: Route) -> float:
+    """Return how long callers wait for an event of a stream at least, in seconds."""
+    return max(MIN_CALLER_TIMEOUT_S, TARGET_TIMEOUT_FACTOR * route.target_s)
+
+
 __all__ = ["Forwarder", "MessageCodec"]
--- a/src/chivesaddle/forwarding/relay.py
+++ b/src/chivesaddle/forwarding/relay.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 
 from chivesaddle.core.aio import Clock
-from chivesaddle.forwarding.events import EventSplitter
+from chivesaddle.forwarding.events import EventSplitter, has_event
 from chivesaddle.forwarding.exchange import NoUsableResponse
 from chivesaddle.forwarding.messages import ServerResponse
 from chivesaddle.forwarding.response_end import ResponseEnd, body_end, stream_end
@@ -37,6 +37,11 @@
     ----------
     on_progress : callable
         Called before complete events, or the begin of another body, go to the caller.
+    waiting_since : float or None
+        When it began to wait for the server's next event, in seconds on the clock; None
+        while it waits for the caller to read.
+    has_event : bool
+        Whether an event of the current response has arrived.
     """
 
     def __init__(self, responder: Responder, is_stream: bool, clock: Clock) -> None:
@@ -45,6 +50,8 @@
         self._splitter = EventSplitter()
         self.started_at: float | None = None
         self.on_progress: Callable[[], None] = lambda: None
+        self.waiting_since: float | None = None
+        self.has_event = False
         self._clock = clock
 
     @property
@@ -75,6 +82,7 @@
         NoUsableResponse
             If the response is incomplete, or may be and its server is not alive.
         """
+        self.waiting_since, self.has_event = None, False
         if self._is_stream and 200 <= response.status < 300:
             await self._forward_events(response, read_chunk, is_server_alive)
         elif self.has_started:
@@ -120,17 +128,24 @@
         # A resumed stream starts with a complete event.
         self._splitter.drop_remainder()
         last_events = b""
+        self.waiting_since = self._clock.seconds()
         while (chunk := await read_chunk()) is not None:
             events = self._splitter.feed(chunk)
             if self._splitter.remaining_bytes > MAX_EVENT_BYTES:
                 raise NoUsableResponse(f"Event has over {MAX_EVENT_BYTES} bytes")
             if not events:
                 continue
-            last_events = events
             self.on_progress()
             if not self.has_started:
                 self._start(response, None)
+            if not has_event(events):
+                await self._write(events)
+                continue
+            last_events = events
+            self.has_event = True
+            self.waiting_since = None
             await self._write(events)
+            self.waiting_since = self._clock.seconds()
         end = stream_end(response.framing, self._splitter, last_events)
         await self._check_end(end, response, is_server_alive)
         if not last_events:
--- a/tests/engines/test_client.py
+++ b/tests/engines/test_client.py
@@ -93,6 +93,38 @@
         assert isinstance(error_of(waiting), EngineTimeout)
         assert not network.connections[0].connected
 
+    @pytest.mark.fault("silence", step="bytes between tokens")
+    @pytest.mark.parametrize("sent", [b"d", b": wait\n\n"])
+    def test_bytes_now_and_then_do_not_keep_a_stalled_stream(
+        self, client, network, clock, sent
+    ):
+        """Guards against an engine that sends no token and never ends."""
+        stream = open_stream_request(client)
+        connection = network.connections[0]
+        connection.answer(b"data: 1\n\n", complete=False)
+        start(stream.result.next_event())
+        waiting = start(stream.result.next_event())
+        for _ in range(4):
+            clock.advance(0.5)
+            if connection.connected:
+                connection.protocol.dataReceived(sent)
+        assert isinstance(error_of(waiting), EngineTimeout)
+
+    @pytest.mark.fault("silence", step="bytes before the first token")
+    @pytest.mark.parametrize("sent", [b"d", b": wait\n\n"])
+    def test_bytes_before_the_first_event_do_not_shorten_a_long_prefill(
+        self, client, network, clock, sent
+    ):
+        """Guards against a slow but sound stream that is cut."""
+        stream = open_stream_request(client)
+        connection = network.connections[0]
+        connection.answer(sent, complete=False)
+        waiting = start(stream.result.next_event())
+        clock.advance(5.0)
+        event = b"data: 1\n\n".removeprefix(sent)
+        connection.protocol.dataReceived(event)
+        assert waiting.result == b"data: 1\n\n"
+
     def test_cancelling_a_request_that_waits_is_not_reported_as_a_reset(self, client):
         stream = open_stream_request(client)
         stream.cancel()
