Pause between lists that the store refuses

Cause: the watcher took 404 and 410 as a sign that its revision is gone, and listed again at once. If the store answers the list itself so, or each watch after a list, the loop had no pause and a log line for each round. Other statuses waited 1 s without jitter and logged an error each time, and a watch that failed so was repeated with the same revision.

Change: only a watch that worked before is followed by a list at once. Any other failure waits for the backoff with jitter that outages have (at most 1 s) and is followed by a list. A failure is logged as a warning, and again after 30 s with the number of failures.

Measured: on the code before, the test with 404 to lists did not end within 20 s of real time, and that with 409 fails; tests/fleet and tests/serving pass.

--- a/src/chivesaddle/fleet/watcher.py
+++ b/src/chivesaddle/fleet/watcher.py
@@ -25,6 +25,8 @@
 # recovers.
 RETRY_BASE_S = 0.1
 RETRY_MAX_S = 1.0
+# Failures that repeat are logged once in this time.
+FAILURE_LOG_INTERVAL_S = 30.0
 # Interval at which a daemon that does not watch checks whether it has to.
 ROLE_CHECK_INTERVAL_S = 0.25
 # Delay before the next watch after a change, per daemon of the fleet, so that one call
@@ -117,7 +119,11 @@
         self._loop: Deferred[None] | None = None
         # Revision after which to watch; None if a listing is needed first.
         self._watch_after: int | None = None
+        # Whether the kind was listed again without a watch that succeeded since.
+        self._is_relisted = False
         self._failures = 0
+        self._failure_logged_at = -math.inf
+        self._unlogged_failures = 0
 
     def start(self) -> None:
         """Start watching."""
@@ -135,27 +141,46 @@
                 await self._wait_for_role()
             try:
                 await self._list_or_watch()
-                self._failures = 0
                 self._reachability.record_success()
-            except (RevisionCompacted, ObjectNotFound) as error:
-                log.info(
-                    "revision no longer in the store; listing again",
-                    extra={"kind": self._replica.kind, "cause": str(error)},
-                )
-                self._watch_after = None
             except (PlatformUnavailable, DeadlineExceeded) as error:
                 self._reachability.record_failure(error)
-                # The store may have compacted changes made while it was unreachable.
-                self._watch_after = None
-                await sleep_until(
-                    self._clock, self._clock.seconds() + self._next_backoff_s()
+                await self._wait_before_retry()
+            except (RevisionCompacted, ObjectNotFound) as error:
+                # The revision is no longer in the store. A listing that fails in this
+                # way, or that no watch can follow, must not be repeated at once.
+                may_list_at_once = (
+                    self._watch_after is not None and not self._is_relisted
                 )
+                self._is_relisted = True
+                self._log_failure(error)
+                if may_list_at_once:
+                    self._watch_after = None
+                else:
+                    await self._wait_before_retry()
             except ChivesaddleError as error:
-                log.error(
-                    "watch failed",
-                    extra={"kind": self._replica.kind, "cause": str(error)},
-                )
-                await sleep_until(self._clock, self._clock.seconds() + RETRY_MAX_S)
+                self._log_failure(error)
+                await self._wait_before_retry()
+
+    async def _wait_before_retry(self) -> None:
+        # The store may have compacted changes made in the meantime.
+        self._watch_after = None
+        await sleep_until(self._clock, self._clock.seconds() + self._next_backoff_s())
+
+    def _log_failure(self, error: ChivesaddleError) -> None:
+        self._unlogged_failures += 1
+        now = self._clock.seconds()
+        if now - self._failure_logged_at < FAILURE_LOG_INTERVAL_S:
+            return
+        log.warning(
+            "watch failed; listing again",
+            extra={
+                "kind": self._replica.kind,
+                "cause": str(error),
+                "failures": self._unlogged_failures,
+            },
+        )
+        self._failure_logged_at = now
+        self._unlogged_failures = 0
 
     async def _wait_for_role(self) -> None:
         self._reachability.stop_observing()
@@ -174,12 +199,16 @@
             listing = await self._api.list_objects(kind, deadline=now + LIST_TIMEOUT_S)
             self._replica.apply_listing(listing)
             self._watch_after = listing.revision
+            if not self._is_relisted:
+                self._failures = 0
             return
         changes = await self._api.wait_for_changes(
             kind, after=self._watch_after, deadline=now + WATCH_TIMEOUT_S
         )
         self._replica.apply_changes(changes.revision, changes.changes)
         self._watch_after = max(self._watch_after, changes.revision)
+        self._is_relisted = False
+        self._failures = 0
         if changes.changes:
             delay_s = min(
                 MAX_CHANGE_DELAY_S, CHANGE_DELAY_PER_DAEMON_S * self._fleet_size()
--- a/tests/fleet/test_watcher.py
+++ b/tests/fleet/test_watcher.py
@@ -6,8 +6,11 @@
     ObjectChange,
     ObjectChanges,
     ObjectList,
+    ObjectNotFound,
     PlatformUnavailable,
+    RevisionCompacted,
     StoredObject,
+    VersionConflict,
 )
 from chivesaddle.fleet import Replica, StoreReachability, Watcher
 
@@ -22,13 +25,18 @@
         self.waiting = []
         self.calls = 0
         self.is_unavailable = False
+        self.list_error = self.watch_error = None
 
     async def list_objects(self, kind, *, deadline):
         self._count()
+        if self.list_error is not None:
+            raise self.list_error
         return ObjectList(self.revision, {})
 
     async def wait_for_changes(self, kind, *, after, deadline):
         self._count()
+        if self.watch_error is not None:
+            raise self.watch_error
         if not any(change.item.version > after for change in self.history):
             waiter = Deferred()
             self.waiting.append(waiter)
@@ -112,6 +120,57 @@
         assert 5 <= store.calls <= 30
 
 
+class TestUnexpectedResponses:
+    """Guards against a loop without a pause, which fills the log and blocks a core."""
+
+    @pytest.mark.parametrize(
+        "error",
+        [ObjectNotFound("404"), RevisionCompacted("410"), VersionConflict("409")],
+    )
+    def test_to_lists_are_followed_by_pauses_and_few_log_lines(
+        self, store, clock, caplog, error
+    ):
+        store.list_error = error
+        replica = start_watcher(store, clock, fleet_size=6)
+        advance_in_steps(clock, 20.0)
+        assert 15 <= store.calls <= 50
+        assert len(caplog.records) == 1
+        advance_in_steps(clock, 20.0)
+        assert len(caplog.records) == 2
+        assert caplog.records[1].failures > 10
+        store.list_error = None
+        advance_in_steps(clock, 2.0)
+        assert replica.applied_revision == store.revision
+
+    @pytest.mark.parametrize("error", [ObjectNotFound("404"), RevisionCompacted("410")])
+    def test_to_watches_after_each_list_are_followed_by_pauses(
+        self, store, clock, caplog, error
+    ):
+        store.watch_error = error
+        start_watcher(store, clock, fleet_size=6)
+        advance_in_steps(clock, 20.0)
+        assert 30 <= store.calls <= 100
+        assert len(caplog.records) == 1
+
+    def test_pauses_differ_between_daemons(self, clock):
+        stores = [Store(clock) for _ in range(8)]
+        for store in stores:
+            store.list_error = ObjectNotFound("404")
+            start_watcher(store, clock, fleet_size=8)
+        advance_in_steps(clock, 20.0)
+        assert len({store.calls for store in stores}) > 1
+
+    def test_watch_whose_revision_is_gone_is_followed_by_a_list_at_once(
+        self, store, clock
+    ):
+        start_watcher(store, clock, fleet_size=6)
+        advance_in_steps(clock, 1.0)
+        calls = store.calls
+        waiting, store.waiting = store.waiting, []
+        waiting[0].errback(RevisionCompacted("410"))
+        assert store.calls == calls + 2
+
+
 class TestDaemonsWithoutAWatch:
     def start(self, store, clock, may_watch):
         replica = Replica("daemons")
