Count every entry of an evacuated zone, whatever its value

Cause: replicas mark deleted objects by the value None, so an entry whose value in the store is JSON null, or absent, looked deleted. An entry with an empty string, a list or a number was ignored as malformed. In both cases requests went on to a zone that the operator believed evacuated.

Change: a replica keeps null as a string of its own, which other daemons get as well. An entry evacuates its zone whatever its value; one log line per daemon says that the value is invalid. The value may tell who applied the entry and when, for the commands to come.

Test changed: test_is_logged_once_and_ignored required that an entry with an invalid value has no effect, which is the fault; it now requires that the entry counts, for more values.

Measured: 11 cases of tests/serving/test_evacuations.py fail on the code before; tests/serving, tests/fleet, tests/platform and tests/placement pass.

--- a/src/chivesaddle/core/serving_model.py
+++ b/src/chivesaddle/core/serving_model.py
@@ -231,6 +231,26 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True)
+class Evacuation:
+    """An operator's wish that a zone's servers get no new requests.
+
+    Attributes
+    ----------
+    applied_by : str or None
+        Who applied it, if the entry says so.
+    applied_ms : int or None
+        When, in Unix milliseconds, if the entry says so.
+    has_valid_value : bool
+        Whether the entry's value is an object.
+    """
+
+    zone: ZoneId
+    applied_by: str | None
+    applied_ms: int | None
+    has_valid_value: bool
+
+
 __all__ = [
     "UNKNOWN_SOFTWARE",
     "Account",
@@ -239,6 +259,7 @@
     "ColdStart",
     "Configuration",
     "EngineSpec",
+    "Evacuation",
     "KvStore",
     "PromptPartId",
     "Route",
--- a/src/chivesaddle/fleet/replica.py
+++ b/src/chivesaddle/fleet/replica.py
@@ -6,11 +6,19 @@
 import msgspec
 
 from chivesaddle.core.logs import ComponentLogger
-from chivesaddle.core.objects import ChangeType, ObjectChange, ObjectList
+from chivesaddle.core.objects import (
+    ChangeType,
+    ObjectChange,
+    ObjectList,
+    StoredObject,
+)
 
 # Deletions kept for peers that have not seen them. A peer that was disconnected for
 # longer lists the whole kind from the store or receives the whole replica.
 MAX_TOMBSTONES = 512
+# Value of an object whose value in the store is JSON null or absent. None marks deleted
+# objects, also in messages between daemons.
+NULL_VALUE = "null"
 
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
@@ -96,7 +104,7 @@
         for name in missing:
             self._put(Entry(name, listing.revision))
         for name, item in listing.items_by_name.items():
-            self._put(Entry(name, item.version, item.value))
+            self._put(_stored_entry(name, item))
         self.applied_revision = max(self.applied_revision, listing.revision)
         return missing
 
@@ -110,7 +118,7 @@
                 # deletion is later, at ``revision`` at the latest.
                 self._put(Entry(item.name, revision))
             else:
-                self._put(Entry(item.name, item.version, item.value))
+                self._put(_stored_entry(item.name, item))
         self.applied_revision = max(self.applied_revision, revision)
 
     def revision_of(self, name: str) -> int:
@@ -216,4 +224,9 @@
             del self._entries_by_name[oldest.name]
 
 
+def _stored_entry(name: str, item: StoredObject) -> Entry:
+    value = NULL_VALUE if item.value is None else item.value
+    return Entry(name, item.version, value)
+
+
 __all__ = ["Entry", "Listener", "Replica"]
--- a/src/chivesaddle/platform/__init__.py
+++ b/src/chivesaddle/platform/__init__.py
@@ -17,6 +17,7 @@
     decode_server,
     decode_weight_version,
     document_version,
+    encode_evacuation,
 )
 from chivesaddle.platform.entry import (
     READINESS_PATH,
@@ -51,6 +52,7 @@
     "decode_weight_version",
     "document_version",
     "encode_addresses",
+    "encode_evacuation",
     "encode_peer_headers",
     "encode_server_headers",
 ]
--- a/src/chivesaddle/platform/documents.py
+++ b/src/chivesaddle/platform/documents.py
@@ -23,6 +23,7 @@
     ColdStart,
     Configuration,
     EngineSpec,
+    Evacuation,
     KvStore,
     Route,
     RouteId,
@@ -281,9 +282,21 @@
     return TargetWeightVersion(ModelId(decoded.model), decoded.version)
 
 
-def decode_evacuation(name: str, value: Any) -> ZoneId | None:
-    """Decode the zone of an evacuation; None if the entry is malformed."""
-    return ZoneId(name) if isinstance(value, dict) else None
+def decode_evacuation(name: str, value: Any) -> Evacuation:
+    """Decode an evacuation, which any entry is, whatever its value."""
+    fields = value if isinstance(value, dict) else {}
+    applied_by, applied_ms = fields.get("applied_by"), fields.get("applied_ms")
+    return Evacuation(
+        zone=ZoneId(name),
+        applied_by=applied_by if isinstance(applied_by, str) else None,
+        applied_ms=applied_ms if type(applied_ms) is int else None,
+        has_valid_value=isinstance(value, dict),
+    )
+
+
+def encode_evacuation(applied_by: str, applied_ms: int) -> dict[str, Any]:
+    """Return the value of an entry that evacuates a zone."""
+    return {"applied_by": applied_by, "applied_ms": applied_ms}
 
 
 def document_version(value: Any) -> int | None:
@@ -303,4 +316,5 @@
     "decode_server",
     "decode_weight_version",
     "document_version",
+    "encode_evacuation",
 ]
--- a/src/chivesaddle/serving/documents.py
+++ b/src/chivesaddle/serving/documents.py
@@ -189,11 +189,12 @@
             else:
                 self._evacuations.remove(ZoneId(entry.name))
             return
-        zone = decode_evacuation(entry.name, entry.value)
-        if zone is None:
-            log.warning("malformed evacuation", extra={"entry": entry.name})
-            return
-        self._evacuations.put(zone)
+        evacuation = decode_evacuation(entry.name, entry.value)
+        if not evacuation.has_valid_value:
+            log.warning(
+                "invalid evacuation counts as one", extra={"zone": evacuation.zone}
+            )
+        self._evacuations.put(evacuation.zone)
 
     def _end_if_missing(self, name: str) -> None:
         if self._replicas[EVACUATIONS_KIND].get(name) is None:
--- a/tests/serving/test_evacuations.py
+++ b/tests/serving/test_evacuations.py
@@ -131,21 +131,42 @@
         assert evacuated(fleet) == {True}
 
 
-class TestMalformedEntry:
-    @pytest.mark.parametrize("value", ["yes", [], 1, True])
-    def test_is_logged_once_and_ignored(self, fleet, caplog, value):
+class TestEntryWithAnInvalidValue:
+    """Guards against requests to a zone that an operator believes evacuated."""
+
+    @pytest.mark.parametrize("value", [None, "", "yes", [], 0, 1, False, True])
+    def test_counts_and_is_logged_once(self, fleet, caplog, value):
         caplog.set_level(logging.WARNING)
         fleet.write(EVACUATIONS_KIND, ZONE, value)
         fleet.write(EVACUATIONS_KIND, "z2", {"since": 5})
         fleet.advance(3)
-        lines = [r for r in caplog.records if "malformed evacuation" in r.getMessage()]
-        assert len(lines) == len(fleet.daemons)
-        assert evacuated(fleet) == {False}
+        lines = [r for r in caplog.records if "invalid evacuation" in r.getMessage()]
+        assert [line.zone for line in lines] == [ZONE] * len(fleet.daemons)
+        assert evacuated(fleet) == {True}
         assert all(d.servers.is_evacuated("z2") for d in fleet.daemons)
 
-    def test_does_not_end_an_evacuation(self, fleet):
+    @pytest.mark.parametrize("value", [None, "no"])
+    def test_does_not_end_an_evacuation_until_it_is_removed(self, fleet, value):
         fleet.write(EVACUATIONS_KIND, ZONE, {})
         fleet.advance(2)
-        fleet.write(EVACUATIONS_KIND, ZONE, "no")
+        fleet.write(EVACUATIONS_KIND, ZONE, value)
         fleet.advance(2)
         assert evacuated(fleet) == {True}
+        fleet.delete(EVACUATIONS_KIND, ZONE)
+        fleet.advance(2)
+        assert evacuated(fleet) == {False}
+
+    def test_is_heard_from_a_peer_without_the_store(self, fleet):
+        cut = fleet.daemons[1]
+        cut.client.is_cut = True
+        fleet.advance(1)
+        fleet.write(EVACUATIONS_KIND, ZONE, None)
+        fleet.advance(3)
+        assert evacuated(fleet) == {True}
+
+    def test_is_known_to_a_daemon_that_starts(self, fleet):
+        fleet.write(EVACUATIONS_KIND, ZONE, None)
+        fleet.advance(2)
+        restart(fleet, 2)
+        fleet.advance(3)
+        assert evacuated(fleet) == {True}
