Show, plan, confirm and end evacuations on the command line

Cause: an operator wrote evacuation entries by hand, with no warning of services that lose their last server and no way to see which daemons follow.

Change: `chivesaddle evacuations` lists the zones with entry, age, version, who applied it, daemons that apply it, servers and requests in flight. `chivesaddle evacuate ZONE` prints what would change and changes nothing. `--confirm` creates the entry on the condition that there is none, and reads back a write without a response; `--end` removes the version that it read. Both wait until all registered daemons that answer follow, 10 s at most, and name those that do not, with exit status 1, and those that did not answer. Daemons tell what they apply at /status of the metrics address, which their registration names; daemons of older builds are named as not answering.

--- a/src/chivesaddle/cli/app.py
+++ b/src/chivesaddle/cli/app.py
@@ -10,6 +10,7 @@
 
 from chivesaddle.cli import entities
 from chivesaddle.cli.client import CommandError, OperatorClient
+from chivesaddle.cli.evacuations import evacuate, list_evacuations
 from chivesaddle.cli.output import (
     OutputFormat,
     print_confirmation,
@@ -40,6 +41,8 @@
 app.add_typer(entities.backend_server_app, name="backend-server")
 app.add_typer(entities.store_app, name="store")
 app.add_typer(entities.service_app, name="service")
+app.command("evacuations")(list_evacuations)
+app.command("evacuate")(evacuate)
 prompt_app = typer.Typer(
     no_args_is_help=True, help="List, store and delete the prompts of a client account."
 )
--- a/src/chivesaddle/cli/client.py
+++ b/src/chivesaddle/cli/client.py
@@ -11,6 +11,7 @@
 
 from chivesaddle.core.aio import Clock, start, with_deadline
 from chivesaddle.core.errors import ChivesaddleError
+from chivesaddle.core.objects import ObjectApi
 
 T = TypeVar("T")
 
@@ -37,6 +38,9 @@
     def http(self) -> Any:
         """Client with the ``request`` method of `treq.client.HTTPClient`."""
 
+    def open_store(self, url: str) -> ObjectApi:
+        """Return a client of the platform's store."""
+
     def run(self, coroutine: Coroutine[Any, Any, T]) -> T:
         """Run a Twisted coroutine until it completes; return its result."""
 
@@ -54,6 +58,12 @@
         agent: Any = Agent(self._reactor, connectTimeout=CONNECT_TIMEOUT_S)
         self.http: Any = HTTPClient(agent)
 
+    def open_store(self, url: str) -> ObjectApi:
+        """Return a client of the platform's store at ``http://ip:port``."""
+        from chivesaddle.platform import StoreClient
+
+        return StoreClient.from_config(url, self._reactor)
+
     def run(self, coroutine: Coroutine[Any, Any, T]) -> T:
         """Run a coroutine; raise KeyboardInterrupt if the user interrupts it."""
         results: list[Any] = []
--- a/src/chivesaddle/cli/runner.py
+++ b/src/chivesaddle/cli/runner.py
@@ -41,9 +41,17 @@
         self, command: Callable[[OperatorClient], Coroutine[Any, Any, None]]
     ) -> None:
         """Run a command; if it fails, print the error and remedy and exit with 1."""
+        self.run_with_runtime(
+            lambda runtime: command(OperatorClient(runtime, self.urls, self.key))
+        )
+
+    def run_with_runtime(
+        self, command: Callable[[Runtime], Coroutine[Any, Any, None]]
+    ) -> None:
+        """Run a command that does not use the operator API, like `run`."""
         try:
             runtime = self.runtime or ReactorRuntime()
-            runtime.run(command(OperatorClient(runtime, self.urls, self.key)))
+            runtime.run(command(runtime))
         except ChivesaddleError as error:
             print(f"error: {error.message}", file=sys.stderr)
             if error.remedy:
--- a/src/chivesaddle/fleet/members.py
+++ b/src/chivesaddle/fleet/members.py
@@ -39,6 +39,8 @@
     ----------
     capacity : float
         Work that the instance can take, in cores; see `InstanceCapacity`.
+    status : str
+        Address of the status page, empty if the daemon's build has none.
     """
 
     id: str
@@ -47,6 +49,7 @@
     callers: str
     peers: str
     capacity: float = 1.0
+    status: str = ""
 
 
 @dataclass(slots=True)
--- a/src/chivesaddle/placement/evacuations.py
+++ b/src/chivesaddle/placement/evacuations.py
@@ -4,12 +4,14 @@
 servers are not told to fetch KV cache from these servers.
 """
 
-from collections.abc import Callable, Iterable
+from collections import Counter
+from collections.abc import Callable, Collection, Iterable, Mapping
+from dataclasses import dataclass
 
 from chivesaddle.core.aio import Clock
-from chivesaddle.core.ids import ServiceId, ZoneId
+from chivesaddle.core.ids import ModelId, ServiceId, ZoneId
 from chivesaddle.core.logs import ComponentLogger
-from chivesaddle.core.serving_model import ServerState
+from chivesaddle.core.serving_model import ServerEntry, ServerState
 from chivesaddle.placement.table import ServerTable, TrackedServer
 
 # A zone without servers is logged as unknown only after this time: a daemon that starts
@@ -47,6 +49,10 @@
         """Return whether the zone is evacuated."""
         return zone in self._known_at_by_zone
 
+    def known_at_by_zone(self) -> Mapping[ZoneId, float]:
+        """Return when each evacuated zone became known, in seconds on the clock."""
+        return dict(self._known_at_by_zone)
+
     def put(self, zone: ZoneId) -> None:
         """Send the zone's servers no new requests."""
         if zone in self._known_at_by_zone:
@@ -133,4 +139,53 @@
     return frozenset(entry.service for entry in ready) - usable
 
 
-__all__ = ["Evacuations", "fully_evacuated_services"]
+@dataclass(frozen=True, slots=True)
+class EvacuationPlan:
+    """What the evacuation of a zone changes.
+
+    Attributes
+    ----------
+    servers_by_service : dict
+        Ready servers of the zone.
+    servers_left_by_service : dict
+        Ready servers in zones that are not evacuated, of the same services.
+    lost_services : tuple of ServiceId
+        Services that have no server left.
+    lost_models : tuple of (ServiceId, ModelId)
+        Models that only servers of the zone have, of services that have others left.
+    """
+
+    zone: ZoneId
+    servers_by_service: dict[ServiceId, int]
+    servers_left_by_service: dict[ServiceId, int]
+    lost_services: tuple[ServiceId, ...]
+    lost_models: tuple[tuple[ServiceId, ModelId], ...]
+
+
+def plan_evacuation(
+    zone: ZoneId, servers: Iterable[ServerEntry], evacuated: Collection[ZoneId]
+) -> EvacuationPlan:
+    """Return what changes if a zone is evacuated beside those that are already."""
+    ready = [s for s in servers if s.state is ServerState.READY]
+    in_zone = [server for server in ready if server.zone == zone]
+    left = [s for s in ready if s.zone != zone and s.zone not in evacuated]
+    by_service = Counter(server.service for server in in_zone)
+    left_by_service = Counter(s.service for s in left if s.service in by_service)
+    lost = [service for service in by_service if not left_by_service[service]]
+    models = {(s.service, model) for s in in_zone for model in s.version_by_model}
+    models_left = {(s.service, model) for s in left for model in s.version_by_model}
+    return EvacuationPlan(
+        zone,
+        dict(by_service),
+        dict(left_by_service),
+        tuple(sorted(lost)),
+        tuple(sorted(m for m in models - models_left if m[0] not in lost)),
+    )
+
+
+__all__ = [
+    "EvacuationPlan",
+    "Evacuations",
+    "fully_evacuated_services",
+    "plan_evacuation",
+]
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -62,6 +62,7 @@
     rendezvous_order,
 )
 from chivesaddle.platform import (
+    EVACUATIONS_KIND,
     READINESS_PATH,
     RESOLVE_PATH,
     BackendClient,
@@ -90,6 +91,7 @@
 from chivesaddle.serving.request_senders import RequestSenders
 from chivesaddle.serving.settings import ServingSettings, SettingsError
 from chivesaddle.serving.software_view import SoftwareView
+from chivesaddle.serving.status import STATUS_PATH, StatusPage
 from chivesaddle.serving.store_hints import StoreHints
 from chivesaddle.serving.stream_sharing import StreamSharing
 from chivesaddle.weights import LEASE_NAME, RENEW_INTERVAL_S, Rollout
@@ -149,6 +151,7 @@
             settings.listen.callers,
             settings.listen.peers,
             settings.capacity.cores,
+            settings.listen.metrics,
         )
         self._reachability = StoreReachability(reactor)
         self._replicas = document_replicas(bounds.evacuation_s is not None)
@@ -159,6 +162,13 @@
         self._servers = ServerTable(reactor)
         self._software = SoftwareHistory(reactor, self._servers)
         self._evacuations = Evacuations(reactor, self._servers)
+        self._status_page = StatusPage(
+            reactor,
+            settings.daemon_id,
+            self._servers,
+            self._evacuations,
+            self._replicas.get(EVACUATIONS_KIND),
+        )
         StoredDocuments(
             reactor,
             self._replicas,
@@ -346,7 +356,7 @@
         listeners = [
             listen(self._reactor, addresses.readiness, self._answer_readiness),
             listen(self._reactor, addresses.addresses, self._answer_addresses),
-            listen(self._reactor, addresses.metrics, self.metrics.handle),
+            listen(self._reactor, addresses.metrics, self._answer_operators),
         ]
         self._caller_listener = listen(
             self._reactor,
@@ -442,6 +452,13 @@
         else:
             responder.answer(200 if self.is_ready else 503)
 
+    def _answer_operators(self, request: Request, responder: Responder) -> None:
+        path = request.target.partition(b"?")[0].decode("latin-1")
+        if path == STATUS_PATH:
+            self._status_page.handle(request, responder)
+        else:
+            self.metrics.handle(request, responder)
+
     def _answer_addresses(self, request: Request, responder: Responder) -> None:
         path, _, query = request.target.partition(b"?")
         if path != RESOLVE_PATH:
