--- a/src/chivesaddle/tools/platform_fleet.py
+++ b/src/chivesaddle/tools/platform_fleet.py
@@ -49,6 +49,8 @@
     has_own_hosts : bool
         Whether each daemon listens on, and connects from, a loopback address of its
         own, so that proxies can tell them apart.
+    evacuation_s : float or None
+        The daemons' bound for evacuations; None if zones are never evacuated.
     """
 
     def __init__(
@@ -59,7 +61,9 @@
         proxy_address: Any = None,
         *,
         has_own_hosts: bool = False,
+        evacuation_s: float | None = None,
     ) -> None:
+        self._evacuation_s = evacuation_s
         self._build_dir = build_dir
         self.processes = Processes(build_dir / "logs")
         self._proxy_address = proxy_address or (lambda name, address: address)
@@ -195,7 +199,7 @@
             HTTP_CLIENT.put(f"{url}/{name}", json=body).raise_for_status()
 
     def _daemon_spec(self, name: str) -> ProcessSpec:
-        settings = {
+        settings: dict[str, Any] = {
             "daemon_id": name,
             "zone": "z",
             "listen": self.listeners[name],
@@ -211,6 +215,8 @@
             "seeds": [listeners["peers"] for listeners in self.listeners.values()],
             "connect_from": self.host_by_daemon[name],
         }
+        if self._evacuation_s is not None:
+            settings["bounds"]["evacuation_s"] = self._evacuation_s
         path = self.settings_path(name)
         path.write_text(json.dumps(settings))
         readiness = self.listeners[name]["readiness"]
