Keep a stalled stream that cannot go on elsewhere

Cause: a stalled stream was given up also if no other server could take it, or if the retry budget was used up. It was then broken off for certain, although its server might have gone on.

--- a/src/chivesaddle/forwarding/budget.py
+++ b/src/chivesaddle/forwarding/budget.py
@@ -53,14 +53,18 @@
         """Record the first send of a request."""
         self._recent(self._requests, service).append(self._clock.seconds())
 
-    def try_acquire(self, service: ServiceId) -> bool:
-        """Record a retry and return True if the budget allows it."""
+    def allows_retry(self, service: ServiceId) -> bool:
+        """Return whether the budget allows a retry now, without recording one."""
         requests = len(self._recent(self._requests, service))
-        retries = self._recent(self._retries, service)
+        retries = len(self._recent(self._retries, service))
         share = self._slack / max(1, self._fleet_size())
-        if len(retries) + 1 > USABLE_SHARE * (self._ratio * requests + share):
+        return retries + 1 <= USABLE_SHARE * (self._ratio * requests + share)
+
+    def try_acquire(self, service: ServiceId) -> bool:
+        """Record a retry and return True if the budget allows it."""
+        if not self.allows_retry(service):
             return False
-        retries.append(self._clock.seconds())
+        self._recent(self._retries, service).append(self._clock.seconds())
         return True
 
     def _recent(
--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -664,9 +664,27 @@
             await forwarding
             return
         max_gap_s = _caller_timeout_s(context.route)
-        watch = StallWatch(self._clock, relay, first_deadline, max_gap_s)
+        watch = StallWatch(
+            self._clock,
+            relay,
+            first_deadline,
+            max_gap_s,
+            lambda: self._may_move(context),
+        )
         await watch.watch(forwarding)
 
+    def _may_move(self, context: RequestContext) -> bool:
+        """Return whether a stream can go on at another server now."""
+        version = context.software_version
+        candidate = context.last_candidate
+        used = {candidate.server.entry.id} if candidate else set()
+        has_other_server = any(
+            server.entry.id not in context.excluded | used
+            and version in (None, server.entry.software_version)
+            for server in self._servers.of_service(context.service)
+        )
+        return has_other_server and self._budget.allows_retry(context.service)
+
     def _record_run(self, context: RequestContext) -> None:
         context.runs += 1
         context.arrivals += 1
--- a/src/chivesaddle/forwarding/stalls.py
+++ b/src/chivesaddle/forwarding/stalls.py
@@ -1,5 +1,7 @@
 """Gives up servers that stop sending events of a stream."""
 
+from collections.abc import Callable
+
 from twisted.internet.defer import CancelledError, Deferred
 
 from chivesaddle.core.aio import Clock, DelayedCall
@@ -10,6 +12,8 @@
 MIN_CALLER_TIMEOUT_S = 2.0
 # Because of rounding, a timer may fire this much before its deadline.
 TIMER_TOLERANCE_S = 1e-6
+# Interval at which a stream that has stalled, but cannot move, is looked at again.
+RECHECK_INTERVAL_S = 0.25
 
 
 class StallWatch:
@@ -28,15 +32,24 @@
         When the first event must have arrived.
     max_gap_s : float
         Longest time between two events.
+    may_move : callable
+        Returns whether the stream can go on at another server now. Otherwise waiting
+        for this one is better than to break off.
     """
 
     def __init__(
-        self, clock: Clock, relay: Relay, first_deadline: float, max_gap_s: float
+        self,
+        clock: Clock,
+        relay: Relay,
+        first_deadline: float,
+        max_gap_s: float,
+        may_move: Callable[[], bool],
     ) -> None:
         self._clock = clock
         self._relay = relay
         self._first_deadline = first_deadline
         self._max_gap_s = max_gap_s
+        self._may_move = may_move
         self._is_stalled = False
 
     async def watch(self, forwarding: "Deferred[None]") -> None:
@@ -48,11 +61,13 @@
         def check() -> None:
             nonlocal timer
             remaining_s = self._remaining_s()
-            if remaining_s <= TIMER_TOLERANCE_S:
+            if remaining_s > TIMER_TOLERANCE_S:
+                timer = self._clock.callLater(remaining_s, check)
+            elif self._may_move():
                 self._is_stalled = True
                 forwarding.cancel()
             else:
-                timer = self._clock.callLater(remaining_s, check)
+                timer = self._clock.callLater(RECHECK_INTERVAL_S, check)
 
         timer = self._clock.callLater(max(0.0, self._remaining_s()), check)
         try:
--- a/tests/forwarding/test_stalls.py
+++ b/tests/forwarding/test_stalls.py
@@ -130,3 +130,28 @@
         assert server.transport.is_lost
         assert caller.transport.is_lost
         assert len(harness.connections) == 1
+
+    def test_with_a_long_gap_goes_on_if_there_is_no_other_server(self, harness, caller):
+        """Giving up the only server would break the stream off for certain."""
+        harness.servers.remove("i-2", may_have_expired=False)
+        caller.request("/resumable/x")
+        server = harness.connections[0]
+        server.start_stream(EVENT_1)
+        advance(harness, MAX_GAP_S + 2.0)
+        server.chunk(EVENT_2)
+        server.end_stream()
+        assert caller.received().endswith(b"0\r\n\r\n")
+
+    def test_with_a_long_gap_goes_on_while_the_retry_budget_is_used_up(
+        self, harness, caller
+    ):
+        caller.request("/resumable/x")
+        server = harness.connections[0]
+        server.start_stream(EVENT_1)
+        while harness.budget.try_acquire("app"):
+            pass
+        advance(harness, MAX_GAP_S + 2.0)
+        server.chunk(EVENT_2)
+        server.end_stream()
+        assert caller.received().endswith(b"0\r\n\r\n")
+        assert len(harness.connections) == 1
