Name the servers in the plan of an evacuation, and note the changes

The plan gave only the number of servers of each service that get no new requests; it now names them. tests/cli and the tests of evacuations pass.

--- a/src/chivesaddle/cli/evacuations.py
+++ b/src/chivesaddle/cli/evacuations.py
@@ -332,9 +332,12 @@
     if is_evacuated:
         print("The zone is evacuated already.")
     print("Changes:")
-    for service, count in sorted(planned.servers_by_service.items()):
+    for service, servers in planned.servers_by_service.items():
         left = planned.servers_left_by_service.get(service, 0)
-        print(f"  {service}: {count} ready servers get no new requests, {left} left")
+        print(
+            f"  {service}: no new requests to {', '.join(servers)}; "
+            f"{left} ready servers left"
+        )
     if not planned.servers_by_service:
         print("  none: the zone has no ready server; check its name")
     if planned.lost_services or planned.lost_models:
--- a/src/chivesaddle/placement/evacuations.py
+++ b/src/chivesaddle/placement/evacuations.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from chivesaddle.core.aio import Clock
-from chivesaddle.core.ids import ModelId, ServiceId, ZoneId
+from chivesaddle.core.ids import BackendServerId, ModelId, ServiceId, ZoneId
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.core.serving_model import ServerEntry, ServerState
 from chivesaddle.placement.table import ServerTable, TrackedServer
@@ -146,9 +146,9 @@
     Attributes
     ----------
     servers_by_service : dict
-        Ready servers of the zone.
+        Ids of the zone's ready servers.
     servers_left_by_service : dict
-        Ready servers in zones that are not evacuated, of the same services.
+        Number of ready servers in zones that are not evacuated, of the same services.
     lost_services : tuple of ServiceId
         Services that have no server left.
     lost_models : tuple of (ServiceId, ModelId)
@@ -156,7 +156,7 @@
     """
 
     zone: ZoneId
-    servers_by_service: dict[ServiceId, int]
+    servers_by_service: dict[ServiceId, tuple[BackendServerId, ...]]
     servers_left_by_service: dict[ServiceId, int]
     lost_services: tuple[ServiceId, ...]
     lost_models: tuple[tuple[ServiceId, ModelId], ...]
@@ -169,14 +169,17 @@
     ready = [s for s in servers if s.state is ServerState.READY]
     in_zone = [server for server in ready if server.zone == zone]
     left = [s for s in ready if s.zone != zone and s.zone not in evacuated]
-    by_service = Counter(server.service for server in in_zone)
+    by_service = {
+        service: tuple(sorted(s.id for s in in_zone if s.service == service))
+        for service in sorted({server.service for server in in_zone})
+    }
     left_by_service = Counter(s.service for s in left if s.service in by_service)
     lost = [service for service in by_service if not left_by_service[service]]
     models = {(s.service, model) for s in in_zone for model in s.version_by_model}
     models_left = {(s.service, model) for s in left for model in s.version_by_model}
     return EvacuationPlan(
         zone,
-        dict(by_service),
+        by_service,
         dict(left_by_service),
         tuple(sorted(lost)),
         tuple(sorted(m for m in models - models_left if m[0] not in lost)),
