--- a/src/chivesaddle/forwarding/exchange.py
+++ b/src/chivesaddle/forwarding/exchange.py
@@ -1,6 +1,7 @@
 """One request to a backend server, and whether the server may have run it."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from chivesaddle.core.aio import Clock, start, with_deadline
 from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded
@@ -14,13 +15,16 @@
     RetryAfter,
     ServerResponse,
 )
+from chivesaddle.forwarding.response_end import has_body
 from chivesaddle.http1 import (
     ConnectionPool,
+    Framing,
     HeaderList,
     NotSent,
     ResponseBroken,
     ResponseHead,
     ServerConnection,
+    has_queued_bytes,
 )
 from chivesaddle.placement import ExchangeOutcome, RateLimits, ServerTable
 
@@ -31,6 +35,8 @@
 # connection, so it uses only a connection with a short idle time.
 MAX_IDLE_NON_REPEATABLE_S = 0.25
 MAX_IDLE_REPEATABLE_S = 3.0
+# A process that dies resets the connections in its accept queue within this time.
+DYING_RESET_S = 0.05
 # Maximum number of responses to earlier requests that are skipped while waiting for the
 # expected one.
 MAX_STALE_RESPONSES = 2
@@ -106,6 +112,7 @@
         self._decode = decode_response
         self._connection: ServerConnection | None = None
         self._serial = 0
+        self._is_first_response = False
         self.was_sent = False
         self.on_bytes: Callable[[float, float], None] = lambda connected_at, now: None
 
@@ -171,6 +178,8 @@
                 work_time_percent=response.load.work_time_percent,
             )
         self._check_response(request, response)
+        if not has_body(request.method, response.status):
+            return replace(response, framing=Framing.LENGTH, content_length=0)
         return response
 
     async def read_chunk(self) -> bytes | None:
@@ -188,6 +197,20 @@
         self.on_bytes(connected_at, now)
         return chunk
 
+    async def is_server_alive(self) -> bool:
+        """Return whether the server accepts another connection now.
+
+        A process that died accepts none: its listener closes with its connections.
+        """
+        deadline = self._clock.seconds() + CONNECT_TIMEOUT_S
+        try:
+            await self._pool.probe(self._server.address, deadline, DYING_RESET_S)
+        except NotSent as error:
+            self._servers.record_connection_failure(self._server.id, error.message)
+            return False
+        self._servers.record_connected(self._server.id)
+        return True
+
     def finish(self, response: ServerResponse) -> None:
         """Return the connection to the pool after a complete response."""
         if self._connection is not None:
@@ -227,19 +250,26 @@
 
     async def _read_own_response(self, request: CallerRequest) -> ServerResponse:
         assert self._connection is not None
+        self._is_first_response = self._connection.requests_sent == 1
         for _ in range(MAX_STALE_RESPONSES + 1):
             response = self._decode(await self._connection.read_head())
-            if response.request_id in (None, request.id):
+            if response.request_id == request.id:
+                return response
+            if response.request_id is None:
+                if has_queued_bytes(self._connection.transport):
+                    raise NoUsableResponse(
+                        "Response without a request id arrived before the request was "
+                        "written"
+                    )
                 return response
+            self._is_first_response = False
             await self._connection.skip_response()
         raise ResponseBroken("Only responses to other requests arrived")
 
     def _check_response(self, request: CallerRequest, response: ServerResponse) -> None:
-        assert self._connection is not None
-        # A response without an id on a reused connection may belong to another request.
-        is_own = (
-            response.request_id == request.id or self._connection.requests_sent == 1
-        )
+        # A response without an id that follows another one on its connection may belong
+        # to another request.
+        is_own = response.request_id == request.id or self._is_first_response
         if is_own and response.server in (None, self._server.id):
             self._record_limit(response)
             self._record_cold(response)
--- a/src/chivesaddle/http1/pool.py
+++ b/src/chivesaddle/http1/pool.py
@@ -1,7 +1,10 @@
 """Pool of idle connections to servers, by address."""
 
-from chivesaddle.core.aio import Clock
-from chivesaddle.http1.client import Connector, ServerConnection
+import socket
+from typing import Any
+
+from chivesaddle.core.aio import Clock, sleep_until
+from chivesaddle.http1.client import Connector, NotSent, ServerConnection
 
 # Idle time after which a connection is not reused, for servers that do not send their
 # idle timeout in a Keep-Alive header. 3 s is safely below the shortest idle timeout in
@@ -9,6 +12,8 @@
 DEFAULT_MAX_IDLE_S = 3.0
 # Further connections to the same address are aborted instead of kept.
 MAX_IDLE_CONNECTIONS_PER_ADDRESS = 8
+# Interval at which a connection that may still be reset is checked.
+SETTLE_CHECK_INTERVAL_S = 0.05
 
 
 class ConnectionPool:
@@ -34,6 +39,11 @@
         self._usable_until: dict[ServerConnection, float] = {}
         self.connections_opened = 0
 
+    @property
+    def idle_connections(self) -> int:
+        """Number of connections that are kept for reuse."""
+        return len(self._usable_until)
+
     async def acquire(
         self, address: str, deadline: float, *, max_idle_s: float = DEFAULT_MAX_IDLE_S
     ) -> ServerConnection:
@@ -51,7 +61,8 @@
             usable_until = self._usable_until.pop(connection, 0.0)
             if not connection.is_reusable:
                 continue
-            if now < usable_until and now - connection.idle_since < max_idle_s:
+            is_fresh = now < usable_until and now - connection.idle_since < max_idle_s
+            if is_fresh and not _has_unread_input(connection.transport):
                 connection.on_idle_loss = None
                 return connection
             connection.abort()
@@ -62,6 +73,32 @@
         self.connections_opened += 1
         return await self._connector.connect(address, deadline)
 
+    async def probe(self, address: str, deadline: float, settle_s: float = 0.0) -> None:
+        """Open a connection and keep it for reuse.
+
+        Parameters
+        ----------
+        settle_s : float
+            How long after it was accepted the connection may still be reset.
+
+        Raises
+        ------
+        NotSent
+            If the connection was not opened, or was reset when it was accepted.
+        """
+        connection = await self.open(address, deadline)
+        try:
+            settled_at = self._clock.seconds() + settle_s
+            while not connection.lost and self._clock.seconds() < settled_at:
+                check_at = self._clock.seconds() + SETTLE_CHECK_INTERVAL_S
+                await sleep_until(self._clock, min(check_at, settled_at))
+        except BaseException:
+            connection.abort()
+            raise
+        if connection.lost:
+            raise NotSent("reset when accepted")
+        self.release(address, connection, None)
+
     def release(
         self, address: str, connection: ServerConnection, keep_alive_s: float | None
     ) -> None:
@@ -108,4 +145,23 @@
             idle.remove(connection)
 
 
+def _has_unread_input(transport: Any) -> bool:
+    """Return whether bytes, or the end of the connection, wait in the kernel.
+
+    The reactor has not read them yet. They would be taken as the response to the next
+    request.
+    """
+    get_handle = getattr(transport, "getHandle", None)
+    if get_handle is None:
+        return False
+    try:
+        get_handle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        # The connection has failed.
+        return True
+    return True
+
+
 __all__ = ["ConnectionPool"]
--- a/src/chivesaddle/http1/sockets.py
+++ b/src/chivesaddle/http1/sockets.py
@@ -38,6 +38,15 @@
     )
 
 
+def has_queued_bytes(transport: Any) -> bool:
+    """Return whether bytes that were written to a transport are not sent yet.
+
+    A transport without a queue, as in tests, sends all bytes at once.
+    """
+    queued = getattr(transport, "dataBuffer", b"")
+    return bool(queued or getattr(transport, "_tempDataBuffer", None))
+
+
 def write_at_once(transport: Any, data: bytes) -> None:
     """Send ``data`` without a turn of the reactor if nothing is queued before it.
 
@@ -57,8 +66,7 @@
         and transport.connected
         and not transport.disconnecting
         and not transport._aborting
-        and not transport.dataBuffer
-        and not transport._tempDataBuffer
+        and not has_queued_bytes(transport)
     ):
         sent = transport.writeSomeData(data)
         if isinstance(sent, int):
@@ -67,4 +75,4 @@
         transport.write(data)
 
 
-__all__ = ["set_dead_peer_detection", "write_at_once"]
+__all__ = ["has_queued_bytes", "set_dead_peer_detection", "write_at_once"]
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -64,6 +64,7 @@
     rendezvous_order,
 )
 from chivesaddle.platform import (
+    EVACUATIONS_KIND,
     READINESS_PATH,
     RESOLVE_PATH,
     BackendClient,
@@ -94,6 +95,7 @@
 from chivesaddle.serving.settings import ServingSettings, SettingsError
 from chivesaddle.serving.silent_paths import SilentPaths
 from chivesaddle.serving.software_view import SoftwareView
+from chivesaddle.serving.status import STATUS_PATH, StatusPage
 from chivesaddle.serving.store_hints import StoreHints
 from chivesaddle.serving.stream_sharing import StreamSharing
 from chivesaddle.weights import LEASE_NAME, RENEW_INTERVAL_S, Rollout
@@ -135,6 +137,8 @@
         self.metrics = ServingMetrics()
         connector = Connector(reactor, settings.connect_from)
         self._server_pool = ConnectionPool(connector, reactor)
+        # Responses to control calls have no id, unlike those to callers' requests.
+        self._control_pool = ConnectionPool(connector, reactor)
         self._store_pool = ConnectionPool(connector, reactor)
         self._peer_pool = ConnectionPool(connector, reactor)
         self._era = StoreEra(reactor)
@@ -152,6 +156,7 @@
             settings.listen.callers,
             settings.listen.peers,
             settings.capacity.cores,
+            settings.listen.metrics,
         )
         self._reachability = StoreReachability(reactor)
         self._replicas = document_replicas(bounds.evacuation_s is not None)
@@ -162,6 +167,13 @@
         self._servers = ServerTable(reactor)
         self._software = SoftwareHistory(reactor, self._servers)
         self._evacuations = Evacuations(reactor, self._servers)
+        self._status_page = StatusPage(
+            reactor,
+            settings.daemon_id,
+            self._servers,
+            self._evacuations,
+            self._replicas.get(EVACUATIONS_KIND),
+        )
         StoredDocuments(
             reactor,
             self._replicas,
@@ -170,7 +182,7 @@
             self._evacuations,
             self._reachability,
             self._era,
-            self._server_pool.close_address,
+            self._close_address,
             lambda entry: self._cold_starts.record_entry(entry),
         )
         self._members = Members(reactor, own, self._replicas[MEMBERS_KIND])
@@ -260,7 +272,7 @@
         self._registration = Registration(
             self.store, reactor, own, self._replicas[MEMBERS_KIND], self._era
         )
-        backend_client = BackendClient(self._server_pool, reactor)
+        backend_client = BackendClient(self._control_pool, reactor)
         self._departed = DepartedMembers(self.store, reactor, self._members)
         self._rollout = Rollout(
             reactor,
@@ -373,7 +385,7 @@
         listeners = [
             listen(self._reactor, addresses.readiness, self._answer_readiness),
             listen(self._reactor, addresses.addresses, self._answer_addresses),
-            listen(self._reactor, addresses.metrics, self._answer_metrics),
+            listen(self._reactor, addresses.metrics, self._answer_operators),
         ]
         self._caller_listener = listen(
             self._reactor,
@@ -471,6 +483,13 @@
         else:
             responder.answer(200 if self.is_ready else 503)
 
+    def _answer_operators(self, request: Request, responder: Responder) -> None:
+        path = request.target.partition(b"?")[0].decode("latin-1")
+        if path == STATUS_PATH:
+            self._status_page.handle(request, responder)
+        else:
+            self.metrics.handle(request, responder)
+
     def _answer_addresses(self, request: Request, responder: Responder) -> None:
         path, _, query = request.target.partition(b"?")
         if path != RESOLVE_PATH:
@@ -514,9 +533,13 @@
         """Close the idle connections of a lost path, and probe similar ones."""
         self._activity.record_path_lost()
         self._path_probe.check_lost_path()
-        self._server_pool.close_address(server.address)
+        self._close_address(server.address)
         self._path_probe.probe_service(server.service)
 
+    def _close_address(self, address: str) -> None:
+        self._server_pool.close_address(address)
+        self._control_pool.close_address(address)
+
     def _trial_rank(self, part: str) -> int | None:
         """Return this daemon's position among those that may try a part of prompts."""
         daemons = [member.id for member in self._working_set.daemons()]
@@ -584,6 +607,7 @@
             await self._clean_stores()
             await self._departed.step(self._rollout.holds_lease)
             self._server_pool.close_expired()
+            self._control_pool.close_expired()
             self._store_pool.close_expired()
             self._peer_pool.close_expired()
             # Without an evacuated zone there is nothing to find.
--- a/src/chivesaddle/serving/path_probe.py
+++ b/src/chivesaddle/serving/path_probe.py
@@ -10,7 +10,6 @@
     Clock,
     DelayedCall,
     log_failure,
-    sleep_until,
     start,
 )
 from chivesaddle.core.ids import ServiceId
@@ -32,8 +31,6 @@
 # A connection that is accepted and then reset is reset within this time. The other
 # kernel accepts it at once, but the process that resets it may wait for a processor.
 SETTLED_AFTER_S = 0.25
-# Interval at which a connection that is not settled is checked.
-SETTLE_CHECK_INTERVAL_S = 0.05
 # Interval of probes of one server.
 PROBE_INTERVAL_S = 0.5
 # If a server is not reached, the others of its service are probed at once unless they
@@ -156,19 +153,13 @@
         entry = server.entry
         now = self._clock.seconds()
         try:
-            connection = await self._pool.open(entry.address, now + CONNECT_TIMEOUT_S)
+            await self._pool.probe(
+                entry.address, now + CONNECT_TIMEOUT_S, SETTLED_AFTER_S
+            )
         except NotSent as error:
             self._servers.record_connection_failure(entry.id, error.message)
             return
-        settled_at = self._clock.seconds() + SETTLED_AFTER_S
-        while self._clock.seconds() < settled_at:
-            check_at = self._clock.seconds() + SETTLE_CHECK_INTERVAL_S
-            await sleep_until(self._clock, min(check_at, settled_at))
-            if connection.lost:
-                self._servers.record_connection_failure(entry.id, "reset when accepted")
-                return
         self._servers.record_connected(entry.id)
-        self._pool.release(entry.address, connection, None)
 
     def probe_service(self, service: ServiceId) -> None:
         """Probe the servers of a service of which one is not reached any more.
--- a/tests/serving/test_path_probe.py
+++ b/tests/serving/test_path_probe.py
@@ -6,6 +6,7 @@
 from twisted.internet.task import Clock
 
 from chivesaddle.core.ids import BackendServerId
+from chivesaddle.http1 import ConnectionPool
 from chivesaddle.placement.paths import ServerPath
 from chivesaddle.serving.path_probe import PathProbe
 
@@ -24,6 +25,8 @@
             entry=SimpleNamespace(id=BackendServerId("s"), address="10.0.0.1:80"),
             path=self.path,
             unresponsive_s=lambda now: 0.0,
+            in_flight=0,
+            unanswered={},
         )
 
     def all(self):
@@ -36,29 +39,31 @@
         self.path.record_connected(self._clock.seconds())
 
 
-class Pool:
+class FakeConnection:
+    is_reusable = True
+    lost = False
+
+
+class FakeConnector:
     """Opens connections that are reset some time after they were accepted."""
 
     def __init__(self, clock):
         self._clock = clock
         self.reset_after_s = None
-        self.released = []
 
-    async def open(self, address, deadline):
-        connection = SimpleNamespace(lost=False)
+    async def connect(self, address, deadline):
+        connection = FakeConnection()
         if self.reset_after_s is not None:
             self._clock.callLater(self.reset_after_s, setattr, connection, "lost", True)
         return connection
 
-    def release(self, address, connection, keep_alive_s):
-        self.released.append(connection)
-
 
 class TestLostPath:
     def setup_method(self):
         self.clock = Clock()
         self.servers = Servers(self.clock)
-        self.pool = Pool(self.clock)
+        self.connector = FakeConnector(self.clock)
+        self.pool = ConnectionPool(self.connector, self.clock)
         self.probe = PathProbe(self.clock, self.servers, self.pool)
         self.probe.start()
 
@@ -69,16 +74,16 @@
     @pytest.mark.parametrize("reset_after_s", [0.0, 0.04, 0.08, 0.2])
     def test_stays_lost_while_connections_are_reset(self, reset_after_s):
         """Guards against requests on connections that are reset a moment later."""
-        self.pool.reset_after_s = reset_after_s
+        self.connector.reset_after_s = reset_after_s
         for _ in range(100):
             self.play(0.05)
             assert self.servers.path.lost_at is not None
-        assert self.pool.released == []
+        assert self.pool.idle_connections == 0
 
     def test_is_regained_within_a_second_once_connections_stay_open(self):
-        self.pool.reset_after_s = 0.08
+        self.connector.reset_after_s = 0.08
         self.play(5)
-        self.pool.reset_after_s = None
+        self.connector.reset_after_s = None
         self.play(REGAINED_AFTER_S)
         assert self.servers.path.lost_at is None
-        assert len(self.pool.released) == 1
+        assert self.pool.idle_connections == 1
--- a/tests/serving/test_server_activity.py
+++ b/tests/serving/test_server_activity.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from chivesaddle.core.aio import sleep_until
 from chivesaddle.placement import ServerTable
 from chivesaddle.platform import decode_server
 from chivesaddle.serving.path_probe import (
@@ -58,11 +59,11 @@
             table, lambda: bool(table.get("s0").in_flight), reports_lost_paths=True
         )
 
-        async def open_connection(address, deadline):
+        async def open_and_keep(address, deadline, settle_s):
             self.opened_at.append(clock.seconds())
-            return SimpleNamespace(lost=False)
+            await sleep_until(clock, clock.seconds() + settle_s)
 
-        pool = SimpleNamespace(open=open_connection, release=lambda *_: None)
+        pool = SimpleNamespace(probe=open_and_keep)
         probe = PathProbe(clock, table, pool, activity)
 
         def record_path_lost(entry):
