Read the load and speed of a server with fewer calls

A choice reads the load of all servers. The sum over the peers, the weight of a load report and the speed factor each took a call for each server, also where nothing had expired or been reported, or the speed was usual.

--- a/src/chivesaddle/placement/choice.py
+++ b/src/chivesaddle/placement/choice.py
@@ -296,8 +296,9 @@
                 # A request larger than any server's memory goes to an idle server.
                 is_unavailable = is_unavailable or used_tokens != 0
             is_unavailable = is_unavailable or is_busy or requests >= entry.slots
-        if server.speed is not None:
-            factor = server.speed.expected_factor(now)
+        speed = server.speed
+        if speed is not None and (speed.usual_excess or speed.newest_excess):
+            factor = speed.expected_factor(now)
             load_ms *= factor
             penalty_ms += SLOW_SERVER_PENALTY_MS * (factor - 1.0)
         # Summed in the order of `_plan_prompts`: rounding could otherwise make the
--- a/src/chivesaddle/placement/load.py
+++ b/src/chivesaddle/placement/load.py
@@ -110,19 +110,26 @@
 
 
 class PeerLoads:
-    """Load that each peer has at one server, and until when that is valid."""
+    """Load that each peer has at one server, and until when that is valid.
 
-    __slots__ = ("_by_peer", "_expire_at", "_total")
+    Attributes
+    ----------
+    latest_total : tuple of int
+        Result of `total` as long as no load has expired.
+    expire_at : float
+        No load expires before this time.
+    """
+
+    __slots__ = ("_by_peer", "expire_at", "latest_total")
 
     def __init__(self) -> None:
         self._by_peer: dict[str, tuple[Load, float]] = {}
-        self._total = (0, 0, 0)
-        # No load expires before this time.
-        self._expire_at = math.inf
+        self.latest_total = (0, 0, 0)
+        self.expire_at = math.inf
 
     def __setitem__(self, peer: str, load_until: tuple[Load, float]) -> None:
         load, until = load_until
-        requests, unread_tokens, memory_tokens = self._total
+        requests, unread_tokens, memory_tokens = self.latest_total
         known = self._by_peer.get(peer)
         if known is not None:
             previous = known[0]
@@ -130,20 +137,20 @@
             unread_tokens -= previous.unread_tokens
             memory_tokens -= previous.memory_tokens
         self._by_peer[peer] = load_until
-        self._total = (
+        self.latest_total = (
             requests + load.requests,
             unread_tokens + load.unread_tokens,
             memory_tokens + load.memory_tokens,
         )
-        if until < self._expire_at:
-            self._expire_at = until
+        if until < self.expire_at:
+            self.expire_at = until
 
     def pop(self, peer: str) -> None:
         """Remove the load of a peer, if it has any."""
         known = self._by_peer.pop(peer, None)
         if known is not None:
-            requests, unread_tokens, memory_tokens = self._total
-            self._total = (
+            requests, unread_tokens, memory_tokens = self.latest_total
+            self.latest_total = (
                 requests - known[0].requests,
                 unread_tokens - known[0].unread_tokens,
                 memory_tokens - known[0].memory_tokens,
@@ -151,16 +158,16 @@
 
     def total(self, now: float) -> tuple[int, int, int]:
         """Return requests, unread and memory tokens of all peers; expired ones end."""
-        if now >= self._expire_at:
+        if now >= self.expire_at:
             valid = {p: load for p, load in self._by_peer.items() if load[1] > now}
             self._by_peer = valid
-            self._total = (
+            self.latest_total = (
                 sum(load.requests for load, _ in valid.values()),
                 sum(load.unread_tokens for load, _ in valid.values()),
                 sum(load.memory_tokens for load, _ in valid.values()),
             )
-            self._expire_at = min((u for _, u in valid.values()), default=math.inf)
-        return self._total
+            self.expire_at = min((u for _, u in valid.values()), default=math.inf)
+        return self.latest_total
 
 
 __all__ = [
--- a/src/chivesaddle/placement/speed.py
+++ b/src/chivesaddle/placement/speed.py
@@ -66,8 +66,6 @@
 
     def expected_factor(self, now: float) -> float:
         """Return how much longer than usual work is expected to take, 1 to 4."""
-        if not self.usual_excess and not self.newest_excess:
-            return 1.0
         age_s = now - self.reported_at
         if age_s >= SHARE_LIFETIME_S:
             return 1.0
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -153,8 +153,10 @@
         The request count is the server's own report, weighted by age, where that is
         higher than the count over all known daemons.
         """
-        own = self.in_flight
-        requests, unread_tokens, memory_tokens = self.peer_loads.total(now)
+        own, peers = self.in_flight, self.peer_loads
+        requests, unread_tokens, memory_tokens = (
+            peers.latest_total if now < peers.expire_at else peers.total(now)
+        )
         if self.path.lost_at is None:
             requests += own.count
             unread_tokens += own.unread_tokens
@@ -164,10 +166,12 @@
             requests += own_load.requests
             unread_tokens += own_load.unread_tokens
             memory_tokens += own_load.memory_tokens
-        age_s = now - self.load_at
-        if age_s < LOAD_REPORT_LIFETIME_S:
-            weight = max(0.0, 1.0 - age_s / LOAD_REPORT_LIFETIME_S)
-            requests = max(requests, int(weight * (self.running + self.waiting)))
+        reported = self.running + self.waiting
+        if reported:
+            age_s = now - self.load_at
+            if age_s < LOAD_REPORT_LIFETIME_S:
+                weight = 1.0 - age_s / LOAD_REPORT_LIFETIME_S
+                requests = max(requests, int(weight * reported))
         return requests, unread_tokens, memory_tokens
 
     def was_sent(self, scope: str, part: PromptPartId, since: float) -> bool:
