Serve large and rare requests in time under shares by account

Cause, by a trace of test_large_request_is_not_starved_by_small_ones: the request of nine tenths of a server reserved one after 0.42 s. At 0.8 s it became late, went from place 1 to place 38 of the order, lost the reservation and the 30 tokens freed until then, and expired. The reservations of requests of a tenth took the other half of the servers.

Change: with shares, reservations are replaced by holds. Requests of accounts that ask for little precede all others after half of the time to their target, and are not refused by prediction. Without shares, the choice of requests is as before.

The simulation of the tests takes a sender's size as an option.

--- a/src/chivesaddle/placement/account_shares.py
+++ b/src/chivesaddle/placement/account_shares.py
@@ -5,6 +5,7 @@
 one. Ordered by recent cost, they are served as if they were alone.
 """
 
+import math
 from collections import OrderedDict
 from collections.abc import Collection, Hashable, Sequence
 from dataclasses import dataclass, field
@@ -34,9 +35,20 @@
 # is at most this share of the other's. Costs of accounts that both use their full share
 # differ by less.
 CLEARLY_LOWER_COST_SHARE = 0.5
+# An account's request has precedence if the account asked, besides it, for less than
+# this much of an equal share. Accounts near their share must not have it: they would
+# send late requests before those on time.
+PRECEDENCE_BELOW_SHARE = 0.5
+# Precedence begins after this share of the time to the target.
+PRECEDENCE_AFTER_SHARE = 0.5
+# Requests with precedence that wait at once are limited to this time of all servers,
+# since each of many accounts may ask for little.
+MAX_PRECEDENCE_S = 0.25
 MAX_ACCOUNTS = 256
 # Accounts whose cost has fallen below this share of the total are forgotten.
 FORGET_BELOW_SHARE = 0.001
+# Group of the requests with precedence, before all priorities.
+PRECEDENCE = -1
 # Stored costs grow by this factor before they are scaled down again.
 MAX_SCALE = 2.0**40
 
@@ -77,6 +89,7 @@
         self._cost_by_priority: dict[int, float] = {}
         self._total = 0.0
         self._total_late = 0.0
+        self._preceding_cost = 0.0
         self._total_asked = 0.0
         self._total_sent = 0.0
         self._asked_requests: OrderedDict[Hashable, None] = OrderedDict()
@@ -94,6 +107,28 @@
         """Return whether the account has had more than an equal share of the cost."""
         return self.share(account) * max(1, len(self._costs_by_account)) > 1.0
 
+    def may_precede(self, claim: Claim) -> bool:
+        """Return whether an arriving request is to be served whatever its priority."""
+        now = self._clock.seconds()
+        limit = self._precedence_limit(now)
+        has_room = not self._preceding_cost or (
+            self._preceding_cost + claim.cost <= limit
+        )
+        return has_room and self._asks_little(claim, self._scale(now))
+
+    def _asks_little(self, claim: Claim, scale: float) -> bool:
+        costs = self._costs_by_account.get(claim.account)
+        if costs is None:
+            return True
+        equal_share = self._total_sent / len(self._costs_by_account)
+        others = costs.asked - claim.cost * scale
+        return others < PRECEDENCE_BELOW_SHARE * equal_share
+
+    def _precedence_limit(self, now: float) -> float:
+        """Return the cost of the requests that may have precedence at once."""
+        sent_per_s = self._total_sent / self._scale(now) * math.log(2) / HALF_LIFE_S
+        return MAX_PRECEDENCE_S * sent_per_s
+
     def record_asked(self, claim: Claim) -> None:
         """Record a request that arrived, once if its caller repeats it."""
         if claim.fingerprint is not None:
@@ -133,7 +168,8 @@
     def order(self, claims: Sequence[Claim], now: float) -> list[Place]:
         """Return the places of waiting requests in the order in which to send them.
 
-        Late requests come last. Those on time are ordered by priority, except that each
+        Requests of accounts that ask for little come first once they have waited, and
+        late ones of others come last. The rest is ordered by priority, except that each
         priority gets `MIN_PRIORITY_SHARE`; then by what their account has had and will
         have had by the requests before, and by due time.
         """
@@ -141,9 +177,15 @@
         scale = self._scale(now)
         on_time: dict[int, list[int]] = {}
         late: dict[int, list[int]] = {}
+        preceding = self._preceding(claims, now)
         for index, claim in enumerate(claims):
-            groups = late if claim.has_missed_target(now) else on_time
-            groups.setdefault(claim.priority, []).append(index)
+            target_s = claim.first_event_due - claim.arrived_at
+            waited_s = now - claim.arrived_at
+            if index in preceding and waited_s > PRECEDENCE_AFTER_SHARE * target_s:
+                on_time.setdefault(PRECEDENCE, []).append(index)
+            else:
+                groups = late if claim.has_missed_target(now) else on_time
+                groups.setdefault(claim.priority, []).append(index)
         debts: dict[AccountId | None, float] = {}
         queues = {
             priority: self._order_by_account(claims, on_time[priority], debts, scale)
@@ -157,7 +199,23 @@
             for priority in sorted(late)
             for index in self._order_by_account(claims, late[priority], debts, scale)
         ]
-        return self._places(claims, first, last)
+        return self._places(claims, first, last, preceding)
+
+    def _preceding(self, claims: Sequence[Claim], now: float) -> set[int]:
+        """Return the indexes of the requests that have precedence, oldest first."""
+        scale = self._scale(now)
+        limit = self._precedence_limit(now)
+        preceding = set()
+        cost = 0.0
+        for index, claim in enumerate(claims):
+            if (cost and cost + claim.cost > limit) or not self._asks_little(
+                claim, scale
+            ):
+                continue
+            preceding.add(index)
+            cost += claim.cost
+        self._preceding_cost = cost
+        return preceding
 
     def _order_by_account(
         self,
@@ -193,7 +251,11 @@
         return MIN_SENT_RATIO * sent_share * costs.asked - costs.sent
 
     def _places(
-        self, claims: Sequence[Claim], first: list[int], last: list[int]
+        self,
+        claims: Sequence[Claim],
+        first: list[int],
+        last: list[int],
+        preceding: Collection[int],
     ) -> list[Place]:
         places = []
         ahead_tokens = 0
@@ -217,6 +279,7 @@
                 share = shares[key]
             places.append(
                 Place(
+                    group,
                     index,
                     ahead,
                     ahead_tokens,
@@ -224,6 +287,7 @@
                     share,
                     MIN_LATE_SHARE if is_late else MIN_PRIORITY_SHARE,
                     late_share,
+                    index in preceding,
                 )
             )
         return places
--- a/src/chivesaddle/placement/fair_admission.py
+++ b/src/chivesaddle/placement/fair_admission.py
@@ -31,9 +31,6 @@
 REFUSAL_MARGIN = 1.25
 # Requests that are due to be sent within this time are never refused.
 HEAD_S = 0.2
-# A request that has waited for this share of the time to its target may use a server
-# that is reserved for one after it.
-TAKE_RESERVED_AFTER_SHARE = 0.2
 FORGET_INTERVAL_S = 5.0
 
 log = ComponentLogger("waiting")
@@ -87,6 +84,7 @@
         self._created_at = clock.seconds()
         self._saturated_since: float | None = None
         self._order: list[tuple[Entry, Place]] = []
+        self._preceding: set[Entry] = set()
         self._order_until = 0.0
         self._refused_waits: dict[tuple[int, AccountId | None], _RefusedWait] = {}
         self._forget_at = 0.0
@@ -110,8 +108,13 @@
             self._forget_at = now + FORGET_INTERVAL_S
         places = self._shares.order([e.memory_request for e in entries], now)
         self._order = [(entries[place.index], place) for place in places]
+        self._preceding = {e for e, place in self._order if place.has_precedence}
         self._order_until = now + ORDER_LIFETIME_S
 
+    def has_precedence(self, entry: Entry) -> bool:
+        """Return whether an entry had precedence in the last order."""
+        return entry in self._preceding
+
     def forget_order(self) -> None:
         """Order the entries again when they are needed next."""
         self._order_until = 0.0
@@ -127,11 +130,6 @@
         while self._sent[0][0] < now - THROUGHPUT_WINDOW_S:
             self._sent.popleft()
 
-    def may_take_reserved(self, claim: Claim, now: float) -> bool:
-        """Return whether a request may use servers reserved for those after it."""
-        target_s = claim.first_event_due - claim.arrived_at
-        return now - claim.arrived_at > TAKE_RESERVED_AFTER_SHARE * target_s
-
     def refuse_like_others(self, claim: Claim) -> Refusal | None:
         """Return why a request is refused if one like it was just refused.
 
@@ -140,7 +138,7 @@
         now = self._clock.seconds()
         self._shares.record_asked(claim)
         known = self._refused_waits.get((claim.priority, claim.account))
-        if known is None or now >= known.until:
+        if known is None or now >= known.until or self._shares.may_precede(claim):
             return None
         if now + known.wait_s <= claim.expires_at:
             return None
@@ -159,7 +157,9 @@
         self._renew_order(entries, now)
         place = next(place for other, place in self._order if other is entry)
         rate = self._tokens_per_s(now)
-        wait_s = place.predict_wait(rate, claim.first_event_due - now) if rate else 0.0
+        wait_s = 0.0
+        if rate and not place.has_precedence:
+            wait_s = place.predict_wait(rate, claim.first_event_due - now)
         wait_s = max(wait_s, minimum_wait_s)
         if now + wait_s <= claim.expires_at:
             return None
@@ -196,13 +196,14 @@
         gone_by_group: dict[int | None, int] = {}
         for entry, place in self.in_order(entries, now):
             claim = entry.memory_request
-            is_late = claim.has_missed_target(now)
-            group = None if is_late else claim.priority
+            group = place.group
             gone_group = gone_by_group.get(group, 0)
             if entry not in waiting:
                 gone += claim.tokens
                 gone_by_group[group] = gone_group + claim.tokens
                 continue
+            if place.has_precedence:
+                continue
             is_first = place.group_tokens - gone_group <= claim.tokens
             if is_first or place.ahead_tokens - gone <= HEAD_S * rate:
                 continue
--- a/src/chivesaddle/placement/queue_places.py
+++ b/src/chivesaddle/placement/queue_places.py
@@ -63,6 +63,8 @@
 
     Attributes
     ----------
+    group : int or None
+        The priority; None if the request is late and is sent after all others.
     index : int
         Index of the request in the sequence that was ordered.
     ahead : int
@@ -79,8 +81,12 @@
         Share of the throughput that the group gets at least.
     late_share : float
         As ``share``, if the request becomes late.
+    has_precedence : bool
+        Whether the request is served whatever its priority, since its account asks for
+        little. It is not refused by prediction.
     """
 
+    group: int | None
     index: int
     ahead: int
     ahead_tokens: int
@@ -88,6 +94,7 @@
     share: float
     min_share: float
     late_share: float
+    has_precedence: bool
 
     def predict_wait(
         self, tokens_per_s: float, due_in_s: float, gone: int = 0, gone_group: int = 0
@@ -109,7 +116,7 @@
             ahead / rate,
             (self.group_tokens - gone_group) / (tokens_per_s * self.min_share),
         )
-        if due_in_s <= 0 or wait_s <= due_in_s:
+        if self.group is None or due_in_s <= 0 or wait_s <= due_in_s:
             return wait_s
         left = max(0.0, ahead - rate * due_in_s)
         return max(wait_s, due_in_s + left / (tokens_per_s * self.late_share))
--- a/src/chivesaddle/placement/waiting.py
+++ b/src/chivesaddle/placement/waiting.py
@@ -24,6 +24,7 @@
 from chivesaddle.placement.costs import shared_prefill_cost
 from chivesaddle.placement.fair_admission import FairAdmission, Refusal
 from chivesaddle.placement.refusals import AdmissionCounts
+from chivesaddle.placement.server_holds import ServerHolds
 
 # Load reports from peers arrive ten times a second, and a server that loads weights is
 # skipped for 0.3 s, so polling more often finds nothing new.
@@ -168,6 +169,7 @@
         self._fair: FairAdmission[_QueuedRequest] | None = None
         if fair_counts is not None:
             self._fair = FairAdmission(clock, fair_counts)
+        self._holds: ServerHolds[_QueuedRequest] = ServerHolds()
 
     def __len__(self) -> int:
         return len(self._queue)
@@ -221,6 +223,7 @@
         finally:
             if queued in self._queue:
                 self._queue.remove(queued)
+            self._holds.discard(queued)
 
     def _enter(
         self,
@@ -266,40 +269,49 @@
         now = self._clock.seconds()
         reserved = self._reserve()
         free_memory = self._free_memory() if self._free_memory else None
-        largest_free = _largest(free_memory)
-        passed: set[_QueuedRequest] = set()
+        largest_free = _largest(free_memory, set(reserved.values()))
+        # Requests that found no room, with the tokens of those sent before.
+        passed: list[tuple[_QueuedRequest, int]] = []
+        sent_tokens = 0
         for queued in self._in_order(now):
             if queued.ready.called:
                 continue
             if now >= queued.memory_request.expires_at:
                 self._resolve(queued, self._expired(queued))
                 continue
-            takes_reserved = self._fair is not None and self._fair.may_take_reserved(
-                queued.memory_request, now
-            )
             tokens = queued.memory_request.tokens
-            if tokens > largest_free:
-                passed.add(queued)
-                continue
-            others = {
-                server
-                for owner, server in reserved.items()
-                if (owner in passed if takes_reserved else owner != queued)
-            }
-            passed.add(queued)
-            if free_memory is not None and not _fits(tokens, free_memory, others):
+            own = reserved.get(queued)
+            free = largest_free
+            others = set(reserved.values())
+            if own is not None:
+                others = {s for owner, s in reserved.items() if owner is not queued}
+                free = _largest(free_memory, others)
+            if tokens > free:
+                passed.append((queued, sent_tokens))
                 continue
             try:
                 candidate = queued.choose(others)
             except ChivesaddleError as error:
                 self._resolve(queued, error)
                 continue
-            if candidate.has_capacity:
-                reserved.pop(queued, None)
-                self._record_sent(queued.memory_request, candidate, has_waited=True)
-                self._resolve(queued, candidate)
-                free_memory = self._free_memory() if self._free_memory else None
-                largest_free = _largest(free_memory)
+            if not candidate.has_capacity:
+                passed.append((queued, sent_tokens))
+                continue
+            reserved.pop(queued, None)
+            if queued not in self._holds:
+                sent_tokens += tokens
+            self._record_sent(queued.memory_request, candidate, has_waited=True)
+            self._resolve(queued, candidate)
+            free_memory = self._free_memory() if self._free_memory else None
+            largest_free = _largest(free_memory, set(reserved.values()))
+        if self._fair is not None and sent_tokens:
+            self._holds.record_overtaken(
+                {
+                    queued: sent_tokens - sent_before
+                    for queued, sent_before in passed
+                    if sent_tokens > sent_before and not queued.ready.called
+                }
+            )
 
     def _expired(self, queued: _QueuedRequest) -> NoCapacity:
         if self._fair is None:
@@ -310,6 +322,7 @@
         self, queued: _QueuedRequest, result: Candidate | ChivesaddleError
     ) -> None:
         self._queue.remove(queued)
+        self._holds.discard(queued)
         if isinstance(result, ChivesaddleError):
             queued.ready.errback(result)
         else:
@@ -318,8 +331,18 @@
             queued.ready.callback(result)
 
     def _reserve(self) -> dict[_QueuedRequest, BackendServerId]:
-        """Return the servers reserved for requests that have waited long enough."""
+        """Return the servers that other requests may not use.
+
+        With shares between accounts these are held for requests that others overtook,
+        and otherwise reserved for requests that have waited long enough.
+        """
         now = self._clock.seconds()
+        if self._fair is not None:
+            if now >= self._reserve_again_at:
+                in_order = self._in_order(now)
+                self._holds.renew(in_order, now, self._fair.has_precedence)
+                self._reserve_again_at = now + RESERVATION_LIFETIME_S
+            return self._holds.server_by_entry()
         if now < self._reserve_again_at:
             waiting = set(self._queue)
             return {q: s for q, s in self._reservations.items() if q in waiting}
@@ -385,27 +408,23 @@
         self.dispatch_ready()
         if self._fair is not None:
             now = self._clock.seconds()
-            for queued, refusal in self._fair.refuse_hopeless(self._queue, now):
+            waiting = [queued for queued in self._queue if queued not in self._holds]
+            for queued, refusal in self._fair.refuse_hopeless(waiting, now):
                 self._resolve(queued, NoCapacity.from_refusal(refusal))
         if self._queue:
             self._schedule_poll()
 
 
-def _largest(free_memory: Mapping[BackendServerId, int] | None) -> float:
+def _largest(
+    free_memory: Mapping[BackendServerId, int] | None,
+    reserved: Collection[BackendServerId],
+) -> float:
     """Return the free memory of the emptiest server, infinite if it is not known."""
     if free_memory is None:
         return math.inf
-    return max(free_memory.values(), default=-1)
-
-
-def _fits(
-    tokens: int,
-    free_memory: Mapping[BackendServerId, int],
-    reserved: Collection[BackendServerId],
-) -> bool:
-    return any(
-        free >= tokens and server not in reserved
-        for server, free in free_memory.items()
+    return max(
+        (free for server, free in free_memory.items() if server not in reserved),
+        default=-1,
     )
 
 
--- a/tests/placement/test_fair_admission.py
+++ b/tests/placement/test_fair_admission.py
@@ -10,6 +10,9 @@
 from dataclasses import dataclass
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from twisted.internet.task import Clock
 
 from chivesaddle.core.aio import start
 from chivesaddle.core.ids import AccountId, BackendServerId
@@ -129,12 +132,12 @@
         self.queue.dispatch_ready()
 
     def run(self, rate_by_sender, duration_s=DURATION_S):
-        """Play a load; senders are accounts with a priority."""
+        """Play a load; senders are accounts with a priority and maybe a size."""
         arrivals = []
-        for (account, priority), per_s in rate_by_sender.items():
+        for sender, per_s in rate_by_sender.items():
             at = self.rng.expovariate(per_s)
             while at < duration_s:
-                arrivals.append((at, account, priority))
+                arrivals.append((at, *sender))
                 at += self.rng.expovariate(per_s)
         started_at = self.clock.seconds()
         arrivals.sort(reverse=True)
@@ -262,6 +265,35 @@
     assert [r.is_served for r in simulation.results if r.tokens > TOKENS] == [True]
 
 
+@settings(max_examples=25, deadline=None, derandomize=True)
+@given(
+    senders=st.lists(
+        st.tuples(st.integers(0, 2), st.sampled_from([5, 10, 30, 60, 90])),
+        min_size=1,
+        max_size=6,
+    ),
+    load=st.floats(1.1, 2.4),
+    priority=st.integers(0, 2),
+    tokens=st.integers(1, MEMORY_TOKENS),
+)
+def test_account_that_asks_for_little_gets_its_turn(senders, load, priority, tokens):
+    """Guards against requests that are overtaken until they expire.
+
+    The other accounts' sizes, priorities and rates are drawn. The request is sent
+    within 2.4 s: 0.4 s until it has precedence, and 1.3 s until a server is empty.
+    """
+    simulation = LoadSimulation(Clock())
+    rates = {}
+    for number, (other_priority, other_tokens) in enumerate(senders):
+        per_s = load * ROOM_PER_S * TOKENS / other_tokens / len(senders)
+        rates[f"a{number}", other_priority, other_tokens] = per_s
+    simulation.clock.callLater(4.03, simulation.submit, "rare", priority, tokens)
+    simulation.run(rates, duration_s=7.0)
+    rare = [result for result in simulation.results if result.account == "rare"]
+    assert [result.is_served for result in rare] == [True]
+    assert rare[0].waited_s <= CALLER_TIMEOUT_S - TARGET_S
+
+
 def test_callers_refused_at_one_moment_return_at_the_rate_of_the_servers():
     schedule = ReturnSchedule()
     times = [schedule.next_return_s(5.0, 0.4, 1 / ROOM_PER_S, None) for _ in range(150)]
