Take over the held server that a request with precedence wants

Cause, by a trace: when all servers are full, the best one besides the held ones may still be a held one, since reserved and full servers rank alike. A request of a rare account got no hold then, waited until the other hold ended, and expired.

Change: it takes over the server if the holder has no precedence.

--- a/src/chivesaddle/placement/server_holds.py
+++ b/src/chivesaddle/placement/server_holds.py
@@ -91,7 +91,7 @@
                 # It holds again only after it was overtaken again.
                 self.discard(entry)
             elif now >= hold.choose_again_at:
-                self._choose(entry, hold.until, now)
+                self._choose(entry, hold.until, now, has_precedence)
         if not self._overtaken_tokens:
             return
         for entry in in_order:
@@ -100,17 +100,23 @@
                 continue
             if overtaken_tokens < max(1, entry.memory_request.tokens):
                 continue
-            if self._choose(entry, now + HOLD_S, now):
+            if self._choose(entry, now + HOLD_S, now, has_precedence):
                 continue
             if not has_precedence(entry):
                 break
             for other in self._hold_by_entry:
                 if not has_precedence(other):
                     del self._hold_by_entry[other]
-                    self._choose(entry, now + HOLD_S, now)
+                    self._choose(entry, now + HOLD_S, now, has_precedence)
                     break
 
-    def _choose(self, entry: Entry, until: float, now: float) -> bool:
+    def _choose(
+        self,
+        entry: Entry,
+        until: float,
+        now: float,
+        has_precedence: Callable[[Entry], bool],
+    ) -> bool:
         """Hold a server; return whether more servers may be held."""
         others = {
             hold.server
@@ -123,11 +129,25 @@
             # The next dispatch ends the request with this error.
             log.debug("server not held", extra={"cause": str(error)})
             return True
+        server = wanted.server.entry.id
+        hold = _Hold(server, until, now + CHOOSE_AGAIN_S)
+        owner = next(
+            (
+                other
+                for other, held in self._hold_by_entry.items()
+                if other is not entry and held.server == server
+            ),
+            None,
+        )
+        if owner is not None:
+            # A server may be wanted by several requests if all are full.
+            if has_precedence(entry) and not has_precedence(owner):
+                del self._hold_by_entry[owner]
+                self._hold_by_entry[entry] = hold
+            return True
         if len(others) + 1 > max(1.0, MAX_HELD_SHARE * wanted.candidate_count):
             return False
-        server = wanted.server.entry.id
-        if server not in others:
-            self._hold_by_entry[entry] = _Hold(server, until, now + CHOOSE_AGAIN_S)
+        self._hold_by_entry[entry] = hold
         return True
 
 
