--- a/src/chivesaddle/placement/fair_admission.py
+++ b/src/chivesaddle/placement/fair_admission.py
@@ -30,7 +30,7 @@
 # Window of the tokens asked for, from which the room for late requests follows.
 ASKED_WINDOW_S = 1.0
 # Refused callers of an account are asked to return at this multiple of the rate at
-# which it is served. With 2, less of the room was used at 2.4 times the room.
+# which it is served, since some of them do not return.
 RETURN_SHARE = 1.5
 # A caller may return this much before its time. The header has two decimals.
 RETURN_TOLERANCE_S = 0.05
--- a/src/chivesaddle/placement/queue_places.py
+++ b/src/chivesaddle/placement/queue_places.py
@@ -9,8 +9,7 @@
 # Share of what is sent that each priority with waiting requests gets. The limit to keep
 # is a tenth of what there is room for, and not all of that is used at each moment.
 MIN_PRIORITY_SHARE = 0.12
-# Least share of what is sent on which late requests can count. Under overload, about 2%
-# of what was sent was late.
+# Least share of what is sent on which late requests can count.
 MIN_LATE_SHARE = 0.005
 
 
--- a/src/chivesaddle/serving/main.py
+++ b/src/chivesaddle/serving/main.py
@@ -30,8 +30,8 @@
 
 def _run(settings: ServingSettings, path: Path) -> bool:
     """Run the reactor until the daemon stops; return False if it failed to start."""
-    # The imports create some 80,000 objects that live as long as the process.
-    # Collections while they run took a seventh of the processor time of a start.
+    # The imports create some 80,000 objects that live as long as the process, which
+    # collections would walk again and again.
     gc.disable()
     # Imported here, so that collection is off and ``--check`` does without them.
     from chivesaddle.core.aio import install_reactor, start
