--- a/tests/cli/test_evacuations.py
+++ b/tests/cli/test_evacuations.py
@@ -14,7 +14,7 @@
 from chivesaddle.core.aio import start
 from chivesaddle.core.objects import WriteOutcomeUnknown
 from chivesaddle.fleet import Replica, StoreReachability, Watcher
-from chivesaddle.objects import MemoryObjectApi
+from chivesaddle.objects.memory import MemoryObjectApi
 from chivesaddle.placement import Evacuations, ServerTable
 from chivesaddle.platform import EVACUATIONS_KIND, decode_server
 from chivesaddle.serving.status import StatusPage
