--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -488,6 +488,7 @@
         if path == STATUS_PATH:
             self._status_page.handle(request, responder)
         else:
+            self._update_metrics()
             self.metrics.handle(request, responder)
 
     def _answer_addresses(self, request: Request, responder: Responder) -> None:
@@ -614,10 +615,6 @@
             if len(self._evacuations):
                 self._evacuations.check()
 
-    def _answer_metrics(self, request: Request, responder: Responder) -> None:
-        self._update_metrics()
-        self.metrics.handle(request, responder)
-
     def _update_metrics(self) -> None:
         """Set the current values, some of which are found by walks over all servers."""
         self.metrics.set_value("store_calls", self.store.calls)
