Ask only servers that accept connections whether a service is silent

Cause, found in a reading of the change: the two servers that are asked for their health were drawn from all of the service, so that two that are down could stand for it, and the paths to the servers that run would be given up. The new test failed before.

Tests of silent paths, probes and lost paths pass; no play was made with this change.

--- a/src/chivesaddle/serving/silent_paths.py
+++ b/src/chivesaddle/serving/silent_paths.py
@@ -174,7 +174,12 @@
 
     async def _ask(self, service: ServiceId, health_path: str) -> None:
         """Judge the paths to a service by whether one of its servers answers at all."""
-        servers = self._of_service(service)
+        # A server that accepts no connection says nothing of the paths to the others.
+        servers = [
+            server
+            for server in self._of_service(service)
+            if server.path.lost_at is None or server.path.awaits_bytes
+        ]
         asked = self._random.sample(servers, min(HEALTH_REQUESTS, len(servers)))
         requests = [
             start(self._request_health(server, health_path)) for server in asked
--- a/tests/serving/test_silent_paths.py
+++ b/tests/serving/test_silent_paths.py
@@ -54,10 +54,12 @@
         self.clock.advance(100)
         self.daemons = [Daemon(self.clock), Daemon(self.clock)]
         self.first, self.second = self.daemons
+        self.asked = []
         monkeypatch.setattr(silent_paths, "exchange", self.exchange)
 
     async def exchange(self, daemon, clock, address, method, target, *, deadline):
         assert (method, target) == ("GET", "/health")
+        self.asked.append(address)
         if not daemon.is_connected:
             raise ResponseBroken("No response in time")
         return SimpleNamespace(status=503), b""
@@ -139,6 +141,19 @@
     assert 2 <= fleet.first.silent_paths.health_requests_sent <= 10
 
 
+def test_servers_that_refuse_connections_are_not_asked(fleet):
+    """Guards against a service that is given up because two of its servers are down."""
+    for id in SERVERS[:2]:
+        fleet.first.servers.record_connection_failure(id, "refused")
+    fleet.first.is_connected = False
+    for _ in range(3):
+        fleet.first.send("s2")
+    for _ in range(60):
+        fleet.second.send("s0")
+        fleet.play(0.05, sends=False)
+    assert set(fleet.asked) == {"s2"}
+
+
 def test_services_without_health_requests_are_not_judged(fleet):
     """Without them, nothing would show that the paths are usable again."""
     fleet.first.has_health_path = False
