Measure and log how far behind the event loop is

A request that is read after its caller left cannot be told from a caller that leaves later: no log line or metric says that the daemon was behind. Housekeeping now measures the delay of its timer once a second, in a histogram and, from 250 ms, as a warning. A caller_left line within a few ms of the read beside such a warning means that the request was read late; one with a long time and no warning means that the close was not noticed. Cost: one observation a second.

--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -80,6 +80,7 @@
 from chivesaddle.serving.departed import DepartedMembers
 from chivesaddle.serving.documents import StoredDocuments, document_replicas
 from chivesaddle.serving.hints import LeavingHints, LoadHints, ServerLoadShares
+from chivesaddle.serving.loop_lag import LoopLag
 from chivesaddle.serving.metrics import ServingMetrics
 from chivesaddle.serving.notices import (
     CrashNotice,
@@ -376,6 +377,11 @@
             self._observe_request,
             Features.from_contracts(settings.contracts).shares_by_account,
         )
+        self._loop_lag = LoopLag(
+            reactor,
+            self.metrics.loop_lag.observe,
+            lambda: self._caller_listener.in_flight,
+        )
         self._caller_listener: Any = None
         self._listeners: list[Any] = []
 
@@ -603,7 +609,9 @@
     async def _run_housekeeping(self) -> None:
         while not self._is_leaving:
             delay_s = self._grid.delay_s(HOUSEKEEPING_INTERVAL_S)
-            await sleep_until(self._reactor, self._reactor.seconds() + delay_s)
+            due = self._reactor.seconds() + delay_s
+            await sleep_until(self._reactor, due)
+            self._loop_lag.record_timer(due)
             self._update_cache_feeds()
             await self._clean_stores()
             await self._departed.step(self._rollout.holds_lease)
--- a/src/chivesaddle/serving/metrics.py
+++ b/src/chivesaddle/serving/metrics.py
@@ -10,10 +10,17 @@
 LATENCY_BUCKETS_S = (
     0.02, 0.05, 0.1, 0.16, 0.2, 0.3, 0.4, 0.6, 0.85, 1.2, 2.0, 3.0, 5.0, 10.0, 15.0,
 )  # fmt: skip
+LAG_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0)
 
 
 class ServingMetrics:
-    """Metrics registry of one daemon."""
+    """Metrics registry of one daemon.
+
+    Attributes
+    ----------
+    loop_lag : Histogram
+        Delays of the event loop's timers in seconds.
+    """
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
@@ -36,6 +43,13 @@
             "chivesaddle_value", "Current values", ["name"], registry=self.registry
         )
 
+        self.loop_lag = Histogram(
+            "chivesaddle_event_loop_lag_seconds",
+            "Delay of a timer, once a second",
+            buckets=LAG_BUCKETS_S,
+            registry=self.registry,
+        )
+
     def observe_request(self, result: str, seconds: float) -> None:
         """Record the result and duration of a finished request."""
         series = self._series_by_result.get(result)
