Send no request whose caller has closed its connection

What callers saw: work went on for callers that had left. Cause: one read of a caller's connection gives the request, the next one the close that waits behind it in the kernel. In between, the request is sent on an idle connection to a server at once. A daemon that is in time finds the close within milliseconds; one whose event loop is behind sends the requests of all callers that gave up meanwhile, also by way of another daemon. Fix: before each send, to a server or another daemon, and again after a connection had to be opened, the kernel is asked whether the caller has closed its connection; then the request ends as caller_left with its cause. The question is that of the connection pool about idle connections, moved to one place; it takes one system call a send. It cannot see a close behind bytes of a further request on the same connection.

--- a/src/chivesaddle/forwarding/errors.py
+++ b/src/chivesaddle/forwarding/errors.py
@@ -24,6 +24,12 @@
     status = 504
 
 
+class CallerLeft(ChivesaddleError):
+    """The caller closed its connection, so that nobody waits for a response."""
+
+    code = "caller_left"
+
+
 class NoRoute(ChivesaddleError):
     """No route of the configuration matches the request."""
 
@@ -38,4 +44,11 @@
     status = 401
 
 
-__all__ = ["MayHaveRun", "NoRoute", "NotRun", "TimedOut", "UnknownKey"]
+__all__ = [
+    "CallerLeft",
+    "MayHaveRun",
+    "NoRoute",
+    "NotRun",
+    "TimedOut",
+    "UnknownKey",
+]
--- a/src/chivesaddle/forwarding/exchange.py
+++ b/src/chivesaddle/forwarding/exchange.py
@@ -124,10 +124,14 @@
         *,
         is_repeatable: bool,
         response_deadline: float,
+        check_may_send: Callable[[], None],
         on_sent: Callable[[], None],
     ) -> ServerResponse:
         """Send the request and return the head of the response to it.
 
+        ``check_may_send`` is called after a connection has been opened and raises the
+        error of a request that must not be sent any more.
+
         Raises
         ------
         ServerDidNotRun
@@ -145,6 +149,8 @@
             self._connection = await self._pool.acquire(
                 self._server.address, connect_deadline, max_idle_s=max_idle_s
             )
+            if self._connection.requests_sent == 0:
+                check_may_send()
             self._connection.send(request.method, request.target, headers, request.body)
         except NotSent as error:
             # Running out of the request's time says nothing about the server.
--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -20,6 +20,7 @@
 from chivesaddle.forwarding.budget import RetryBudget
 from chivesaddle.forwarding.crashes import CrashRecord
 from chivesaddle.forwarding.errors import (
+    CallerLeft,
     MayHaveRun,
     NoRoute,
     NotRun,
@@ -206,7 +207,9 @@
     ) -> None:
         context: RequestContext | None = None
         try:
-            context = self._create_context(caller_request, received_at)
+            context = self._create_context(
+                caller_request, received_at, responder.has_caller_left
+            )
             await self._send_before_deadline(context, responder)
             self.shutdown.record(
                 context.route,
@@ -218,6 +221,11 @@
             self._reporter.log_result(
                 "caller_left", caller_request, context, received_at
             )
+        except CallerLeft as error:
+            self._reporter.log_result(
+                error.code, caller_request, context, received_at, error
+            )
+            responder.abort()
         except ChivesaddleError as error:
             self._reporter.respond_with_error(
                 error, caller_request, context, received_at, responder
@@ -233,7 +241,10 @@
             )
 
     def _create_context(
-        self, caller_request: CallerRequest, received_at: float
+        self,
+        caller_request: CallerRequest,
+        received_at: float,
+        has_caller_left: Callable[[], bool],
     ) -> RequestContext:
         """Find route, account and service; raises the error to respond with."""
         configuration = self._serving_state.configuration
@@ -265,6 +276,7 @@
             deadline=received_at + limit_s,
             caller_deadline=caller_deadline,
             suspects=suspects,
+            has_caller_left=has_caller_left,
             runs=caller_request.earlier_runs or 0,
         )
 
@@ -373,7 +385,16 @@
                     ) from error
 
     def _check_may_send(self, context: RequestContext) -> None:
-        """Raise `NotRun` or `MayHaveRun` if the request must not be sent."""
+        """Raise the error of a request that must not be sent any more.
+
+        Raises
+        ------
+        CallerLeft
+            If nobody waits for a response.
+        NotRun, MayHaveRun
+            If the request, or a part of its prompt, crashes servers.
+        """
+        context.check_caller_waits()
         try:
             self._check_not_blocked(context.suspects, context.request.id)
         except NotRun as error:
@@ -600,6 +621,7 @@
                 serial,
                 is_repeatable=context.route.is_repeatable,
                 response_deadline=response_deadline,
+                check_may_send=context.check_caller_waits,
                 on_sent=lambda: self._record_run(context),
             )
             if (
--- a/src/chivesaddle/forwarding/passing.py
+++ b/src/chivesaddle/forwarding/passing.py
@@ -15,7 +15,7 @@
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.forwarding.attempts import Attempts
 from chivesaddle.forwarding.budget import RetryBudget
-from chivesaddle.forwarding.errors import NotRun
+from chivesaddle.forwarding.errors import CallerLeft, NotRun
 from chivesaddle.forwarding.exchange import NoUsableResponse
 from chivesaddle.forwarding.messages import (
     CallerRequest,
@@ -181,6 +181,11 @@
                 min(response_deadline, now + CONNECT_TIMEOUT_S),
                 max_idle_s=MAX_IDLE_S,
             )
+            try:
+                context.check_caller_waits()
+            except CallerLeft:
+                connection.abort()
+                raise
             connection.send(request.method, request.target, headers, request.body)
         except NotSent as error:
             raise NotPassedOn(f"Daemon {peer.id}: {error.message}") from error
--- a/src/chivesaddle/forwarding/request_context.py
+++ b/src/chivesaddle/forwarding/request_context.py
@@ -1,5 +1,6 @@
 """State of a request that is being forwarded, and its log fields."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from chivesaddle.core.ids import (
@@ -11,6 +12,7 @@
     SoftwareVersion,
 )
 from chivesaddle.core.serving_model import Account, Route
+from chivesaddle.forwarding.errors import CallerLeft
 from chivesaddle.forwarding.messages import CallerRequest
 from chivesaddle.forwarding.suspects import CrashSuspects
 from chivesaddle.http1 import Framing
@@ -30,6 +32,8 @@
 
     Attributes
     ----------
+    has_caller_left : callable
+        Returns whether the caller has closed its connection.
     arrivals : int
         Sends for which a connection was open, so that the request reached a server.
     waited_s : float
@@ -56,6 +60,7 @@
     deadline: float
     caller_deadline: float | None
     suspects: CrashSuspects
+    has_caller_left: Callable[[], bool]
     sends: int = 0
     arrivals: int = 0
     runs: int = 0
@@ -82,6 +87,11 @@
         """The client account of the request, if it has one."""
         return None if self.account is None else self.account.id
 
+    def check_caller_waits(self) -> None:
+        """Raise `CallerLeft` if nobody waits for a response."""
+        if self.has_caller_left():
+            raise CallerLeft("The caller left before the request was sent")
+
     def response_fields(self) -> dict[str, object]:
         """Return log fields about how the last response was framed and ended."""
         if self.framing is None:
--- a/src/chivesaddle/http1/pool.py
+++ b/src/chivesaddle/http1/pool.py
@@ -1,10 +1,8 @@
 """Pool of idle connections to servers, by address."""
 
-import socket
-from typing import Any
-
 from chivesaddle.core.aio import Clock, sleep_until
 from chivesaddle.http1.client import Connector, NotSent, ServerConnection
+from chivesaddle.http1.sockets import UnreadInput, peek
 
 # Idle time after which a connection is not reused, for servers that do not send their
 # idle timeout in a Keep-Alive header. 3 s is safely below the shortest idle timeout in
@@ -62,7 +60,8 @@
             if not connection.is_reusable:
                 continue
             is_fresh = now < usable_until and now - connection.idle_since < max_idle_s
-            if is_fresh and not _has_unread_input(connection.transport):
+            # Unread bytes would be taken as the response to the next request.
+            if is_fresh and peek(connection.transport) is UnreadInput.NONE:
                 connection.on_idle_loss = None
                 return connection
             connection.abort()
@@ -145,23 +144,4 @@
             idle.remove(connection)
 
 
-def _has_unread_input(transport: Any) -> bool:
-    """Return whether bytes, or the end of the connection, wait in the kernel.
-
-    The reactor has not read them yet. They would be taken as the response to the next
-    request.
-    """
-    get_handle = getattr(transport, "getHandle", None)
-    if get_handle is None:
-        return False
-    try:
-        get_handle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
-    except OSError:
-        # The connection has failed.
-        return True
-    return True
-
-
 __all__ = ["ConnectionPool"]
--- a/src/chivesaddle/http1/server.py
+++ b/src/chivesaddle/http1/server.py
@@ -13,7 +13,12 @@
 from chivesaddle.core.aio import Clock, DelayedCall
 from chivesaddle.core.errors import ListenFailed
 from chivesaddle.http1.fields import HeaderList, header_value
-from chivesaddle.http1.sockets import set_dead_peer_detection, write_at_once
+from chivesaddle.http1.sockets import (
+    UnreadInput,
+    peek,
+    set_dead_peer_detection,
+    write_at_once,
+)
 
 # Reading from a caller pauses if it sends more than this before the response to its
 # current request is complete.
@@ -121,6 +126,15 @@
         if not self.is_disconnected:
             self.connection.abort()
 
+    def has_caller_left(self) -> bool:
+        """Return whether the caller has closed the connection, even if unnoticed.
+
+        A reactor that is behind finds the close only after other work, such as sending
+        the request that it has just read.
+        """
+        transport = self.connection.transport
+        return self.is_disconnected or peek(transport) is UnreadInput.END
+
     async def wait_writable(self) -> None:
         """Wait until the caller has read enough for more bytes to be written."""
         await self.connection.wait_writable()
--- a/src/chivesaddle/http1/sockets.py
+++ b/src/chivesaddle/http1/sockets.py
@@ -1,6 +1,7 @@
 """Socket options that detect connections to unresponsive peers."""
 
 import socket
+from enum import Enum
 from typing import Any
 
 from twisted.internet.tcp import Connection
@@ -14,6 +15,32 @@
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
 
 
+class UnreadInput(Enum):
+    """What waits in the kernel of a connection, before the reactor has read it."""
+
+    NONE = "none"
+    BYTES = "bytes"
+    # The peer has closed the connection, or it has failed, and nothing is before that.
+    END = "end"
+
+
+def peek(transport: Any) -> UnreadInput:
+    """Return what the next read from a transport will find.
+
+    A transport without a socket, as in tests, has nothing to read.
+    """
+    get_handle = getattr(transport, "getHandle", None)
+    if get_handle is None:
+        return UnreadInput.NONE
+    try:
+        data = get_handle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return UnreadInput.NONE
+    except OSError:
+        return UnreadInput.END
+    return UnreadInput.BYTES if data else UnreadInput.END
+
+
 def set_dead_peer_detection(transport: Any) -> None:
     """Enable TCP keep-alive and a timeout for unacknowledged data.
 
@@ -75,4 +102,10 @@
         transport.write(data)
 
 
-__all__ = ["has_queued_bytes", "set_dead_peer_detection", "write_at_once"]
+__all__ = [
+    "UnreadInput",
+    "has_queued_bytes",
+    "peek",
+    "set_dead_peer_detection",
+    "write_at_once",
+]
--- a/tests/http1/test_write.py
+++ b/tests/http1/test_write.py
@@ -13,7 +13,7 @@
 from chivesaddle.core.aio import start
 from chivesaddle.http1 import CallerConnection
 from chivesaddle.http1.server import CallerLimits, Listener
-from chivesaddle.http1.sockets import write_at_once
+from chivesaddle.http1.sockets import UnreadInput, peek, write_at_once
 
 
 class PollSet:
@@ -200,3 +200,28 @@
 
     def callLater(self, *_):  # noqa: N802
         return None
+
+
+class TestPeek:
+    def test_open_connection_has_nothing_to_read(self, pair):
+        connection, _ = pair
+        assert peek(connection) is UnreadInput.NONE
+
+    def test_end_is_found_before_the_reactor_reads_it(self, pair):
+        """Guards against a request that is sent after its caller has left."""
+        connection, far = pair
+        far.close()
+        assert peek(connection) is UnreadInput.END
+
+    def test_unread_bytes_are_left_to_the_reactor(self, pair):
+        connection, far = pair
+        far.sendall(b"next")
+        far.close()
+        assert peek(connection) is UnreadInput.BYTES
+        assert connection.socket.recv(10) == b"next"
+        assert peek(connection) is UnreadInput.END
+
+    def test_closed_socket_has_ended(self, pair):
+        connection, _ = pair
+        connection.socket.close()
+        assert peek(connection) is UnreadInput.END
