Break a stream off where an error follows its events

An error status to a resumed stream was handled, but a success that is no event stream was not: its text was passed on as events, and an empty one ended the stream as complete. A server that did not resume (its events began again, or had no ids) was passed on too. An error response that a server writes into its own stream reached the caller with its head. An event that contains the head of a response, also behind the begin of an event that was cut, ends the stream as broken off, and its id does not count as passed on.

--- a/src/chivesaddle/forwarding/messages.py
+++ b/src/chivesaddle/forwarding/messages.py
@@ -4,7 +4,7 @@
 
 from chivesaddle.core.ids import AccountId, BackendServerId, ModelId, RequestId
 from chivesaddle.core.serving_model import CallerKey, PromptPartId
-from chivesaddle.http1 import Framing, HeaderList
+from chivesaddle.http1 import Framing, HeaderList, header_value
 
 
 @dataclass(frozen=True, slots=True)
@@ -212,6 +212,14 @@
     passed_headers: HeaderList
     cold: ColdTime | InvalidValue | None = None
 
+    @property
+    def media_type(self) -> str | None:
+        """Media type of the body in lower case, None if the response names none."""
+        content_type = header_value(self.passed_headers, b"content-type")
+        if content_type is None:
+            return None
+        return content_type.partition(";")[0].strip().lower()
+
 
 __all__ = [
     "CallerRequest",
--- a/src/chivesaddle/forwarding/relay.py
+++ b/src/chivesaddle/forwarding/relay.py
@@ -19,6 +19,7 @@
 # Longest event; those of engines have some 100 bytes for each of a few tokens. 200
 # streams with an endless event take 26 MB.
 MAX_EVENT_BYTES = 131_072
+EVENT_STREAM = "text/event-stream"
 
 
 class Relay:
@@ -84,6 +85,10 @@
         """
         self.waiting_since, self.has_event = None, False
         if self._is_stream and 200 <= response.status < 300:
+            if self.has_started and response.media_type not in (None, EVENT_STREAM):
+                raise NoUsableResponse(
+                    f"Server responded with {response.media_type} to a resumed stream"
+                )
             await self._forward_events(response, read_chunk, is_server_alive)
         elif self.has_started:
             raise NoUsableResponse(
@@ -134,6 +139,7 @@
             if self._splitter.remaining_bytes > MAX_EVENT_BYTES:
                 raise NoUsableResponse(f"Event has over {MAX_EVENT_BYTES} bytes")
             if not events:
+                self._check_no_fault()
                 continue
             self.on_progress()
             if self.has_started:
@@ -148,6 +154,7 @@
                 self.waiting_since = self._clock.seconds()
             else:
                 await self._responder.wait_writable()
+            self._check_no_fault()
         end = stream_end(response.framing, self._splitter, last_events)
         await self._check_end(end, response, is_server_alive)
         if not last_events:
@@ -157,6 +164,10 @@
         await self._write(self._splitter.remainder)
         self._responder.finish()
 
+    def _check_no_fault(self) -> None:
+        if self._splitter.fault is not None:
+            raise NoUsableResponse(self._splitter.fault.value)
+
     async def _check_end(
         self,
         end: ResponseEnd,
--- a/src/chivesaddle/forwarding/response_end.py
+++ b/src/chivesaddle/forwarding/response_end.py
@@ -88,11 +88,10 @@
 
 
 def _is_json(response: ServerResponse) -> bool:
-    headers = response.passed_headers
-    content_type = (header_value(headers, b"content-type") or "").partition(";")[0]
-    media_type = content_type.strip().lower()
+    media_type = response.media_type or ""
     is_json = media_type == "application/json" or media_type.endswith("+json")
-    return is_json and header_value(headers, b"content-encoding") is None
+    encoding = header_value(response.passed_headers, b"content-encoding")
+    return is_json and encoding is None
 
 
 __all__ = ["ResponseEnd", "body_end", "has_body", "stream_end"]
