Begin no stream again whose events have no ids

A repeatable stream that broke off after events without ids was sent to another server from its start, so its caller got the first events twice (ORDER). Events of the platform have ids; those of other engines need not. Fix: a response that has begun goes on elsewhere only after an event with an id, or while nothing but comments was passed on.

--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -379,7 +379,7 @@
             except NoUsableResponse as error:
                 self._reporter.log_retry(context, candidate, error)
                 context.excluded.add(candidate.server.entry.id)
-                if not self._attempts.may_retry(context):
+                if not (relay.can_go_on and self._attempts.may_retry(context)):
                     raise self._attempts.final_error(
                         context, relay, error.message
                     ) from error
@@ -692,7 +692,7 @@
             relay,
             first_deadline,
             max_gap_s,
-            lambda: self._may_move(context),
+            lambda: relay.can_go_on and self._may_move(context),
         )
         await watch.watch(forwarding)
 
--- a/src/chivesaddle/forwarding/passing.py
+++ b/src/chivesaddle/forwarding/passing.py
@@ -151,6 +151,8 @@
             except NoUsableResponse as failure:
                 error = failure
             self._reporter.log_not_passed_on(context, error)
+            if not relay.can_go_on:
+                break
             if context.runs and not self._attempts.may_retry(context):
                 break
         if isinstance(error, NotRun) and not context.runs and not relay.has_started:
--- a/src/chivesaddle/forwarding/relay.py
+++ b/src/chivesaddle/forwarding/relay.py
@@ -53,6 +53,8 @@
         self.on_progress: Callable[[], None] = lambda: None
         self.waiting_since: float | None = None
         self.has_event = False
+        # Whether an event of any response has been passed on.
+        self._has_passed_events = False
         self._clock = clock
 
     @property
@@ -65,6 +67,13 @@
         """Id of the last event that was forwarded."""
         return self._splitter.last_id
 
+    @property
+    def can_go_on(self) -> bool:
+        """Whether the response of another server can continue what the caller has."""
+        if not self.has_started or self.last_event_id is not None:
+            return True
+        return self._is_stream and not self._has_passed_events
+
     @property
     def unfinished_bytes(self) -> int:
         """Bytes of an event whose end has not arrived."""
@@ -148,7 +157,7 @@
                 self._start(response, None, events)
             if has_event(events):
                 last_events = events
-                self.has_event = True
+                self.has_event = self._has_passed_events = True
                 self.waiting_since = None
                 await self._responder.wait_writable()
                 self.waiting_since = self._clock.seconds()
--- a/tests/forwarding/test_errors_to_resumed_streams.py
+++ b/tests/forwarding/test_errors_to_resumed_streams.py
@@ -138,3 +138,15 @@
     respond(harness.connections[0], Framing.CHUNKS, event)
     assert passed_events(caller) == event
     assert looks_complete(caller)
+
+
+def test_stream_whose_events_have_no_ids_is_not_begun_again(harness, caller):
+    """Guards against events that reach the caller twice."""
+    caller.request("/resumable/x")
+    first = harness.connections[0]
+    first.start_stream(b"data: a\n\n")
+    first.transport.lose_connection()
+    harness.advance()
+    harness.advance()
+    assert harness.connections == [first]
+    assert caller.transport.is_lost
