Keep streams at their software version after all daemons lost power

Cause: where streams began, and which versions have left, was kept in the daemons' memories only. After a loss of power of all, the one version that is still listed counted as the only one; where several were listed, every stream was refused (LOST). Fix: the daemon that holds the lease records each service's versions in the store, and each daemon the streams that it began while versions are mixed, at most every 0.2 s. Daemons read both at their start; until then, or until a peer that has read them is heard, a stream of unknown origin is refused. The view of versions takes a further argument; its tests got it, with the same assertions.

--- a/src/chivesaddle/forwarding/__init__.py
+++ b/src/chivesaddle/forwarding/__init__.py
@@ -17,6 +17,7 @@
 from chivesaddle.forwarding.serving_state import ServingState
 from chivesaddle.forwarding.stream_origins import (
     OriginReport,
+    Source,
     StreamOrigins,
     stream_key,
 )
@@ -39,6 +40,7 @@
     "ServerLoad",
     "ServerResponse",
     "ServingState",
+    "Source",
     "StreamOrigins",
     "stream_key",
 ]
--- a/src/chivesaddle/forwarding/serving_state.py
+++ b/src/chivesaddle/forwarding/serving_state.py
@@ -5,7 +5,7 @@
 from chivesaddle.core.aio import Clock
 from chivesaddle.core.ids import ModelId, ServiceId
 from chivesaddle.core.logs import ComponentLogger
-from chivesaddle.core.serving_model import ColdStart, Configuration
+from chivesaddle.core.serving_model import ColdStart, Configuration, RouteKind
 
 # Assumed age of the weight version that a daemon finds at startup, as it does not know
 # when the version was set. Restarts take up to 3 s.
@@ -47,6 +47,18 @@
         known = configuration and configuration.services_by_id.get(service)
         return known.health_path if known else None
 
+    def services_with_resumption(self) -> set[ServiceId]:
+        """Return the services with streams that callers may resume."""
+        if self.configuration is None:
+            return set()
+        return {
+            service
+            for routes in self.configuration.routes_by_host.values()
+            for route in routes
+            if route.kind is RouteKind.STREAM and route.may_resume
+            for service in route.weight_by_service
+        }
+
     def put_configuration(self, configuration: Configuration) -> None:
         """Apply a configuration if it is newer than the current one."""
         known = self.configuration
--- a/src/chivesaddle/forwarding/stream_origins.py
+++ b/src/chivesaddle/forwarding/stream_origins.py
@@ -47,6 +47,8 @@
 
     OWN = "own"
     PEER = "peer"
+    # Recorded in the store by another daemon.
+    RECORD = "record"
     ONLY_VERSION = "only_version"
 
 
@@ -107,13 +109,16 @@
         self._is_view_current = is_view_current
         self._origins_by_key: OrderedDict[int, StreamOrigin] = OrderedDict()
         self._waiters_by_key: dict[int, list[Deferred[None]]] = {}
-        # Called with origins that other daemons must know.
-        self.on_report: Callable[[list[OriginReport]], None] = lambda reports: None
+        self._listeners: list[Callable[[list[OriginReport]], None]] = []
         # Called with the key of a stream whose origin other daemons may know.
         self.on_question: Callable[[int], None] = lambda key: None
         self.resumed_by_result: Counter[str] = Counter()
         software.on_mixed = self._report_all
 
+    def add_listener(self, listener: Callable[[list[OriginReport]], None]) -> None:
+        """Call ``listener(reports)`` with origins that others must know."""
+        self._listeners.append(listener)
+
     def __len__(self) -> int:
         return len(self._origins_by_key)
 
@@ -127,7 +132,7 @@
         """Record that this daemon passes on a stream's first event, or goes on."""
         self._put(key, StreamOrigin(service, version, valid_until, Source.OWN))
         if len(self._software.versions(service)) > 1:
-            self.on_report(self.reports([key]))
+            self._report([key])
 
     async def find(
         self,
@@ -210,8 +215,25 @@
             if (origin := self._get(key)) is not None
         ]
 
-    def apply_reports(self, reports: Iterable[OriginReport]) -> None:
-        """Apply reports of peers."""
+    def own_reports(self) -> list[OriginReport]:
+        """Return reports of this daemon's streams that others must know."""
+        is_mixed_by_service: dict[ServiceId, bool] = {}
+        keys = []
+        for key, origin in self._origins_by_key.items():
+            if origin.source is not Source.OWN:
+                continue
+            service = origin.service
+            if service not in is_mixed_by_service:
+                versions = self._software.versions(service)
+                is_mixed_by_service[service] = len(versions) > 1
+            if is_mixed_by_service[service]:
+                keys.append(key)
+        return self.reports(keys)
+
+    def apply_reports(
+        self, reports: Iterable[OriginReport], source: Source = Source.PEER
+    ) -> None:
+        """Apply reports of peers, or what daemons have recorded in the store."""
         now = self._clock.seconds()
         for report in reports:
             valid_until = now + report.valid_ms / 1_000
@@ -222,7 +244,7 @@
                 ServiceId(report.service),
                 SoftwareVersion(report.version),
                 valid_until,
-                Source.PEER,
+                source,
             )
             self._put(report.key, origin)
             for waiter in list(self._waiters_by_key.get(report.key, ())):
@@ -252,7 +274,12 @@
             if origin.service == service and origin.source is Source.OWN
         ]
         if keys:
-            self.on_report(self.reports(keys))
+            self._report(keys)
+
+    def _report(self, keys: Iterable[int]) -> None:
+        reports = self.reports(keys)
+        for listener in self._listeners:
+            listener(reports)
 
 
-__all__ = ["OriginReport", "StreamOrigin", "StreamOrigins", "stream_key"]
+__all__ = ["OriginReport", "Source", "StreamOrigin", "StreamOrigins", "stream_key"]
--- a/src/chivesaddle/placement/software.py
+++ b/src/chivesaddle/placement/software.py
@@ -83,6 +83,10 @@
         self.has_heard_peers = True
         self._apply(msgspec.convert(hint, list[GoneVersion]))
 
+    def record_gone(self, service: ServiceId, versions: Iterable[str]) -> None:
+        """Record versions whose servers, if not listed, may have left just now."""
+        self._apply(GoneVersion(service, version, 0) for version in versions)
+
     def _apply(self, reports: Iterable[GoneVersion]) -> None:
         now = self._clock.seconds()
         for report in reports:
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -88,13 +88,16 @@
     OriginNotice,
     OriginQuestion,
 )
+from chivesaddle.serving.origin_record import OriginRecord
 from chivesaddle.serving.path_probe import PathProbe
 from chivesaddle.serving.peer_paths import FleetPaths
+from chivesaddle.serving.records import RecordLoader
 from chivesaddle.serving.registration import Registration
 from chivesaddle.serving.request_senders import RequestSenders
 from chivesaddle.serving.server_activity import ServerActivity
 from chivesaddle.serving.settings import ServingSettings, SettingsError
 from chivesaddle.serving.silent_paths import SilentPaths
+from chivesaddle.serving.software_record import SoftwareRecord
 from chivesaddle.serving.software_view import SoftwareView
 from chivesaddle.serving.status import STATUS_PATH, StatusPage
 from chivesaddle.serving.store_hints import StoreHints
@@ -248,6 +251,31 @@
         self._crashes = crashes = CrashRecord(reactor)
         self._servers.on_down = crashes.confirm
         crashes.trial_rank = self._trial_rank
+        software_view = SoftwareView(
+            reactor,
+            self._members,
+            self._software,
+            self._reachability,
+            lambda: self._records.is_known(),
+        )
+        self._origins = StreamOrigins(reactor, self._software, software_view.is_current)
+        self._software_record = SoftwareRecord(
+            self.store,
+            reactor,
+            self._software,
+            self._serving_state.services_with_resumption,
+            self._era,
+        )
+        self._origin_record = OriginRecord(
+            self.store,
+            reactor,
+            DaemonId(settings.daemon_id),
+            self._origins,
+            lambda: len(self._working_set.daemons()),
+        )
+        self._records = RecordLoader(
+            reactor, self._software_record, self._origin_record
+        )
         self._exchange = GossipExchange(
             reactor,
             self._members,
@@ -264,6 +292,7 @@
                 "limits": limits,
                 "leaving": LeavingHints(self._servers),
                 "software": self._software,
+                "records": self._records,
                 "store": StoreHints(self._era, lease),
             },
         )
@@ -310,10 +339,6 @@
             limits.apply_reports,
         )
         limits.on_report = self._limit_notices.send
-        software_view = SoftwareView(
-            reactor, self._members, self._software, self._reachability
-        )
-        self._origins = StreamOrigins(reactor, self._software, software_view.is_current)
         self._stream_sharing = StreamSharing(
             reactor, self._members, self._working_set, self._datagrams, self._origins
         )
@@ -408,6 +433,7 @@
         self._exchange.start()
         self._registration.start()
         self._rollout.start()
+        self._records.start()
         self._path_probe.start()
         self._silent_paths.start()
         start(self._run_housekeeping()).addErrback(
@@ -451,6 +477,8 @@
         self._cold_starts.stop()
         self._limit_notices.stop()
         self._stream_sharing.stop()
+        self._records.stop()
+        self._origin_record.stop()
         self._datagrams.stop()
         for watcher in self._watchers:
             watcher.stop()
@@ -615,6 +643,8 @@
             self._update_cache_feeds()
             await self._clean_stores()
             await self._departed.step(self._rollout.holds_lease)
+            await self._software_record.step(self._rollout.holds_lease)
+            self._origin_record.step()
             self._server_pool.close_expired()
             self._control_pool.close_expired()
             self._store_pool.close_expired()
--- a/src/chivesaddle/serving/departed.py
+++ b/src/chivesaddle/serving/departed.py
@@ -1,4 +1,4 @@
-"""Removes the registrations of daemons that are gone for good.
+"""Removes what daemons that are gone for good have left in the store.
 
 Registrations stay in the store when a daemon stops, since most daemons return. Those of
 replaced instances would stay forever, and every daemon counts them as its peers.
@@ -10,6 +10,7 @@
 from chivesaddle.core.objects import ObjectApi, ObjectNotFound
 from chivesaddle.fleet import Member, Members
 from chivesaddle.fleet.members import MEMBERS_KIND
+from chivesaddle.serving.origin_record import STREAMS_KIND
 
 # In the largest fleets, a daemon without callers is heard of every few minutes only.
 # One that is removed by mistake registers again at once.
@@ -72,6 +73,22 @@
             )
             return
         log.info("registration removed", extra={"peer": member.id})
+        await self._remove_streams(member)
+
+    async def _remove_streams(self, member: Member) -> None:
+        deadline = self._clock.seconds() + CALL_TIMEOUT_S
+        try:
+            item = await self._api.get(STREAMS_KIND, member.id, deadline=deadline)
+            await self._api.delete(
+                STREAMS_KIND, member.id, version=item.version, deadline=deadline
+            )
+        except ObjectNotFound:
+            return
+        except ChivesaddleError as error:
+            log.info(
+                "record of streams not removed",
+                extra={"peer": member.id, "cause": str(error)},
+            )
 
 
 __all__ = ["DepartedMembers"]
--- a/src/chivesaddle/serving/software_view.py
+++ b/src/chivesaddle/serving/software_view.py
@@ -1,5 +1,7 @@
 """Whether a daemon would know of servers of another software version."""
 
+from collections.abc import Callable
+
 from chivesaddle.core.aio import Clock
 from chivesaddle.fleet import Members, StoreReachability
 from chivesaddle.placement import SoftwareHistory
@@ -14,7 +16,8 @@
     """Tells whether the known software versions are all that there are.
 
     Without the store and peers, a daemon does not hear of a new version, and one that
-    has just started does not know which versions have left.
+    has just started does not know which versions have left. If all daemons started at
+    once, only their records in the store tell.
 
     Parameters
     ----------
@@ -26,6 +29,8 @@
         Known versions.
     reachability : StoreReachability
         Whether this daemon reaches the store.
+    has_records : callable
+        Returns whether this daemon, or one that told it, has read the records.
     """
 
     def __init__(
@@ -34,15 +39,19 @@
         members: Members,
         software: SoftwareHistory,
         reachability: StoreReachability,
+        has_records: Callable[[], bool],
     ) -> None:
         self._clock = clock
         self._members = members
         self._software = software
         self._reachability = reachability
+        self._has_records = has_records
         self._started_at = clock.seconds()
 
     def is_current(self) -> bool:
         """Return whether no version can have come or left unnoticed."""
+        if not self._has_records():
+            return False
         if not self._members.peers():
             return True
         now = self._clock.seconds()
--- a/src/chivesaddle/serving/stream_sharing.py
+++ b/src/chivesaddle/serving/stream_sharing.py
@@ -53,7 +53,7 @@
             _choose_holders,
         )
         datagrams.add_handler(OriginQuestion, self._answer)
-        origins.on_report = self._sender.send
+        origins.add_listener(self._sender.send)
         origins.on_question = self._ask
 
     def stop(self) -> None:
--- a/src/chivesaddle/tools/platform_fleet.py
+++ b/src/chivesaddle/tools/platform_fleet.py
@@ -165,6 +165,11 @@
         }
         self._put_object("servers", name, value)
 
+    def remove_server(self, name: str) -> None:
+        """Remove a backend server's entry from the object store."""
+        url = f"http://{self.store_address}/objects/servers/{name}"
+        HTTP_CLIENT.delete(url).raise_for_status()
+
     def put_restarted_server(self, name: str) -> None:
         """Write the entry of a backend server that has started again."""
         self._start_by_server[name] = self._start_by_server.get(name, 1) + 1
--- a/tests/e2e_platform/test_software_versions.py
+++ b/tests/e2e_platform/test_software_versions.py
@@ -1,5 +1,7 @@
 """Real daemons, and servers of two software versions whose streams break off."""
 
+import time
+
 import httpx
 import pytest
 
@@ -140,3 +142,42 @@
     streams = [events for _, events in begun]
     assert [versions(events) for events in streams if len(versions(events)) > 1] == []
     assert sum(map(is_whole, streams)) >= 0.5 * STREAMS
+
+
+def test_stream_goes_on_at_its_version_after_all_daemons_were_killed(fleet):
+    """Guards against streams joined from two versions after a loss of power."""
+    break_new_streams(fleet)
+    begun = [
+        (
+            f"dark-{number}",
+            receive(fleet, number % 3, f"/stream-once/{number}", f"dark-{number}")[1],
+        )
+        for number in range(STREAMS)
+    ]
+    # What began last is written within 0.2 s.
+    time.sleep(0.5)
+    for name in fleet.listeners:
+        fleet.processes.kill(name)
+    for server, version in VERSION_BY_SERVER.items():
+        if version == "v1":
+            fleet.remove_server(server)
+    for name in fleet.listeners:
+        fleet.processes.restart(name)
+    assert wait_until(
+        lambda: receive(fleet, 0, "/stream-once/x", "probe-2")[0] == 200, 5
+    )
+    for number, (request_id, events) in enumerate(begun):
+        _, more = receive(
+            fleet,
+            number % 3,
+            f"/stream-once/{number}",
+            f"{request_id}-again",
+            resumes=request_id,
+            after=len(events),
+        )
+        events += more
+    streams = [events for _, events in begun]
+    assert [versions(events) for events in streams if len(versions(events)) > 1] == []
+    kept = [events for events in streams if versions(events) == {"v2"}]
+    assert len(kept) >= STREAMS / 4
+    assert sum(map(is_whole, kept)) >= 0.9 * len(kept)
--- /dev/null
+++ b/tests/serving/test_records.py
@@ -0,0 +1,243 @@
+"""What is known of streams after a whole fleet has lost power, without a network."""
+
+import functools
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from chivesaddle.core.aio import start
+from chivesaddle.forwarding import StreamOrigins
+from chivesaddle.objects import StoreEra
+from chivesaddle.objects.memory import MemoryClient, MemoryObjectApi
+from chivesaddle.platform import decode_server
+from chivesaddle.serving.origin_record import STREAMS_KIND, OriginRecord
+from chivesaddle.serving.records import RecordLoader
+from chivesaddle.serving.software_record import SOFTWARE_KIND, SoftwareRecord
+from chivesaddle.serving.stream_sharing import StreamSharing
+
+from .test_stream_sharing import SERVICE, SIZES, Daemon, Fleet
+
+
+class RecordingDaemon(Daemon):
+    """A daemon with records in the store of its fleet."""
+
+    def __init__(self, fleet, id):
+        super().__init__(fleet, id)
+        era = StoreEra(fleet.clock)
+        api = MemoryClient(fleet.api, era)
+        self.origins = StreamOrigins(
+            fleet.clock, self.software, lambda: self.records.is_known()
+        )
+        StreamSharing(fleet.clock, self, self, self.datagrams, self.origins)
+        self.software_record = SoftwareRecord(
+            api, fleet.clock, self.software, lambda: {SERVICE}, era
+        )
+        self.origin_record = OriginRecord(
+            api, fleet.clock, id, self.origins, lambda: len(fleet.members)
+        )
+        self.records = RecordLoader(
+            fleet.clock, self.software_record, self.origin_record
+        )
+        self.is_running = True
+        self.records.start()
+        fleet.clock.callLater(0.0, self.keep_house)
+
+    def keep_house(self):
+        if self.is_running:
+            holds_lease = next(iter(self.fleet.daemons)) == self.own.id
+            start(self.software_record.step(holds_lease))
+            self.origin_record.step()
+            self.fleet.clock.callLater(1.0, self.keep_house)
+
+    def stop(self):
+        self.is_running = False
+        self.records.stop()
+        self.origin_record.stop()
+
+
+class RecordingFleet(Fleet):
+    DAEMON_TYPE = RecordingDaemon
+
+    @functools.cached_property
+    def api(self):
+        return MemoryObjectApi(self.clock)
+
+    def power_off(self):
+        for daemon in self.daemons.values():
+            daemon.stop()
+        self.daemons = {}
+
+    def power_on(self):
+        """Start daemons that know the list of servers only."""
+        for id in self.members:
+            self.daemons[id] = RecordingDaemon(self, id)
+            for name, entry in self.entries.items():
+                self.daemons[id].servers.put(decode_server(name, entry))
+
+    def lose_power(self):
+        self.power_off()
+        self.power_on()
+
+    def stored(self, kind):
+        listed = []
+        start(self.api.list_objects(kind, deadline=1e9)).addCallback(listed.append)
+        return {name: i.value for name, i in listed[0].items_by_name.items()}
+
+
+@pytest.mark.parametrize("size", SIZES)
+class TestFleetThatLostPower:
+    """Guards against streams that are joined from two software versions."""
+
+    def test_streams_go_on_at_their_version(self, size):
+        fleet = RecordingFleet(size)
+        streams = [fleet.begin()[0] for _ in range(24)]
+        fleet.advance(2.5)
+        fleet.lose_power()
+        fleet.advance(0.1)
+        assert fleet.share_that_goes_on(streams) >= 0.9
+
+    def test_no_stream_goes_on_at_the_version_that_is_left(self, size):
+        fleet = RecordingFleet(size)
+        streams = [fleet.begin(version)[0] for version in ["v1", "v2"] * 12]
+        fleet.advance(2.5)
+        fleet.power_off()
+        fleet.remove_servers("v1")
+        fleet.power_on()
+        fleet.advance(0.1)
+        kept = [s for s in streams if fleet.version_by_stream[s] == "v2"]
+        fleet.share_that_goes_on(streams)
+        assert fleet.share_that_goes_on(kept) >= 0.9
+
+    def test_version_that_left_while_the_power_was_off_still_counts(self, size):
+        fleet = RecordingFleet(size, versions=("v1",))
+        streams = [fleet.begin()[0] for _ in range(6)]
+        fleet.advance(2.5)
+        fleet.power_off()
+        fleet.remove_servers("v1")
+        fleet.put_servers("v2")
+        fleet.power_on()
+        fleet.advance(0.1)
+        assert fleet.share_that_goes_on(streams) == 0.0
+
+    def test_power_that_is_lost_twice_loses_no_stream(self, size):
+        fleet = RecordingFleet(size)
+        streams = [fleet.begin()[0] for _ in range(24)]
+        fleet.advance(2.5)
+        fleet.lose_power()
+        fleet.advance(0.4)
+        fleet.lose_power()
+        fleet.advance(0.1)
+        assert fleet.share_that_goes_on(streams) >= 0.9
+
+    def test_streams_of_a_service_with_one_version_go_on(self, size):
+        fleet = RecordingFleet(size, versions=("v1",))
+        streams = [fleet.begin()[0] for _ in range(12)]
+        fleet.advance(2.5)
+        fleet.lose_power()
+        fleet.advance(0.1)
+        assert fleet.share_that_goes_on(streams) == 1.0
+
+    def test_streams_are_refused_until_the_records_are_read(self, size):
+        fleet = RecordingFleet(size, versions=("v2",))
+        streams = [fleet.begin()[0] for _ in range(3)]
+        fleet.advance(2.5)
+        fleet.api.faults.outage = True
+        fleet.lose_power()
+        fleet.advance(0.1)
+        assert fleet.share_that_goes_on(streams) == 0.0
+        fleet.api.faults.outage = False
+        fleet.advance(1.2)
+        assert fleet.share_that_goes_on(streams) == 1.0
+
+
+class TestRandomly:
+    @given(data=st.data())
+    @settings(derandomize=True, deadline=None, max_examples=25)
+    def test_streams_are_never_mixed(self, data):
+        """Versions come and go, and all daemons lose power, some while they do."""
+        fleet = RecordingFleet(4, versions=("v1",), seed=data.draw(st.integers(0, 999)))
+        fleet.loss = data.draw(st.sampled_from([0.0, 0.3, 1.0]))
+        streams = []
+        for _ in range(data.draw(st.integers(5, 25))):
+            listed = sorted({entry["version"] for entry in fleet.entries.values()})
+            match data.draw(st.sampled_from(["begin", "resume", "put", "remove"])):
+                case "begin":
+                    streams.append(fleet.begin()[0])
+                case "resume" if streams:
+                    fleet.share_that_goes_on([data.draw(st.sampled_from(streams))])
+                case "put":
+                    fleet.put_servers(data.draw(st.sampled_from(["v1", "v2", "v3"])))
+                    # A version is recorded within this time.
+                    fleet.advance(1.5)
+                case "remove" if len(listed) > 1:
+                    fleet.remove_servers(data.draw(st.sampled_from(listed)))
+            fleet.advance(data.draw(st.sampled_from([0.0, 0.02, 1.0])))
+            if data.draw(st.booleans()):
+                fleet.power_off()
+                if len(listed) > 1 and data.draw(st.booleans()):
+                    fleet.remove_servers(listed[0])
+                fleet.power_on()
+                fleet.advance(data.draw(st.sampled_from([0.0, 0.1])))
+
+
+class TestCost:
+    def test_one_version_costs_one_write_of_the_fleet(self):
+        fleet = RecordingFleet(9, versions=("v1",))
+        for _ in range(20):
+            fleet.begin()
+            fleet.advance(0.2)
+        assert fleet.stored(SOFTWARE_KIND) == {SERVICE: {"versions": ["v1"]}}
+        assert fleet.stored(STREAMS_KIND) == {}
+        assert fleet.api.revision == 1
+
+    def test_writes_do_not_grow_with_the_streams(self):
+        fleet = RecordingFleet(9)
+        fleet.advance(1.5)
+        before = fleet.api.revision
+        for _ in range(200):
+            fleet.begin()
+            fleet.advance(0.01)
+        fleet.advance(0.3)
+        # Nine daemons, 2 s, a write in 0.2 s at most.
+        assert fleet.api.revision - before <= 9 * 11
+
+    def test_records_are_empty_once_the_streams_have_ended(self):
+        fleet = RecordingFleet(4)
+        for _ in range(12):
+            fleet.begin()
+        fleet.advance(1.0)
+        assert any(value["groups"] for value in fleet.stored(STREAMS_KIND).values())
+        fleet.advance(45)
+        assert not any(value["groups"] for value in fleet.stored(STREAMS_KIND).values())
+
+    def test_version_that_left_is_removed_from_the_record(self):
+        fleet = RecordingFleet(4)
+        fleet.advance(1.5)
+        assert fleet.stored(SOFTWARE_KIND)[SERVICE] == {"versions": ["v1", "v2"]}
+        fleet.remove_servers("v1")
+        fleet.advance(63)
+        assert fleet.stored(SOFTWARE_KIND)[SERVICE] == {"versions": ["v2"]}
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        {},
+        {"groups": 3, "versions": "v1"},
+        {"groups": [{"service": SERVICE}], "versions": [7]},
+        {
+            "groups": [
+                {"service": SERVICE, "version": "v1", "keys": "zz", "valid_ms": 9}
+            ]
+        },
+    ],
+)
+def test_unreadable_records_are_ignored(value):
+    fleet = RecordingFleet(4, versions=("v1",))
+    streams = [fleet.begin()[0] for _ in range(4)]
+    for kind, name in ((SOFTWARE_KIND, SERVICE), (STREAMS_KIND, "d1")):
+        start(fleet.api.create(kind, name, value, deadline=1e9))
+    fleet.lose_power()
+    fleet.advance(1.2)
+    assert fleet.share_that_goes_on(streams) == 1.0
--- a/tests/serving/test_software_view.py
+++ b/tests/serving/test_software_view.py
@@ -33,8 +33,14 @@
 
 
 @pytest.fixture
-def view(clock, members, software, reachability):
-    return SoftwareView(clock, members, software, reachability)
+def records():
+    """Whether the daemon knows what was recorded."""
+    return [True]
+
+
+@pytest.fixture
+def view(clock, members, software, reachability, records):
+    return SoftwareView(clock, members, software, reachability, lambda: records[0])
 
 
 def test_is_current_after_the_first_exchange_with_a_peer(view, software):
@@ -71,3 +77,12 @@
 def test_of_a_fleet_of_one_is_current(view, members):
     members.registered = members.serving = []
     assert view.is_current()
+
+
+def test_is_not_current_without_the_records_in_the_store(view, software, records):
+    """Guards against streams that are joined after all daemons have lost power."""
+    records[0] = False
+    software.apply_remote([])
+    assert not view.is_current()
+    records[0] = True
+    assert view.is_current()
--- a/tests/serving/test_stream_sharing.py
+++ b/tests/serving/test_stream_sharing.py
@@ -59,6 +59,8 @@
 
 
 class Fleet:
+    DAEMON_TYPE = Daemon
+
     def __init__(self, size, versions=("v1", "v2"), seed=1):
         self.clock = Clock()
         self.random = random.Random(seed)
@@ -68,7 +70,7 @@
             f"d{n}": Member(f"d{n}", "x", "z", "1.1.1.1:1", "1.1.1.1:2", 1.0)
             for n in range(size)
         }
-        self.daemons = {id: Daemon(self, id) for id in self.members}
+        self.daemons = {id: self.DAEMON_TYPE(self, id) for id in self.members}
         self.entries = {}
         self.version_by_stream = {}
         for version in versions:
@@ -120,7 +122,7 @@
 
     def restart(self, id):
         """Replace a daemon by one that knows the list and the hints of a peer only."""
-        self.daemons[id] = Daemon(self, id)
+        self.daemons[id] = self.DAEMON_TYPE(self, id)
         for name, entry in self.entries.items():
             self.daemons[id].servers.put(decode_server(name, entry))
         peer = self.random.choice([d for d in self.daemons if d != id])
