Record streams at once, so that few are refused after a loss of power

Cause: 11 of the streams were unknown, each begun within 0.2 s of the loss, since the write waited for 0.2 s; their callers came back three times each, and most of the others had gone on before their daemons counted as in touch. Fix: what begins after a pause is written at once; the next write is due after a hundredth of a second for each working daemon, 0.05 s at least, which keeps all daemons together at 100 writes a second. Reading the records is one log line instead of one a daemon.

--- a/src/chivesaddle/serving/origin_record.py
+++ b/src/chivesaddle/serving/origin_record.py
@@ -23,8 +23,9 @@
 
 STREAMS_KIND = "streams"
 CALL_TIMEOUT_S = 1.0
-# Streams that began within this time before a loss of power are not recorded.
-MIN_WRITE_INTERVAL_S = 0.2
+# Least time between two writes of a daemon. What begins after a longer pause is written
+# at once, so that few streams are not recorded when power is lost.
+MIN_WRITE_INTERVAL_S = 0.05
 # Writes of all daemons together; the store of a small fleet accepts 400 a second.
 MAX_FLEET_WRITES_PER_S = 100.0
 # Interval at which a record is looked at once more, to remove what has ended.
@@ -88,6 +89,7 @@
         self._version: int | None = None
         self._recorded: list[tuple[str, str, str]] = []
         self._clean_at = 0.0
+        self._next_write_at = 0.0
         self._timer: DelayedCall | None = None
         self._is_writing = False
         self._is_stopped = False
@@ -104,8 +106,12 @@
             stored = list(listed.items_by_name.values())
         except ObjectNotFound:
             stored = []
-        for item in stored:
-            self._apply(item)
+        streams = sum(self._apply(item) for item in stored)
+        if stored:
+            log.info(
+                "streams read from the store",
+                extra={"records": len(stored), "streams": streams},
+            )
 
     def step(self) -> None:
         """Remove streams that have ended from the record; call about once a second."""
@@ -119,7 +125,8 @@
             self._timer.cancel()
             self._timer = None
 
-    def _apply(self, item: StoredObject) -> None:
+    def _apply(self, item: StoredObject) -> int:
+        """Apply one daemon's record; return its number of streams."""
         is_own = item.name == self._daemon
         if is_own:
             self._version = item.version
@@ -131,27 +138,24 @@
                 "record of streams ignored",
                 extra={"daemon": item.name, "cause": str(error)},
             )
-            return
-        if not reports:
-            return
+            return 0
         # What this daemon recorded before it restarted stays recorded.
         source = Source.OWN if is_own else Source.RECORD
         self._origins.apply_reports(reports, source)
-        log.info(
-            "streams read from the store",
-            extra={"recorded_by": item.name, "streams": len(reports)},
-        )
         if is_own:
             self._recorded = [(g.service, g.version, g.keys) for g in record.groups]
+        return len(reports)
 
     def _write_soon(self, reports: Iterable[OriginReport] = ()) -> None:
         if self._timer is None and not self._is_stopped:
-            interval_s = self._writers() / MAX_FLEET_WRITES_PER_S
-            delay_s = max(MIN_WRITE_INTERVAL_S, interval_s)
+            delay_s = max(0.0, self._next_write_at - self._clock.seconds())
             self._timer = self._clock.callLater(delay_s, self._start_write)
 
     def _start_write(self) -> None:
         self._timer = None
+        interval_s = self._writers() / MAX_FLEET_WRITES_PER_S
+        now = self._clock.seconds()
+        self._next_write_at = now + max(MIN_WRITE_INTERVAL_S, interval_s)
         if self._is_writing:
             self._write_soon()
             return
--- a/tests/e2e_platform/test_software_versions.py
+++ b/tests/e2e_platform/test_software_versions.py
@@ -154,7 +154,7 @@
         )
         for number in range(STREAMS)
     ]
-    # What began last is written within 0.2 s.
+    # What began last is written soon.
     time.sleep(0.5)
     for name in fleet.listeners:
         fleet.processes.kill(name)
