--- a/src/chivesaddle/tools/soak/run.py
+++ b/src/chivesaddle/tools/soak/run.py
@@ -34,6 +34,8 @@
 CRASHING_REQUEST_INTERVAL_S = 0.15
 # A crashed server is started again after this time.
 SERVER_DOWN_S = 0.5
+# Share of the runs in which all daemons are killed at once.
+POWER_LOSS_SHARE = 0.4
 # Servers that a crashing part may end while no other fault is injected.
 MAX_CRASHES = 8
 
@@ -128,7 +130,7 @@
             for caller in callers
         ]
         fault_loops = [self._inject_faults(faults_end_at) for _ in range(2)]
-        await asyncio.gather(*fault_loops)
+        await asyncio.gather(*fault_loops, self._lose_power())
         self._clear_faults()
         await asyncio.gather(*caller_tasks)
         await self._check_configuration()
@@ -201,6 +203,25 @@
             await asyncio.sleep(self._random.uniform(0.0, 1.0))
             await self._restart_daemon(name)
 
+    async def _lose_power(self) -> None:
+        """Kill all daemons at once, in some runs."""
+        # A generator of its own, so that the seeds draw the other faults as before.
+        chooser = random.Random(f"power {self._seed}")
+        if chooser.random() >= POWER_LOSS_SHARE:
+            return
+        await asyncio.sleep(chooser.uniform(0.2, 0.6) * self._fault_s)
+        names = [
+            name
+            for name in self.fleet.listeners
+            if name in self.fleet.processes.pids and name not in self._restarting
+        ]
+        self._restarting.update(names)
+        with self._log_fault(f"lose power of {' '.join(names)}"):
+            for name in names:
+                self.fleet.processes.kill(name)
+            await asyncio.sleep(chooser.uniform(0.0, 1.0))
+            await asyncio.gather(*(self._restart_daemon(name) for name in names))
+
     async def _pause_process(self) -> None:
         name = self._random.choice([*self.fleet.listeners, "store"])
         if name not in self.fleet.processes.pids:
