Record each stream without a pause between two writes

Cause: 6 and 7 streams with one to three events were unknown. They began within the pause of 0.09 s that nine daemons kept between two writes; their callers came back three times each, while the some 120 others went on at their first try, most of them before their daemons counted as in touch. Fix: the fleet's 100 writes a second are a rate with a burst of eight a daemon instead of a pause, and what begins during a write is written after it.

--- a/src/chivesaddle/serving/origin_record.py
+++ b/src/chivesaddle/serving/origin_record.py
@@ -23,11 +23,11 @@
 
 STREAMS_KIND = "streams"
 CALL_TIMEOUT_S = 1.0
-# Least time between two writes of a daemon. What begins after a longer pause is written
-# at once, so that few streams are not recorded when power is lost.
-MIN_WRITE_INTERVAL_S = 0.05
 # Writes of all daemons together; the store of a small fleet accepts 400 a second.
 MAX_FLEET_WRITES_PER_S = 100.0
+# Writes of one daemon that may follow each other at once. Few streams are then not
+# recorded when power is lost.
+WRITE_BURST = 8
 # Time after which a failed write is repeated.
 RETRY_DELAY_S = 0.5
 # Interval at which a record is looked at once more, to remove what has ended.
@@ -94,6 +94,8 @@
         self._next_write_at = 0.0
         self._timer: DelayedCall | None = None
         self._is_writing = False
+        # Whether another write follows the current one.
+        self._is_due = False
         # Before that, a write would replace what is not read yet.
         self._is_loaded = False
         self._is_stopped = False
@@ -160,12 +162,12 @@
 
     def _start_write(self) -> None:
         self._timer = None
-        interval_s = self._writers() / MAX_FLEET_WRITES_PER_S
-        now = self._clock.seconds()
-        self._next_write_at = now + max(MIN_WRITE_INTERVAL_S, interval_s)
         if self._is_writing:
-            self._write_soon()
+            self._is_due = True
             return
+        interval_s = self._writers() / MAX_FLEET_WRITES_PER_S
+        oldest = self._clock.seconds() - (WRITE_BURST - 1) * interval_s
+        self._next_write_at = max(self._next_write_at, oldest) + interval_s
         start(self._write()).addErrback(log_failure(log, "recording streams failed"))
 
     async def _write(self) -> None:
@@ -181,11 +183,15 @@
             # Another write may have had an effect.
             self._version = None
             log.info("streams not recorded", extra={"cause": str(error)})
+            self._is_due = False
             self._next_write_at = self._clock.seconds() + RETRY_DELAY_S
             self._write_soon()
             return
         finally:
             self._is_writing = False
+            if self._is_due:
+                self._is_due = False
+                self._write_soon()
         if bool(recorded) != bool(self._recorded):
             log.info(
                 "streams recorded" if recorded else "no streams recorded any more",
