Replace a record of software versions that is no object

Such a record now counts as empty and is written anew. The case of null failed before; tests of records and of the start pass.

--- a/src/chivesaddle/serving/software_record.py
+++ b/src/chivesaddle/serving/software_record.py
@@ -105,7 +105,10 @@
 
     def _recorded(self, service: ServiceId) -> list[str]:
         stored = self._stored_by_service.get(service)
-        return [] if stored is None else stored.value.get("versions", [])
+        # Another writer may have stored any value.
+        if stored is None or not isinstance(stored.value, dict):
+            return []
+        return stored.value.get("versions", [])
 
     def _apply(self, item: StoredObject) -> None:
         service = ServiceId(item.name)
