--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -39,6 +39,8 @@
         self.stream_prefix: str | None = settings.get("stream_prefix")
         self.events: int = settings.get("events", 0)
         self.event_s: float = settings.get("event_ms", 0) / 1_000
+        # Whether streams have neither a length nor chunks and end with their channel.
+        self.is_unframed: bool = settings.get("unframed", False)
         self.sequence = 0
         self.is_busy = False
         self.running = 0
@@ -74,6 +76,8 @@
             while (request := await read_message(reader)) is not None:
                 if self.is_stream(request):
                     await self.stream(request, writer)
+                    if self.is_unframed:
+                        break
                 else:
                     writer.write(await self.handle(request))
                 await writer.drain()
@@ -126,7 +130,7 @@
         head = [
             "HTTP/1.1 200 -",
             "Content-Type: text/event-stream",
-            "Transfer-Encoding: chunked",
+            "Connection: close" if self.is_unframed else "Transfer-Encoding: chunked",
             f"X-Chivesaddle-Attempt-Identifier: {attempt}",
             f"X-Chivesaddle-Server-Signature: {self.id}.{attempt}",
         ]
@@ -137,9 +141,12 @@
             for number in range(1, self.events + 1):
                 await asyncio.sleep(self.event_s)
                 event = f"id: {number}\ndata: token {number} of {attempt}\n\n".encode()
-                writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+                if not self.is_unframed:
+                    event = b"%x\r\n%b\r\n" % (len(event), event)
+                writer.write(event)
                 await writer.drain()
-            writer.write(b"0\r\n\r\n")
+            if not self.is_unframed:
+                writer.write(b"0\r\n\r\n")
             self.record("end", id=attempt)
         except OSError as error:
             self.record("cut", id=attempt, events=number, cause=repr(error))
