Review case 6: machines whose channels hang serve no client

Cause: a daemon takes a service for silent only while a peer reports that it was answered within the last 0.2 s. With one sound daemon that serves few requests such reports are rare, and the others wait on their hanging connections for as long as the cut lasts. Nothing is fixed.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -74,6 +74,7 @@
         *,
         services: list[dict[str, Any]],
         routes: list[dict[str, Any]],
+        has_proxy: bool = False,
     ) -> None:
         self.started_at = now()
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
@@ -82,15 +83,27 @@
         self.services, self.routes = services, routes
         self.version = 0
         names = [f"front-{n}" for n in range(daemons)]
-        ports = iter(free_ports(1 + len(runners) + len(LISTENERS) * daemons))
+        count = 2 + 2 * len(runners) + len(LISTENERS) * daemons
+        ports = iter(free_ports(count))
         self.store = f"127.0.0.1:{next(ports)}"
         self.address_by_runner = {r: f"127.0.0.1:{next(ports)}" for r in runners}
         self.service_by_runner = dict(runners)
+        # A proxy tells the daemons apart by their hosts.
+        self.host_by_daemon = {
+            name: f"127.0.1.{number + 1}" if has_proxy else "127.0.0.1"
+            for number, name in enumerate(names)
+        }
         self.listen = {
-            name: {part: f"127.0.0.1:{next(ports)}" for part in LISTENERS}
-            for name in names
+            name: {part: f"{host}:{next(ports)}" for part in LISTENERS}
+            for name, host in self.host_by_daemon.items()
+        }
+        self.proxy_control = f"127.0.0.1:{next(ports)}" if has_proxy else None
+        self.proxy_address_by_runner = {
+            runner: f"127.0.0.1:{next(ports)}" for runner in runners if has_proxy
         }
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        # Zones other than zone-a.
+        self.zone_by_daemon: dict[str, str] = {}
 
     def note(self, text: str) -> None:
         """Append a line to the record, with the seconds since the case began."""
@@ -142,7 +155,7 @@
         """Start a daemon with the command of the deploy file."""
         settings = {
             "daemon_id": name,
-            "zone": "zone-a",
+            "zone": self.zone_by_daemon.get(name, "zone-a"),
             "listen": self.listen[name],
             "store": {"address": self.store, "max_value_bytes": 1_048_576},
             "bounds": {
@@ -169,6 +182,8 @@
                 "platform",
             ],
         }
+        if self.proxy_control is not None:
+            settings["connect_from"] = self.host_by_daemon[name]
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
         dependencies = str(ROOT / "target" / "deps")
@@ -184,7 +199,7 @@
         address = self.address_by_runner[name]
         entry: dict[str, Any] = {
             "service": self.service_by_runner[name],
-            "address": address,
+            "address": self.proxy_address_by_runner.get(name, address),
             "zone": "zone-a",
             "version": "s1",
             "slots": 6,
@@ -206,6 +221,27 @@
         path.write_text(json.dumps(content))
         self.spawn(name, [sys.executable, str(STANDINS / "runner.py"), str(path)])
 
+    def start_proxy(self) -> None:
+        """Start the proxy between daemons and runners."""
+        target_by_address = {
+            address: self.address_by_runner[runner]
+            for runner, address in self.proxy_address_by_runner.items()
+        }
+        content = {
+            "control": self.proxy_control,
+            "target_by_address": target_by_address,
+        }
+        path = self.folder / "proxy.settings.json"
+        path.write_text(json.dumps(content))
+        self.spawn("proxy", [sys.executable, str(STANDINS / "proxy.py"), str(path)])
+
+    async def set_cut(self, daemons: list[str], mode: str) -> None:
+        """Cut daemons off from all runners, or let them through again."""
+        assert self.proxy_control is not None
+        hosts = ",".join(self.host_by_daemon[name] for name in daemons)
+        await call(self.proxy_control, "POST", f"/control?hosts={hosts}&mode={mode}")
+        self.note(f"proxy: {mode} for {daemons}")
+
     async def start_store(self) -> None:
         """Start the store and wait until it answers."""
         self.spawn("store", [sys.executable, str(STANDINS / "store.py"), self.store])
