--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -8,7 +8,6 @@
 import asyncio
 import contextlib
 import json
-import os
 import sys
 import time
 from pathlib import Path
@@ -20,7 +19,6 @@
 DEFAULT_WORK_MS = 20
 LOAD_S = 0.4
 KV_WAIT_S = 0.9
-CRASH_AFTER_S = 0.02
 
 
 class Runner:
@@ -33,8 +31,6 @@
         self.entry: dict[str, Any] = settings["entry"]
         self.work_s: float = settings.get("work_ms", DEFAULT_WORK_MS) / 1_000
         self.log_path = Path(settings["log"])
-        # A request with this path crashes the runner that runs it.
-        self.crash_path: str | None = settings.get("crash_path")
         # Paths with this prefix are answered with a stream of so many events.
         self.stream_prefix: str | None = settings.get("stream_prefix")
         self.events: int = settings.get("events", 0)
@@ -161,10 +157,6 @@
         self.record("run", id=attempt, path=request.path)
         self.running += 1
         try:
-            if self.crash_path is not None and request.path == self.crash_path:
-                await asyncio.sleep(CRASH_AFTER_S)
-                self.record("crash", id=attempt)
-                os._exit(1)
             await asyncio.sleep(self.work_s)
         finally:
             self.running -= 1
