Accept late requests of a shutdown only if their time limit fits

What callers saw: requests sent 3.0 to 4.5 s after SIGTERM were passed on to servers and cut 7.6 s after it, with 502 or half a stream, on every kind of route, among them requests that must not be repeated.

Cause: a request was accepted if its expected duration fitted, by recent durations of its route or a multiple of its target. Servers that become slower or silent after SIGTERM outlast any such expectation, and a route that is rarely used has none.

Why this works: whatever servers do, a request ends at its time limit, so one whose limit is over before the daemon ends cannot be cut. For 2.5 s after SIGTERM, streams and requests that may be repeated are still accepted by the estimate; requests that must not be repeated never are.

--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -52,7 +52,7 @@
     LAST_ATTEMPT_RESERVE_S,
     ServingState,
 )
-from chivesaddle.forwarding.shutdown import RETRY_AFTER_S, ShutdownAdmission
+from chivesaddle.forwarding.shutdown import ShutdownAdmission
 from chivesaddle.forwarding.stalls import MIN_CALLER_TIMEOUT_S, StallWatch
 from chivesaddle.forwarding.stream_origins import StreamOrigins
 from chivesaddle.forwarding.stream_software import StreamSoftware
@@ -239,6 +239,7 @@
             context = self._create_context(
                 caller_request, received_at, responder.has_caller_left
             )
+            self._check_shutdown(context)
             self._contexts.add(context)
             await self._send_before_deadline(context, responder)
             self.shutdown.record(
@@ -276,14 +277,20 @@
             if context is not None:
                 self._contexts.discard(context)
 
-    def _check_shutdown(self, caller_request: CallerRequest, route: Route) -> None:
+    def _check_shutdown(self, context: RequestContext) -> None:
         """Raise `NotRun` if the request may outlast a daemon that shuts down."""
-        if self.shutdown.has_ended:
-            raise NotRun("The daemon has ended", retry_after_s=RETRY_AFTER_S)
-        if self.shutdown.ends_at is None:
-            return
+        self.shutdown.check(
+            context.route,
+            context.deadline,
+            context.request.output_tokens,
+            context.request.id,
+            lambda: self._longest_running(context.route),
+        )
+
+    def _longest_running(self, route: Route) -> float:
+        """Return the age in seconds of the route's oldest unfinished request, or 0."""
         now = self._clock.seconds()
-        running_s = max(
+        return max(
             (
                 now - context.received_at
                 for context in self._contexts
@@ -291,13 +298,6 @@
             ),
             default=0.0,
         )
-        self.shutdown.check(
-            route,
-            caller_request.output_tokens,
-            caller_request.id,
-            caller_request.time_limit_s,
-            running_s,
-        )
 
     def _end_request(
         self,
@@ -344,7 +344,6 @@
                 f"No route matches {caller_request.host} {caller_request.target!r}"
             )
         account = self._authenticate(caller_request, route, configuration)
-        self._check_shutdown(caller_request, route)
         limit_s = route.timeout_s
         caller_deadline = None
         if caller_request.time_limit_s is not None:
@@ -446,7 +445,7 @@
         while True:
             if peers := self._peers_to_pass_to(context):
                 if context.runs == 0:
-                    self._check_shutdown(context.request, context.route)
+                    self._check_shutdown(context)
                 await self._passer.pass_on(context, relay, peers)
                 return
             try:
@@ -456,7 +455,7 @@
             self._check_may_send(context)
             if context.runs == 0:
                 # It may have waited for capacity since its arrival.
-                self._check_shutdown(context.request, context.route)
+                self._check_shutdown(context)
             if context.sends == 0:
                 self._budget.record_request(context.service)
             elif context.arrivals and not self._budget.try_acquire(context.service):
--- a/src/chivesaddle/forwarding/shutdown.py
+++ b/src/chivesaddle/forwarding/shutdown.py
@@ -1,11 +1,19 @@
 """Which requests a daemon still accepts while it shuts down.
 
-Callers keep using a daemon's address for some seconds after SIGTERM. A stream that
-begins late in that time may outlast the daemon and would be cut, so it is refused as
-not run; its caller comes back to another daemon.
+Callers keep using a daemon's address for some seconds after SIGTERM. A request that
+outlasts the daemon would be cut, and its caller could not know whether it has run, so
+it is refused as not run; its caller comes back to another daemon.
+
+Recent durations bound nothing: servers may become slower or silent at any time, and a
+route that is rarely used has none. Only a request whose time limit is over before the
+daemon ends cannot be cut. Shortly after SIGTERM, when most callers still use the
+address, requests that may be repeated and streams are also accepted by their expected
+duration.
 """
 
 from collections import OrderedDict, deque
+from collections.abc import Callable
+from enum import Enum
 
 from chivesaddle.core.aio import Clock
 from chivesaddle.core.ids import RequestId
@@ -36,6 +44,13 @@
 log = ComponentLogger("forward")
 
 
+class AdmissionBasis(Enum):
+    """What shows that a request ends before the daemon."""
+
+    TIME_LIMIT = "time_limit"
+    ESTIMATE = "estimate"
+
+
 class ShutdownAdmission:
     """Refuses requests that may not end before the daemon does.
 
@@ -45,7 +60,7 @@
     Parameters
     ----------
     clock : Clock
-        Clock of ``ends_at``.
+        Clock of all times.
 
     Attributes
     ----------
@@ -58,11 +73,26 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self.ends_at: float | None = None
+        self._estimates_until = 0.0
         self.has_ended = False
         self._durations_by_route: OrderedDict[RouteId, deque[tuple[float, int]]] = (
             OrderedDict()
         )
 
+    def begin(self, ends_at: float, estimates_until: float) -> None:
+        """Begin the shutdown.
+
+        Parameters
+        ----------
+        ends_at : float
+            When the daemon ends.
+        estimates_until : float
+            Until when streams and requests that may be repeated are accepted by their
+            expected duration.
+        """
+        self.ends_at = ends_at
+        self._estimates_until = estimates_until
+
     def record(self, route: Route, output_tokens: int, seconds: float) -> None:
         """Record a request that was answered.
 
@@ -84,36 +114,45 @@
     def check(
         self,
         route: Route,
+        deadline: float,
         output_tokens: int = 0,
         request_id: RequestId | None = None,
-        time_limit_s: float | None = None,
-        running_s: float = 0.0,
+        longest_running: Callable[[], float] = lambda: 0.0,
     ) -> None:
         """Raise `NotRun` if a request of the route may outlast the daemon.
 
         Parameters
         ----------
+        deadline : float
+            When the time limit of the request is over.
         output_tokens : int
             Tokens that the request may generate, 0 if unknown.
         request_id : RequestId or None
             Only logged.
-        time_limit_s : float or None
-            How long its caller waits, if the caller says so.
-        running_s : float
-            For how long the oldest unfinished request of the route has been running.
+        longest_running : callable
+            Returns for how many seconds the oldest unfinished request of the route has
+            been running.
         """
+        if self.has_ended:
+            raise NotRun("The daemon has ended", retry_after_s=RETRY_AFTER_S)
         if self.ends_at is None:
             return
-        left_s = self.ends_at - self._clock.seconds()
-        expected_s = self.expected_duration(route, output_tokens, running_s)
-        if time_limit_s is not None:
-            expected_s = min(expected_s, time_limit_s)
+        now = self._clock.seconds()
+        left_s = self.ends_at - now
+        basis, expected_s = AdmissionBasis.TIME_LIMIT, deadline - now
+        if expected_s > left_s and self._may_estimate(route, now):
+            basis = AdmissionBasis.ESTIMATE
+            estimated_s = self.expected_duration(
+                route, output_tokens, longest_running()
+            )
+            expected_s = min(expected_s, estimated_s)
         log.info(
             "request during shutdown",
             extra={
                 "request": request_id,
                 "route": route.id,
                 "accepted": expected_s <= left_s,
+                "basis": basis.value,
                 "left_ms": round(left_s * 1_000),
                 "expected_ms": round(expected_s * 1_000),
                 "observed": len(self._durations_by_route.get(route.id, ())),
@@ -121,11 +160,18 @@
         )
         if expected_s > left_s:
             raise NotRun(
-                f"The daemon ends in {left_s:.1f} s; requests of route {route.id} "
-                f"take up to {expected_s:.1f} s",
+                f"The daemon ends in {left_s:.1f} s; the request of route {route.id} "
+                f"may take {expected_s:.1f} s by its {basis.value}",
                 retry_after_s=RETRY_AFTER_S,
             )
 
+    def _may_estimate(self, route: Route, now: float) -> bool:
+        """Return whether a request may be accepted although it could be cut.
+
+        The caller of a request that must not be repeated could not make up for a cut.
+        """
+        return now < self._estimates_until and route.kind is not RouteKind.AT_MOST_ONCE
+
     def expected_duration(
         self, route: Route, output_tokens: int = 0, running_s: float = 0.0
     ) -> float:
@@ -153,4 +199,4 @@
         return min(route.timeout_s, expected_s + SERVER_SILENCE_S)
 
 
-__all__ = ["RETRY_AFTER_S", "ShutdownAdmission"]
+__all__ = ["ShutdownAdmission"]
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -123,6 +123,9 @@
 # New connections are accepted for this long after SIGTERM, since some callers cache an
 # address response three times as long as its TTL.
 ACCEPT_AFTER_SIGTERM_S = 3 * ADDRESS_TTL_S + 0.5
+# Operators allow for cuts of requests that callers sent up to 3 s after SIGTERM; the
+# signal may be noticed late.
+ESTIMATES_AFTER_SIGTERM_S = 2.5
 HOUSEKEEPING_INTERVAL_S = 1.0
 
 log = ComponentLogger("serving")
@@ -498,7 +501,9 @@
         shutdown_deadline = (
             leaving_since + self._settings.bounds.shutdown_s - SHUTDOWN_RESERVE_S
         )
-        self._forwarder.shutdown.ends_at = shutdown_deadline
+        self._forwarder.shutdown.begin(
+            shutdown_deadline, leaving_since + ESTIMATES_AFTER_SIGTERM_S
+        )
         self._withdraw()
         await sleep_until(
             self._reactor,
--- a/src/chivesaddle/standins/platform_server.py
+++ b/src/chivesaddle/standins/platform_server.py
@@ -57,6 +57,8 @@
         Refuse requests with 503 and ask to return after this time; 0 disables it.
     is_leaving : bool
         Say in all responses that the server leaves.
+    processing_time_s : float
+        Time before a response begins, in seconds.
     event_interval_s : float
         Time between the events of a stream, in seconds.
     crash_marker : str
@@ -77,6 +79,7 @@
     limit_per_s: float = 0.0
     refuse_s: float = 0.0
     is_leaving: bool = False
+    processing_time_s: float = PROCESSING_TIME_S
     event_interval_s: float = EVENT_INTERVAL_S
     crash_marker: str = ""
     crash_part: str = ""
@@ -171,7 +174,8 @@
         # Without an id, the request line is recorded, so that the request can be
         # traced.
         self.runs.append(request_id or f"{request.method!r} {request.target!r}")
-        await sleep_until(self.reactor, self.reactor.seconds() + PROCESSING_TIME_S)
+        began_at = self.reactor.seconds()
+        await sleep_until(self.reactor, began_at + self.faults.processing_time_s)
         marker = self.faults.crash_marker
         if marker and marker.encode() in request.target:
             os._exit(1)
