Trust no list of servers that a daemon reads right after the store returned

What callers could see: after all daemons were killed around a drill of the store, a stream that is taken up could go on at another software version than the one that began it, which servers do not check.

A process that starts after the store returned from a copy takes the first era that it learns for granted, so SoftwareView and VersionQuestions took the list of servers for whole, although servers write their lost entries again within 2 s.

Evidence: the two new tests of the era and the one of the daemon failed before: a daemon that learned era 1 as its first one confirmed the list at once. Not shown with real processes.

Why this works: a first era above 0 now counts as one that may have risen just then. A store that never returned names 0, so nothing changes there.

--- a/src/chivesaddle/objects/era.py
+++ b/src/chivesaddle/objects/era.py
@@ -33,7 +33,8 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._is_known = False
+        # When the first era was learned, None before.
+        self._known_since: float | None = None
         self._listeners: list[Callable[[], None]] = []
         self.current = 0
         self.rose_at: float | None = None
@@ -44,7 +45,9 @@
 
     def observe(self, era: int) -> None:
         """Record an era that the store, or a peer, named."""
-        was_known, self._is_known = self._is_known, True
+        was_known = self._known_since is not None
+        if not was_known:
+            self._known_since = self._clock.seconds()
         if era <= self.current:
             return
         previous, self.current = self.current, era
@@ -63,5 +66,18 @@
             self.rose_at is not None and self._clock.seconds() - self.rose_at < seconds
         )
 
+    def may_have_risen_within(self, seconds: float) -> bool:
+        """Return whether the store may have returned from a copy less than that ago.
+
+        A process that has just learned its first era cannot tell since when it counts.
+        """
+        if self.rose_within(seconds):
+            return True
+        return (
+            self.current > 0
+            and self._known_since is not None
+            and self._clock.seconds() - self._known_since < seconds
+        )
+
 
 __all__ = ["StoreEra"]
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -590,7 +590,7 @@
 
         After it returned from a copy, servers first write their entries again.
         """
-        return not self._era.rose_within(REAPPEARANCE_S)
+        return not self._era.may_have_risen_within(REAPPEARANCE_S)
 
     def _answer_readiness(self, request: Request, responder: Responder) -> None:
         if request.target.partition(b"?")[0] != READINESS_PATH:
--- a/tests/objects/test_era.py
+++ b/tests/objects/test_era.py
@@ -33,6 +33,21 @@
         era.observe(5)
         assert era.rose_at is None
 
+    def test_first_era_may_have_risen_just_before(self, clock):
+        """Guards against a process that starts after a return and trusts the copy."""
+        era = StoreEra(clock)
+        era.observe(1)
+        assert era.may_have_risen_within(2.0)
+        clock.advance(1.0)
+        era.observe(1)
+        clock.advance(1.0)
+        assert not era.may_have_risen_within(2.0)
+
+    def test_store_that_never_returned_has_not_risen(self, clock):
+        era = StoreEra(clock)
+        era.observe(0)
+        assert not era.may_have_risen_within(2.0)
+
     def test_rise_is_told_once(self, clock):
         era, told = StoreEra(clock), []
         era.add_listener(lambda: told.append(era.current))
--- a/tests/serving/test_store_return.py
+++ b/tests/serving/test_store_return.py
@@ -1,17 +1,24 @@
 """The platform's store returns from a copy that is some seconds old."""
 
+import json
+
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 from twisted.internet.task import Clock
+from twisted.internet.testing import MemoryReactorClock
 
 from chivesaddle.core.ids import BackendServerId, ModelId
 from chivesaddle.core.serving_model import ServerState
 from chivesaddle.fleet.members import MEMBERS_KIND
 from chivesaddle.platform import CONFIG_KIND, SERVERS_KIND, VERSIONS_KIND
+from chivesaddle.serving.app import ServingDaemon
+from chivesaddle.serving.documents import REAPPEARANCE_S
+from chivesaddle.serving.settings import ServingSettings
 
 from .conftest import StoreFleet
+from .test_settings import VALID
 
 SERVER = BackendServerId("s1")
 MODEL = ModelId("m")
@@ -280,3 +287,16 @@
     deadline=None,
     database=None,
 )
+
+
+def test_daemon_that_starts_afterwards_does_not_trust_the_list_of_servers(tmp_path):
+    """Guards against a copy without a new software version that is taken for whole."""
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(VALID))
+    reactor = MemoryReactorClock()
+    daemon = ServingDaemon(ServingSettings.from_config(path), reactor)
+    assert daemon._lists_all_servers()
+    daemon._era.observe(1)
+    assert not daemon._lists_all_servers()
+    reactor.advance(REAPPEARANCE_S)
+    assert daemon._lists_all_servers()
