Read the platform's other instances beside one that daemons cannot read

What callers saw: nothing at first; but chivesaddled sent requests to servers that the platform lists as leaving, and knew no new daemon, from the moment when one object of kind "instances" was no object with text fields.

Its list of instances is applied as a whole, unchecked, and the error of one value ended the zone reader's loops for good, as any unexpected error did.

Evidence: six odd values of one instance in tests/peers/test_service.py: in each case the log said "zone reader loop failed" at all three zone readers, and later instances were known to no daemon. A listener that raises once had the same effect. All seven tests failed before and pass.

Why this works: an unreadable value counts as an instance without a role where it enters the table, from the store or from a push, and an unexpected error fails one reading, which is repeated after a second.

--- a/src/chivesaddle/peers/instances.py
+++ b/src/chivesaddle/peers/instances.py
@@ -3,10 +3,40 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
+from chivesaddle.core.logs import ComponentLogger
+
 MAX_TOMBSTONES = 10_000
+# Fields that daemons read, all of them text.
+READ_FIELDS = (
+    "role",
+    "state",
+    "zone",
+    "region",
+    "url",
+    "peer_address",
+    "caller_url",
+    "operator_url",
+)
 
 InstanceValue = dict[str, Any] | None
 
+log = ComponentLogger("instances")
+
+
+def _readable(name: str, value: Any) -> InstanceValue:
+    """Return a value that daemons can read; without fields if it is unreadable.
+
+    Any program may write to the list. An instance without fields has no role.
+    """
+    if value is None:
+        return None
+    if isinstance(value, dict) and all(
+        isinstance(value.get(field, ""), str) for field in READ_FIELDS
+    ):
+        return value
+    log.warning("unreadable instance: %s", name)
+    return {}
+
 
 class InstanceTable:
     """Instance values by name, each with the revision of its last change.
@@ -46,7 +76,8 @@
         if self.revision == 0:
             self._min_base_revision = revision
         current = self.values_by_name
-        changed = {n: v for n, v in values.items() if current.get(n) != v}
+        readable = {name: _readable(name, value) for name, value in values.items()}
+        changed = {n: v for n, v in readable.items() if current.get(n) != v}
         deleted = {name: None for name in current.keys() - values.keys()}
         self.update(revision, [*changed.items(), *deleted.items()])
 
@@ -58,7 +89,7 @@
             return
         for name, value in changes:
             self._revision_and_value_by_name.pop(name, None)
-            self._revision_and_value_by_name[name] = (revision, value)
+            self._revision_and_value_by_name[name] = revision, _readable(name, value)
         self.revision = revision
         self._drop_tombstones()
 
--- a/src/chivesaddle/peers/zone_reader.py
+++ b/src/chivesaddle/peers/zone_reader.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 
 from chivesaddle.core.aio import Clock, log_failure, sleep_until, start, with_deadline
 from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded
@@ -107,9 +107,16 @@
             return None
         except RevisionCompacted:
             return None
-        # A malformed object in a refresh must not end the loop.
-        except ChivesaddleError as error:
-            _log.error("platform read failed: %s", error)
+        except CancelledError:
+            raise
+        # A malformed object must not end the loop.
+        except Exception as error:
+            is_expected = isinstance(error, ChivesaddleError)
+            _log.error(
+                "platform read failed: %r",
+                error,
+                exc_info=None if is_expected else error,
+            )
             return None
         self._on_platform_call(True)
         return revision
--- a/tests/peers/test_service.py
+++ b/tests/peers/test_service.py
@@ -93,6 +93,45 @@
         fleet.advance(3)
         assert all(d.peers.membership.get("daemon-9") for d in fleet.daemons)
 
+    @pytest.mark.parametrize(
+        "odd_value",
+        [
+            "unreadable",
+            5,
+            ["role"],
+            {"role": ["daemon"]},
+            {"role": "daemon", "zone": {}},
+            {"role": "backend_server", "state": "leaving", "url": []},
+        ],
+    )
+    def test_an_unreadable_instance_hides_no_other(self, fleet, odd_value):
+        """Guards against an entry of another writer that ends the watch of the list."""
+        listed = []
+        fleet.daemons[4].peers.on_instances(listed.append)
+        fleet.write("instances", "odd", odd_value)
+        fleet.advance(3)
+        value = {"role": "daemon", "zone": "zone-1", "peer_address": "10.0.0.9:7000"}
+        fleet.write("instances", "daemon-9", value)
+        fleet.advance(3)
+        assert all(d.peers.membership.get("daemon-9") for d in fleet.daemons)
+        assert listed[-1]["odd"] == {}
+
+    def test_a_failing_listener_does_not_end_the_watch(self, fleet):
+        """Guards against one unexpected error that hides all later instances."""
+        seen = []
+
+        def fail_once(values):
+            seen.append(values)
+            if len(seen) == 1:
+                raise RuntimeError("unexpected")
+
+        fleet.daemons[0].peers.on_instances(fail_once)
+        fleet.write("instances", "daemon-8", {"role": "daemon", "zone": "zone-1"})
+        fleet.advance(3)
+        fleet.write("instances", "daemon-9", {"role": "daemon", "zone": "zone-1"})
+        fleet.advance(3)
+        assert "daemon-9" in seen[-1]
+
     def test_pushes_relay_the_lease_version(self, fleet):
         assert fleet.daemons[3].lease.observed == 1
 
