Refuse waiting requests as soon as a shutdown leaves no time for them

What callers saw: a request that waited for capacity when its daemon was stopped kept waiting, for up to 1.6 s, and was then refused although a server had room, since it was too late to send it.

Cause: waiting requests were compared with the end of the daemon only when a server had room.

Evidence: test_waiting_request_is_refused_as_soon_as_it_can_no_longer_be_sent fails without the two calls of _refuse_waiting (no response until then).

Why this works: what may still be sent changes at the begin of the shutdown and when estimates end to count, so the queues are asked at these moments; callers return to another daemon at once.

--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -222,6 +222,22 @@
             self._tasks.add(task)
             task.addBoth(lambda _: self._tasks.discard(task))
 
+    def begin_shutdown(self, ends_at: float, estimates_until: float) -> None:
+        """Begin to refuse requests that may outlast the daemon.
+
+        Those that wait for capacity are refused as soon as they can no longer be sent.
+        Parameters are those of `ShutdownAdmission.begin`.
+        """
+        self.shutdown.begin(ends_at, estimates_until)
+        self._refuse_waiting()
+        self._clock.callLater(
+            max(0.0, estimates_until - self._clock.seconds()), self._refuse_waiting
+        )
+
+    def _refuse_waiting(self) -> None:
+        for queue in self._queues_by_service.values():
+            queue.refuse_waiting()
+
     def end_requests(self) -> None:
         """End all requests, since the daemon ends.
 
@@ -287,6 +303,11 @@
             lambda: self._longest_running(context.route),
         )
 
+    def _check_may_begin(self, context: RequestContext) -> None:
+        """Raise `NotRun` if a request that has not run must not begin any more."""
+        if context.runs == 0:
+            self._check_shutdown(context)
+
     def _longest_running(self, route: Route) -> float:
         """Return the age in seconds of the route's oldest unfinished request, or 0."""
         now = self._clock.seconds()
@@ -444,8 +465,7 @@
             await self._stream_software.resume(context)
         while True:
             if peers := self._peers_to_pass_to(context):
-                if context.runs == 0:
-                    self._check_shutdown(context)
+                self._check_may_begin(context)
                 await self._passer.pass_on(context, relay, peers)
                 return
             try:
@@ -453,9 +473,8 @@
             except NoPath:
                 continue
             self._check_may_send(context)
-            if context.runs == 0:
-                # It may have waited for capacity since its arrival.
-                self._check_shutdown(context)
+            # It may have waited for capacity since its arrival.
+            self._check_may_begin(context)
             if context.sends == 0:
                 self._budget.record_request(context.service)
             elif context.arrivals and not self._budget.try_acquire(context.service):
@@ -537,7 +556,9 @@
         queue = self._queue_of(context.service)
         try:
             return await queue.wait_for_capacity(
-                memory_request, lambda reserved: self._choose(context, reserved)
+                memory_request,
+                lambda reserved: self._choose(context, reserved),
+                lambda: self._check_may_begin(context),
             )
         except NoCapacity as error:
             if context.runs:
--- a/src/chivesaddle/placement/waiting.py
+++ b/src/chivesaddle/placement/waiting.py
@@ -48,6 +48,8 @@
 
 # Chooses a server; the argument holds the servers that are reserved for other requests.
 ChooseServer = Callable[[Collection[BackendServerId]], Candidate]
+# Raises the error of a request that must not wait any longer.
+CheckMayWait = Callable[[], None]
 # Returns the free memory in tokens of each server that can start a request now; None if
 # the service has no server, which ends the waiting requests.
 FreeMemory = Callable[[], Mapping[BackendServerId, int] | None]
@@ -129,6 +131,7 @@
 class _QueuedRequest:
     memory_request: MemoryRequest
     choose: ChooseServer
+    check_may_wait: CheckMayWait
     ready: Deferred[Candidate] = field(default_factory=Deferred)
 
 
@@ -175,10 +178,15 @@
         return len(self._queue)
 
     async def wait_for_capacity(
-        self, memory_request: MemoryRequest, choose: ChooseServer
+        self,
+        memory_request: MemoryRequest,
+        choose: ChooseServer,
+        check_may_wait: CheckMayWait = lambda: None,
     ) -> Candidate:
         """Return a server that has capacity for the request.
 
+        ``check_may_wait`` is only called by `refuse_waiting`.
+
         Raises
         ------
         NoCapacity
@@ -199,7 +207,7 @@
             self._record_sent(memory_request, candidate)
             return candidate
         if self._fair is not None:
-            queued = _QueuedRequest(memory_request, choose)
+            queued = _QueuedRequest(memory_request, choose, check_may_wait)
             self._enter(queued, self._fair, candidate.has_capacity)
             return await self._wait_until_ready(queued)
         ahead = [
@@ -216,11 +224,21 @@
                 f"{len(ahead)} requests wait for memory; predicted wait {wait_s:.1f} s",
                 retry_after_s=wait_s,
             )
-        queued = _QueuedRequest(memory_request, choose)
+        queued = _QueuedRequest(memory_request, choose, check_may_wait)
         self._queue.append(queued)
         self._schedule_poll()
         return await self._wait_until_ready(queued)
 
+    def refuse_waiting(self) -> None:
+        """Refuse the requests that must not wait any longer; the others go on."""
+        for queued in list(self._queue):
+            if queued.ready.called:
+                continue
+            try:
+                queued.check_may_wait()
+            except ChivesaddleError as error:
+                self._resolve(queued, error)
+
     async def _wait_until_ready(self, queued: _QueuedRequest) -> Candidate:
         try:
             return await queued.ready
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -501,7 +501,7 @@
         shutdown_deadline = (
             leaving_since + self._settings.bounds.shutdown_s - SHUTDOWN_RESERVE_S
         )
-        self._forwarder.shutdown.begin(
+        self._forwarder.begin_shutdown(
             shutdown_deadline, leaving_since + ESTIMATES_AFTER_SIGTERM_S
         )
         self._withdraw()
--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -22,7 +22,7 @@
 
 def begin_shutdown(harness, ends_in_s=ENDS_AT_S, estimates_for_s=ESTIMATES_UNTIL_S):
     now = harness.reactor.seconds()
-    harness.forwarder.shutdown.begin(now + ends_in_s, now + estimates_for_s)
+    harness.forwarder.begin_shutdown(now + ends_in_s, now + estimates_for_s)
 
 
 def stopping_admission(harness, ends_at=ENDS_AT_S, estimates_until=ESTIMATES_UNTIL_S):
@@ -207,6 +207,25 @@
     assert harness.results.count("not_run") == 1
 
 
+def test_waiting_request_is_refused_as_soon_as_it_can_no_longer_be_sent(harness):
+    """Guards against callers that wait for a server which they no longer get."""
+    for number in range(MIN_REMEMBERED_DURATIONS):
+        serve_stream(harness, harness.caller(), f"b{number}", 0.1)
+    harness.use_model_engines()
+    for number in range(2):
+        send_prompt(harness.caller(), f"h{number}", tokens=100)
+    waiting, quick = harness.caller(), harness.caller()
+    begin_shutdown(harness)
+    harness.advance(ESTIMATES_UNTIL_S - 0.2)
+    send_prompt(waiting, "w1", tokens=100)
+    send_prompt(quick, "w2", tokens=100, time_limit_ms=4_000)
+    assert not waiting.received()
+    harness.advance(0.2)
+    assert waiting.status == 503
+    assert b"retry-after" in waiting.received().lower()
+    assert not quick.received()
+
+
 def test_request_that_waits_when_the_daemon_ends_is_refused_as_not_run(harness, caller):
     """Guards against closed connections of requests that no server got."""
     harness.use_model_engines()
@@ -243,8 +262,9 @@
     assert harness.connections == []
 
 
-def send_prompt(caller, request_id, tokens):
-    headers = "X-Chivesaddle-Model: m\r\nX-Chivesaddle-Token-Counts: "
+def send_prompt(caller, request_id, tokens, time_limit_ms=9_000):
+    headers = f"X-Chivesaddle-Deadline-Milliseconds: {time_limit_ms}\r\n"
+    headers += "X-Chivesaddle-Model: m\r\nX-Chivesaddle-Token-Counts: "
     headers += f"{tokens - 1},1\r\nX-Chivesaddle-Prompt-Prefix: {request_id}:{tokens}"
     caller.request("/stream/x", request_id=request_id, headers=headers)
 
