Count the time of a shutdown from the signal

A daemon whose event loop was held up when SIGTERM arrived would have waited for requests in flight until after SIGKILL, which cuts them without a line in the log.

Cause: the end of the daemon was derived from when the event loop ran the shutdown, not from when the signal arrived.

Evidence: test_time_of_the_shutdown_counts_from_the_signal: with a shutdown that runs 0.9 s after the signal, the daemon would end 0.5 s after SIGKILL; the test fails if the end is derived from the time of the call. Not shown with real processes: a process that does not run at all gets the signal late, which this does not change.

Why this works: Python runs signal handlers between bytecodes, also while the event loop is busy with Python code. The line "leaving" has the delay.

--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -124,7 +124,7 @@
 # address response three times as long as its TTL.
 ACCEPT_AFTER_SIGTERM_S = 3 * ADDRESS_TTL_S + 0.5
 # Operators allow for cuts of requests that callers sent up to 3 s after SIGTERM; the
-# signal may be noticed late.
+# process may get the signal late.
 ESTIMATES_AFTER_SIGTERM_S = 2.5
 HOUSEKEEPING_INTERVAL_S = 1.0
 
@@ -490,24 +490,35 @@
         )
         log.info("started", extra={"zone": self._settings.zone})
 
-    async def stop(self) -> None:
-        """Withdraw this daemon's address, wait for requests in flight, and stop."""
+    async def stop(self, signalled_at: float) -> None:
+        """Withdraw this daemon's address, wait for requests in flight, and stop.
+
+        Parameters
+        ----------
+        signalled_at : float
+            When the signal to stop arrived, in seconds of the reactor's clock.
+        """
         self._is_leaving = True
         if self._caller_listener is None:
             log.info("stopped before the start")
             return
-        leaving_since = self._reactor.seconds()
-        log.info("leaving", extra={"in_flight": self._caller_listener.in_flight})
+        log.info(
+            "leaving",
+            extra={
+                "in_flight": self._caller_listener.in_flight,
+                "signal_age_ms": round((self._reactor.seconds() - signalled_at) * 1e3),
+            },
+        )
         shutdown_deadline = (
-            leaving_since + self._settings.bounds.shutdown_s - SHUTDOWN_RESERVE_S
+            signalled_at + self._settings.bounds.shutdown_s - SHUTDOWN_RESERVE_S
         )
         self._forwarder.begin_shutdown(
-            shutdown_deadline, leaving_since + ESTIMATES_AFTER_SIGTERM_S
+            shutdown_deadline, signalled_at + ESTIMATES_AFTER_SIGTERM_S
         )
         self._withdraw()
         await sleep_until(
             self._reactor,
-            min(leaving_since + ACCEPT_AFTER_SIGTERM_S, shutdown_deadline),
+            min(signalled_at + ACCEPT_AFTER_SIGTERM_S, shutdown_deadline),
         )
         self._caller_listener.start_draining()
         self._caller_listener.stop()
--- a/src/chivesaddle/serving/main.py
+++ b/src/chivesaddle/serving/main.py
@@ -57,16 +57,20 @@
         log.error("not started", extra={"cause": failure.getErrorMessage()})
         reactor.stop()
 
-    def stop() -> None:
+    def stop(signalled_at: float) -> None:
         nonlocal stopping
         if not stopping:
             stopping = True
-            stopped = start(daemon.stop())
+            stopped = start(daemon.stop(signalled_at))
             stopped.addErrback(log_failure(log, "shutdown failed"))
             stopped.addBoth(lambda _: reactor.stop())
 
-    signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(stop))
-    signal.signal(signal.SIGINT, lambda *_: reactor.callFromThread(stop))
+    def handle_stop_signal(*_: Any) -> None:
+        # A busy event loop runs `stop` later; the time until SIGKILL counts from now.
+        reactor.callFromThread(stop, reactor.seconds())
+
+    signal.signal(signal.SIGTERM, handle_stop_signal)
+    signal.signal(signal.SIGINT, handle_stop_signal)
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(daemon.reload, path))
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD_OBJECTS, 50, 100)
--- a/tests/serving/test_stop.py
+++ b/tests/serving/test_stop.py
@@ -52,7 +52,7 @@
     for component in (daemon._registration, daemon._rollout, daemon._beacons):
         monkeypatch.setattr(component, "start", lambda: started.append(1))
     start(daemon.start())
-    stopping = start(daemon.stop())
+    stopping = start(daemon.stop(reactor.seconds()))
     listening.callback(None)
     for _ in range(100):
         reactor.advance(0.1)
@@ -66,7 +66,7 @@
     start(daemon.start())
     for _ in range(30):
         reactor.advance(0.1)
-    start(daemon.stop())
+    start(daemon.stop(reactor.seconds()))
     for _ in range(15):
         reactor.advance(0.1)
     assert not daemon._loop_lag.was_late
@@ -88,9 +88,23 @@
     reactor.advance(0.1)
     method = "stop" if component == "_registration" else "announce_leaving"
     monkeypatch.setattr(getattr(daemon, component), method, fail)
-    stopping = start(daemon.stop())
+    stopping = start(daemon.stop(reactor.seconds()))
     reactor.advance(1.0)
     assert not stopping.called
     for _ in range(100):
         reactor.advance(0.1)
     assert stopping.called
+
+
+def test_time_of_the_shutdown_counts_from_the_signal(daemon, reactor, listening):
+    """Guards against SIGKILL before a busy daemon has ended its requests."""
+    listening.callback(None)
+    start(daemon.start())
+    signalled_at = reactor.seconds()
+    reactor.advance(0.9)
+    stopping = start(daemon.stop(signalled_at))
+    shutdown_s = VALID["bounds"]["shutdown_s"]
+    assert daemon._forwarder.shutdown.ends_at < signalled_at + shutdown_s
+    while not stopping.called:
+        reactor.advance(0.1)
+    assert reactor.seconds() < signalled_at + shutdown_s
