Find out from peers without traffic that only this daemon is cut off

Cause: a daemon needs the report of a peer that a silent service answers. The one daemon that was answered had too few requests for reports in time. Requests that were given up after 0.75 s did not count as silence, and requests were passed on in random order, mostly to daemons cut off as well.

Why this works: a daemon that sees silence asks, and a peer that reaches the service answers from its own traffic or from a health request, so that no traffic is needed as evidence. While no server answers, no peer does either.

--- a/src/chivesaddle/fleet/beacons.py
+++ b/src/chivesaddle/fleet/beacons.py
@@ -154,7 +154,7 @@
     ) -> None:
         """Replace the servers that a peer does not reach."""
 
-    def apply_answering_services(self, services: Sequence[int]) -> None:
+    def apply_answering_services(self, peer: str, services: Sequence[int]) -> None:
         """Record the services that send bytes to a peer."""
 
 
@@ -242,7 +242,7 @@
             beacon.daemon, beacon.shares, beacon.loading, valid_s
         )
         self._receiver.apply_lost_servers(beacon.daemon, beacon.lost, valid_s)
-        self._receiver.apply_answering_services(beacon.answering)
+        self._receiver.apply_answering_services(beacon.daemon, beacon.answering)
         if beacon.is_working:
             self._receiver.observe_store(beacon.daemon, beacon.reaches_store)
         version, age_ms = beacon.lease
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -1,7 +1,7 @@
 """Per-server state that this daemon has observed or received from its peers."""
 
 import math
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from enum import Enum
@@ -27,6 +27,8 @@
 EJECT_AFTER_FAILURES = 2
 MIN_EJECTION_S = 0.5
 MAX_EJECTION_S = 4.0
+# Requests without a response byte of which each server keeps how long they waited.
+MAX_GIVEN_UP = 8
 # Weight of the newest outcome in a server's failure rate.
 LATEST_OUTCOME_WEIGHT = 0.15
 # A server whose entry expired while the store was unavailable writes it again within
@@ -77,6 +79,9 @@
     unanswered : dict
         Send times of requests without any response byte, by serial number; the oldest
         is first.
+    given_up : deque
+        When the latest requests that ended without any response byte were sent, and
+        when they ended; none from before the server's last byte.
     limit : ServerLimit or None
         Limit on the requests of all daemons together, if the server has named one.
     turn_at : float
@@ -102,6 +107,9 @@
     in_flight: InFlightRequests = field(default_factory=InFlightRequests)
     peer_loads: PeerLoads = field(default_factory=PeerLoads)
     unanswered: dict[int, float] = field(default_factory=dict)
+    given_up: deque[tuple[float, float]] = field(
+        default_factory=lambda: deque(maxlen=MAX_GIVEN_UP)
+    )
     last_byte_at: float = -math.inf
     running: int = 0
     waiting: int = 0
@@ -452,6 +460,7 @@
                 now = self._clock.seconds()
             tracked.unanswered.pop(serial, None)
             tracked.last_byte_at = now
+            tracked.given_up.clear()
             tracked.path.record_bytes(connected_at, now)
             if tracked.path.awaits_bytes:
                 self.record_answer(server)
@@ -655,7 +664,9 @@
         if tracked is None:
             return
         tracked.in_flight.remove(serial)
-        tracked.unanswered.pop(serial, None)
+        sent_at = tracked.unanswered.pop(serial, None)
+        if sent_at is not None and outcome in (None, ExchangeOutcome.BROKEN):
+            tracked.given_up.append((sent_at, self._clock.seconds()))
         self._schedule_capacity_freed(tracked.entry.service)
         match outcome:
             case None | ExchangeOutcome.REFUSED:
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -79,6 +79,7 @@
     encode_peer_headers,
     encode_server_headers,
 )
+from chivesaddle.serving.answer_questions import AnswerQuestions
 from chivesaddle.serving.beacon_content import BeaconContent
 from chivesaddle.serving.departed import DepartedMembers
 from chivesaddle.serving.documents import (
@@ -90,6 +91,8 @@
 from chivesaddle.serving.loop_lag import LoopLag
 from chivesaddle.serving.metrics import ServingMetrics
 from chivesaddle.serving.notices import (
+    AnswerQuestion,
+    AnswerReport,
     CrashNotice,
     LimitNotice,
     OriginNotice,
@@ -345,7 +348,17 @@
             | LimitNotice
             | OriginNotice
             | OriginQuestion
-            | VersionsAnswer,
+            | VersionsAnswer
+            | AnswerQuestion
+            | AnswerReport,
+        )
+        self._answer_questions = AnswerQuestions(
+            reactor,
+            self._members,
+            self._working_set,
+            self._datagrams,
+            self._silent_paths,
+            self._paths,
         )
         self._crash_notices = NoticeSender(
             reactor,
--- a/src/chivesaddle/serving/beacon_content.py
+++ b/src/chivesaddle/serving/beacon_content.py
@@ -83,9 +83,10 @@
         """Return hashes of the services that have just sent bytes to this daemon."""
         return self._silent_paths.answering_services()
 
-    def apply_answering_services(self, services: Sequence[int]) -> None:
+    def apply_answering_services(self, peer: str, services: Sequence[int]) -> None:
         """Record the services that send bytes to a peer."""
         self._silent_paths.apply_answering_services(services)
+        self._paths.record_answering(peer, services)
 
     def apply_shares(
         self,
--- a/src/chivesaddle/serving/notices.py
+++ b/src/chivesaddle/serving/notices.py
@@ -74,7 +74,39 @@
     is_confirmed: bool
 
 
+class AnswerQuestion(msgspec.Struct, array_like=True, tag="answers?"):
+    """Asks whether a service answers the receiver.
+
+    Attributes
+    ----------
+    daemon : str
+        Id of the sender.
+    service : int
+        Hash of the service.
+    """
+
+    daemon: str
+    service: int
+
+
+class AnswerReport(msgspec.Struct, array_like=True, tag="answers"):
+    """Says that a service has just answered the sender.
+
+    Attributes
+    ----------
+    daemon : str
+        Id of the sender.
+    service : int
+        Hash of the service.
+    """
+
+    daemon: str
+    service: int
+
+
 __all__ = [
+    "AnswerQuestion",
+    "AnswerReport",
     "CrashNotice",
     "LimitNotice",
     "OriginNotice",
--- a/src/chivesaddle/serving/peer_paths.py
+++ b/src/chivesaddle/serving/peer_paths.py
@@ -17,6 +17,8 @@
 OWN_ZONE_WEIGHT = 3.0
 # Lost servers that a beacon names; one datagram takes some 250.
 MAX_NAMED_SERVERS = 128
+# A peer that a service answered within this time gets requests before the others.
+ANSWERING_FOR_S = 2.0
 # A daemon that reaches servers again is named to callers after this time.
 NAMED_AGAIN_AFTER_S = 1.0
 
@@ -55,12 +57,16 @@
         # Hashes of the servers that each peer does not reach, and until when the
         # report is valid.
         self._lost_by_peer: dict[str, tuple[frozenset[int], float]] = {}
+        # By peer and hash of a service: until when its answer to the peer counts.
+        self._answering_until: dict[tuple[str, int], float] = {}
         self._cut_off_until = 0.0
 
     def reaching(self, service: ServiceId) -> Sequence[PeerDaemon]:
-        """Return the daemons to pass on requests for a service to, in random order.
+        """Return the daemons to pass on requests for a service to.
 
-        Empty if this daemon reaches a server of the service itself.
+        Those that the service has answered lately are first: of the others, some may
+        reach no server either and not know it yet. The order is random otherwise. Empty
+        if this daemon reaches a server of the service itself.
         """
         if not self._lost_ready():
             return ()
@@ -68,10 +74,21 @@
             return ()
         servers = self._servers.of_service(service)
         members = self._reaching_any({server_hash(s.entry.id) for s in servers})
-        return [
-            PeerDaemon(DaemonId(member.id), member.callers)
-            for member in sorted(members, key=self._random_rank)
-        ]
+        now, key = self._clock.seconds(), server_hash(service)
+        ranked = sorted(
+            members,
+            key=lambda member: (
+                self._answering_until.get((member.id, key), 0.0) <= now,
+                self._random_rank(member),
+            ),
+        )
+        return [PeerDaemon(DaemonId(member.id), member.callers) for member in ranked]
+
+    def record_answering(self, peer: str, services: Collection[int]) -> None:
+        """Record that services, named by their hashes, answer a peer."""
+        until = self._clock.seconds() + ANSWERING_FOR_S
+        for service in services:
+            self._answering_until[peer, service] = until
 
     def is_member(self, host: str) -> bool:
         """Return whether an IP address is that of a daemon of the fleet."""
--- a/src/chivesaddle/serving/silent_paths.py
+++ b/src/chivesaddle/serving/silent_paths.py
@@ -10,7 +10,7 @@
 
 from twisted.internet.defer import Deferred
 
-from chivesaddle.core.aio import Clock, log_failure, sleep_until, start
+from chivesaddle.core.aio import Clock, Signal, log_failure, sleep_until, start
 from chivesaddle.core.ids import ServiceId
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.fleet import TickGrid
@@ -26,6 +26,8 @@
 # have waited as long, before its servers are asked for their health.
 SILENCE_S = 0.7
 MIN_UNANSWERED_REQUESTS = 3
+# Requests that were given up count for this time, since few may wait at a time.
+GIVEN_UP_FOR_S = 3.0
 # A peer reports a service that sent it a byte within this time, and the report counts
 # for this time. The sum is below `SILENCE_S`, so that no report from before all servers
 # stopped for a moment counts once they are silent.
@@ -40,14 +42,24 @@
 
 
 def is_silent(servers: Sequence[TrackedServer], now: float) -> bool:
-    """Return whether requests to the servers wait, and none sent a byte lately."""
+    """Return whether requests to the servers wait, and none sent a byte lately.
+
+    Requests count that wait, or were given up, since the last byte of any server.
+    """
     since = now - SILENCE_S
-    if any(server.last_byte_at > since for server in servers):
+    last_byte_at = max((s.last_byte_at for s in servers), default=-math.inf)
+    if last_byte_at > since:
         return False
     waiting = sum(
         sent_at <= since for server in servers for sent_at in server.unanswered.values()
     )
-    return waiting >= MIN_UNANSWERED_REQUESTS
+    given_up_since = max(last_byte_at, now - GIVEN_UP_FOR_S)
+    given_up = sum(
+        ended_at > given_up_since and ended_at - sent_at >= SILENCE_S
+        for server in servers
+        for sent_at, ended_at in server.given_up
+    )
+    return waiting + given_up >= MIN_UNANSWERED_REQUESTS
 
 
 class SilentPaths:
@@ -68,6 +80,11 @@
         Servers with requests; None walks over all.
     grid : TickGrid or None
         Times of the checks while there are none; None for one of its own.
+
+    Attributes
+    ----------
+    on_silence : callable
+        Called with a service that is silent while no peer has reported that it answers.
     """
 
     def __init__(
@@ -92,6 +109,11 @@
         # When a server of the service last answered a health request.
         self._answered_at_by_service: dict[ServiceId, float] = {}
         self._asking: set[Deferred[None]] = set()
+        self.on_silence: Callable[[ServiceId], None] = lambda service: None
+        # Services that are being asked for a peer, and when that began last.
+        self._checking: set[ServiceId] = set()
+        self._checked_at_by_service: dict[ServiceId, float] = {}
+        self._check_ended = Signal()
         self._loop: Deferred[None] | None = None
         self.health_requests_sent = 0
 
@@ -149,12 +171,12 @@
                 continue
             reached = [server for server in servers if server.path.lost_at is None]
             answered_at = self._answered_at_by_service.get(service, -math.inf)
-            if (
-                server_hash(service) in answering
-                and answered_at <= now - SILENCE_S
-                and is_silent(reached, now)
-            ):
+            if answered_at > now - SILENCE_S or not is_silent(reached, now):
+                continue
+            if server_hash(service) in answering:
                 self._ask_if_due(service, health_path)
+            else:
+                self.on_silence(service)
 
     def _servers_by_service(self) -> dict[ServiceId, list[TrackedServer]]:
         servers_by_service: dict[ServiceId, list[TrackedServer]] = {}
@@ -177,6 +199,52 @@
 
     async def _ask(self, service: ServiceId, health_path: str) -> None:
         """Judge the paths to a service by whether one of its servers answers at all."""
+        if await self._request_any_health(service, health_path):
+            for server in self._of_service(service):
+                self._servers.record_answer(server.entry.id)
+            return
+        reached = [s for s in self._of_service(service) if s.path.lost_at is None]
+        if is_silent(reached, self._clock.seconds()):
+            self._record_silent(service, reached)
+
+    async def is_answered(self, service_hash: int) -> bool:
+        """Return whether a service, named by its hash, answers this daemon.
+
+        If it has not sent a byte just now, two of its servers are asked.
+        """
+        for service in self._servers_by_service():
+            if server_hash(service) == service_hash:
+                return self._was_heard(service) or await self._check_for_peer(service)
+        return False
+
+    def _was_heard(self, service: ServiceId) -> bool:
+        since = self._clock.seconds() - HEARD_WITHIN_S
+        return self._answered_at_by_service.get(service, -math.inf) > since or any(
+            server.last_byte_at > since for server in self._of_service(service)
+        )
+
+    async def _check_for_peer(self, service: ServiceId) -> bool:
+        """Ask a service once for all peers that want to know now."""
+        health_path = self._health_path(service)
+        now = self._clock.seconds()
+        if health_path is None or not self._servers.has_path(service):
+            return False
+        if service in self._checking:
+            await self._check_ended.wait()
+            return self._was_heard(service)
+        checked_at = self._checked_at_by_service.get(service, -math.inf)
+        if now - checked_at < HEALTH_INTERVAL_S:
+            return False
+        self._checked_at_by_service[service] = now
+        self._checking.add(service)
+        try:
+            return await self._request_any_health(service, health_path)
+        finally:
+            self._checking.discard(service)
+            self._check_ended.set()
+
+    async def _request_any_health(self, service: ServiceId, health_path: str) -> bool:
+        """Return whether one of some servers of a service answers a health request."""
         # A server that accepts no connection says nothing of the paths to the others.
         servers = [
             server
@@ -194,12 +262,7 @@
                 request.cancel()
         if any(answers):
             self._answered_at_by_service[service] = self._clock.seconds()
-            for server in self._of_service(service):
-                self._servers.record_answer(server.entry.id)
-            return
-        reached = [s for s in self._of_service(service) if s.path.lost_at is None]
-        if is_silent(reached, self._clock.seconds()):
-            self._record_silent(service, reached)
+        return any(answers)
 
     async def _request_health(self, server: TrackedServer, health_path: str) -> bool:
         """Return whether the server responds, whatever it responds."""
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -60,7 +60,7 @@
     def answering_services(self):
         return []
 
-    def apply_answering_services(self, services):
+    def apply_answering_services(self, peer, services):
         pass
 
     def apply_lost_servers(self, peer, lost, valid_s):
--- a/tests/serving/test_peer_paths.py
+++ b/tests/serving/test_peer_paths.py
@@ -5,11 +5,12 @@
 import pytest
 
 from chivesaddle.core.ids import BackendServerId
+from chivesaddle.core.serving_model import ServerEntry, ServerState
 from chivesaddle.fleet import Member, Members, Replica
 from chivesaddle.fleet.beacons import server_hash
 from chivesaddle.fleet.members import MEMBERS_KIND
 from chivesaddle.placement import ServerTable
-from chivesaddle.serving.peer_paths import FleetPaths
+from chivesaddle.serving.peer_paths import ANSWERING_FOR_S, FleetPaths
 
 SERVERS = [BackendServerId("s0"), BackendServerId("s1")]
 
@@ -70,3 +71,20 @@
 
 def member(id):
     return Member(id, "1", "z0", f"{id}:80", f"{id}:81", 1.0)
+
+
+def test_peers_that_a_service_answered_lately_are_first(clock):
+    """Guards against requests that are passed on to a daemon that is cut off too."""
+    entry = ServerEntry("s0", "app", "s0", "z", 4, ServerState.READY, {}, 1, "")
+    servers = ServerTable(clock)
+    servers.put(entry)
+    peers = [member(f"d{number}") for number in range(1, 9)]
+    members = SimpleNamespace(is_cut_off=lambda id: False, own=member("d0"))
+    paths = FleetPaths(clock, members, SimpleNamespace(peers=lambda: peers), servers)
+    servers.record_connection_failure("s0", "refused")
+    paths.record_answering("d7", [server_hash("app")])
+    paths.record_answering("d3", [server_hash("other")])
+    firsts = {paths.reaching("app")[0].id for _ in range(50)}
+    assert firsts == {"d7"}
+    clock.advance(ANSWERING_FOR_S)
+    assert len({paths.reaching("app")[0].id for _ in range(50)}) > 1
--- a/tests/serving/test_silent_paths.py
+++ b/tests/serving/test_silent_paths.py
@@ -7,7 +7,7 @@
 
 from chivesaddle.core.serving_model import ServerEntry, ServerState
 from chivesaddle.http1 import ResponseBroken
-from chivesaddle.placement import ServerTable
+from chivesaddle.placement import ExchangeOutcome, ServerTable
 from chivesaddle.serving import silent_paths
 from chivesaddle.serving.silent_paths import SilentPaths
 
@@ -183,3 +183,23 @@
     first.is_connected = False
     fleet.play(2)
     assert not first.has_path
+
+
+def test_requests_given_up_before_a_byte_arrived_are_no_silence(fleet):
+    """Guards against judging a service by requests from before it answered again."""
+    first = fleet.first
+    fleet.play(1.0, sends=False)
+    for id in SERVERS:
+        serial = first.servers.record_send(id)
+        fleet.clock.advance(0.1)
+        first.servers.record_end(id, serial, ExchangeOutcome.BROKEN)
+    servers = list(first.servers.all())
+    assert not silent_paths.is_silent(servers, fleet.clock.seconds())
+    serials = [(id, first.servers.record_send(id)) for id in SERVERS]
+    fleet.clock.advance(0.8)
+    for id, serial in serials:
+        first.servers.record_end(id, serial, ExchangeOutcome.BROKEN)
+    assert silent_paths.is_silent(servers, fleet.clock.seconds())
+    first.send("s1", first_byte_s=0.0)
+    fleet.clock.advance(0.8)
+    assert not silent_paths.is_silent(servers, fleet.clock.seconds())
