--- a/src/chivesaddle/forwarding/shutdown.py
+++ b/src/chivesaddle/forwarding/shutdown.py
@@ -168,7 +168,8 @@
     def _may_estimate(self, route: Route, now: float) -> bool:
         """Return whether a request may be accepted although it could be cut.
 
-        The caller of a request that must not be repeated could not make up for a cut.
+        The caller of an action that is cut cannot know whether it has run. One whose
+        stream breaks off sees that and may ask again.
         """
         return now < self._estimates_until and route.kind is not RouteKind.AT_MOST_ONCE
 
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -1,7 +1,7 @@
 """Per-server state that this daemon has observed or received from its peers."""
 
 import math
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from enum import Enum
@@ -79,7 +79,7 @@
     unanswered : dict
         Send times of requests without any response byte, by serial number; the oldest
         is first.
-    given_up : deque
+    given_up : list
         When the latest requests that ended without any response byte were sent, and
         when they ended; none from before the server's last byte.
     limit : ServerLimit or None
@@ -107,9 +107,7 @@
     in_flight: InFlightRequests = field(default_factory=InFlightRequests)
     peer_loads: PeerLoads = field(default_factory=PeerLoads)
     unanswered: dict[int, float] = field(default_factory=dict)
-    given_up: deque[tuple[float, float]] = field(
-        default_factory=lambda: deque(maxlen=MAX_GIVEN_UP)
-    )
+    given_up: list[tuple[float, float]] = field(default_factory=list)
     last_byte_at: float = -math.inf
     running: int = 0
     waiting: int = 0
@@ -460,7 +458,8 @@
                 now = self._clock.seconds()
             tracked.unanswered.pop(serial, None)
             tracked.last_byte_at = now
-            tracked.given_up.clear()
+            if tracked.given_up:
+                tracked.given_up.clear()
             tracked.path.record_bytes(connected_at, now)
             if tracked.path.awaits_bytes:
                 self.record_answer(server)
@@ -667,6 +666,7 @@
         sent_at = tracked.unanswered.pop(serial, None)
         if sent_at is not None and outcome in (None, ExchangeOutcome.BROKEN):
             tracked.given_up.append((sent_at, self._clock.seconds()))
+            del tracked.given_up[:-MAX_GIVEN_UP]
         self._schedule_capacity_freed(tracked.entry.service)
         match outcome:
             case None | ExchangeOutcome.REFUSED:
--- a/src/chivesaddle/serving/peer_paths.py
+++ b/src/chivesaddle/serving/peer_paths.py
@@ -19,6 +19,8 @@
 MAX_NAMED_SERVERS = 128
 # A peer that a service answered within this time gets requests before the others.
 ANSWERING_FOR_S = 2.0
+# Answers to peers that are kept before expired ones are dropped.
+MAX_ANSWERS = 4_096
 # A daemon that reaches servers again is named to callers after this time.
 NAMED_AGAIN_AFTER_S = 1.0
 
@@ -86,9 +88,15 @@
 
     def record_answering(self, peer: str, services: Collection[int]) -> None:
         """Record that services, named by their hashes, answer a peer."""
-        until = self._clock.seconds() + ANSWERING_FOR_S
+        now = self._clock.seconds()
         for service in services:
-            self._answering_until[peer, service] = until
+            self._answering_until[peer, service] = now + ANSWERING_FOR_S
+        if len(self._answering_until) > MAX_ANSWERS:
+            self._answering_until = {
+                key: until
+                for key, until in self._answering_until.items()
+                if until > now
+            }
 
     def is_member(self, host: str) -> bool:
         """Return whether an IP address is that of a daemon of the fleet."""
