Use no connection after a silence that was opened during it

Cause: while requests wait on a silent path, it is probed every 0.5 s. The probes' connections are accepted and kept for requests, but carry nothing, also after the path is regained by a health request.

Evidence: the proxy of the test never serves a connection that it accepted while it hung. tests/serving/test_regained_paths.py and the new test of the probe fail before: two connections were kept, and used after the silence.

Why this works: silent paths are not probed, since an accepted connection says nothing of them, and when bytes arrive again the idle connections of the path are closed.

Also: a peer counts as answered for 0.7 s, less than until a silence is noticed, so that a daemon that was cut off at the same time is not preferred.

--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -225,6 +225,8 @@
         self.on_down: Callable[[BackendServerId], None] = lambda server: None
         # Called when a server does not accept connections of this daemon any more.
         self.on_path_lost: Callable[[ServerEntry], None] = lambda entry: None
+        # Called when bytes arrive again on a path that was lost for silence.
+        self.on_silence_ended: Callable[[ServerEntry], None] = lambda entry: None
         # Called when a server does so again that did not since the given time.
         self.on_path_regained: Callable[[TrackedServer, float], None] = lambda _, s: (
             None
@@ -487,6 +489,7 @@
             return
         lost_at = tracked.path.lost_at
         if tracked.path.record_answer(self._clock.seconds()):
+            self.on_silence_ended(tracked.entry)
             self._report_regained(tracked, lost_at)
 
     def _report_regained(self, tracked: TrackedServer, lost_at: float | None) -> None:
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -220,6 +220,10 @@
             self._grid,
         )
         self._servers.on_path_lost = self._give_up_connections
+        # Connections that were opened meanwhile may carry nothing for good.
+        self._servers.on_silence_ended = lambda entry: self._close_address(
+            entry.address
+        )
         self._servers.on_broken = self._path_probe.check
         watch_role = WatchRole(reactor, self._members, self._working_set)
         role_wait = RoleWait(reactor, watch_role.may_watch, self._grid)
--- a/src/chivesaddle/serving/path_probe.py
+++ b/src/chivesaddle/serving/path_probe.py
@@ -130,6 +130,9 @@
         for server in lost:
             self.check(server)
         for server in with_requests:
+            if server.path.awaits_bytes:
+                # That a connection opens says nothing of such a path.
+                continue
             is_silent = server.unresponsive_s(now) >= MAX_SILENCE_S
             if is_silent and now - server.path.connected_at >= MAX_SILENCE_S:
                 self.check(server)
--- a/src/chivesaddle/serving/peer_paths.py
+++ b/src/chivesaddle/serving/peer_paths.py
@@ -17,8 +17,10 @@
 OWN_ZONE_WEIGHT = 3.0
 # Lost servers that a beacon names; one datagram takes some 250.
 MAX_NAMED_SERVERS = 128
-# A peer that a service answered within this time gets requests before the others.
-ANSWERING_FOR_S = 2.0
+# A peer that a service answered within this time gets requests before the others. One
+# that lost its servers together with this daemon has no such report any more when this
+# daemon notices.
+ANSWERING_FOR_S = 0.7
 # Answers to peers that are kept before expired ones are dropped.
 MAX_ANSWERS = 4_096
 # A daemon that reaches servers again is named to callers after this time.
--- a/tests/serving/test_path_probe.py
+++ b/tests/serving/test_path_probe.py
@@ -88,6 +88,15 @@
         assert self.servers.path.lost_at is None
         assert self.pool.idle_connections == 1
 
+    def test_silent_path_is_not_probed(self):
+        """Guards against connections that carry nothing and are kept for requests."""
+        server = self.servers.all()[0]
+        server.unanswered, server.unresponsive_s = {1: 0.0}, lambda now: 5.0
+        self.servers.path.lost_at = None
+        self.servers.path.record_silence(0.0)
+        self.play(2)
+        assert self.pool.idle_connections == 0
+
     def test_check_that_fails_does_not_end_the_probes(self, monkeypatch):
         """Guards against paths that stay lost for good."""
 
