Take no response for whole whose connection was reset

Cause: the daemon looks at the socket of a response without length after each piece. A reset that has arrived by then is told to this look, once, and the reactor then reads an end, as after a close in order.

Evidence: a TCP pair that is reset: recv with MSG_PEEK raises, the next recv returns no bytes. The new tests of peek and of the client fail before.

Why this works: the look tells a failure from an end, and remembers it.

--- a/src/chivesaddle/http1/client.py
+++ b/src/chivesaddle/http1/client.py
@@ -126,6 +126,8 @@
         self._decoder: ChunkDecoder | None = None
         self.when_connected: Deferred[ServerConnection] = Deferred()
         self.lost = False
+        # Whether the kernel has told of a failure, which the reactor does not see then.
+        self._has_failed = False
         self.connected_at = 0.0
         self.idle_since = 0.0
         self.requests_sent = 0
@@ -154,7 +156,11 @@
         It knows of a close before the reactor does. Behind unread bytes, a close cannot
         be seen.
         """
-        return not self.lost and peek(self.transport) is UnreadInput.NONE
+        if self.lost:
+            return False
+        unread = peek(self.transport)
+        self._has_failed = self._has_failed or unread is UnreadInput.FAILURE
+        return unread is UnreadInput.NONE
 
     def send(
         self, method: bytes, target: bytes, headers: HeaderList, body: bytes
@@ -267,7 +273,7 @@
             if self.on_idle_loss is not None:
                 self.on_idle_loss(self)
             return
-        if reason.check(net_error.ConnectionDone):
+        if reason.check(net_error.ConnectionDone) and not self._has_failed:
             self._parse_response(b"")
         self._deliver(ResponseBroken(f"Connection lost: {reason.getErrorMessage()}"))
 
--- a/src/chivesaddle/http1/server.py
+++ b/src/chivesaddle/http1/server.py
@@ -134,7 +134,10 @@
         the request that it has just read.
         """
         transport = self.connection.transport
-        return self.is_disconnected or peek(transport) is UnreadInput.END
+        return self.is_disconnected or peek(transport) in (
+            UnreadInput.END,
+            UnreadInput.FAILURE,
+        )
 
     async def wait_writable(self) -> None:
         """Wait until the caller has read enough for more bytes to be written."""
--- a/src/chivesaddle/http1/sockets.py
+++ b/src/chivesaddle/http1/sockets.py
@@ -1,5 +1,6 @@
 """Socket options that detect connections to unresponsive peers."""
 
+import errno
 import socket
 from enum import Enum
 from typing import Any
@@ -20,8 +21,11 @@
 
     NONE = "none"
     BYTES = "bytes"
-    # The peer has closed the connection, or it has failed, and nothing is before that.
+    # The peer has closed the connection, and nothing is before that.
     END = "end"
+    # The connection has failed. The kernel tells that once only: the reactor's next
+    # read finds an end as if the peer had closed the connection in order.
+    FAILURE = "failure"
 
 
 def peek(transport: Any) -> UnreadInput:
@@ -36,8 +40,8 @@
         data = get_handle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except BlockingIOError:
         return UnreadInput.NONE
-    except OSError:
-        return UnreadInput.END
+    except OSError as error:
+        return UnreadInput.END if error.errno == errno.EBADF else UnreadInput.FAILURE
     return UnreadInput.BYTES if data else UnreadInput.END
 
 
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -1,7 +1,8 @@
+import errno
 import socket
 
 import pytest
-from twisted.internet.error import ConnectError, ConnectionLost
+from twisted.internet.error import ConnectError, ConnectionDone, ConnectionLost
 from twisted.internet.testing import (
     MemoryReactorClock,
     StringTransportWithDisconnection,
@@ -16,6 +17,7 @@
     ResponseBroken,
     exchange,
 )
+from chivesaddle.http1.client import ServerConnection
 from chivesaddle.http1.exchange import MAX_BODY_BYTES
 
 
@@ -103,3 +105,53 @@
             sent += 65_536
         assert sent <= MAX_BODY_BYTES + 2 * 65_536
         assert isinstance(take_error(result), ResponseBroken)
+
+
+class ResetSocket:
+    """Socket whose peer resets it; the kernel tells that once."""
+
+    def __init__(self):
+        self.has_failed = False
+
+    def setsockopt(self, *_):
+        pass
+
+    def recv(self, *_):
+        if not self.has_failed:
+            self.has_failed = True
+            raise ConnectionResetError(errno.ECONNRESET, "reset")
+        return b""
+
+
+class ResetTransport(StringTransportWithDisconnection):
+    def __init__(self):
+        super().__init__()
+        self.handle = ResetSocket()
+
+    def getHandle(self):  # noqa: N802
+        return self.handle
+
+    def setTcpNoDelay(self, _):  # noqa: N802
+        pass
+
+
+@pytest.mark.parametrize("is_looked_at", [False, True])
+def test_reset_is_no_end_of_a_response_without_length(is_looked_at):
+    """Guards against half a body that is taken for whole after a look at the socket."""
+    connection = ServerConnection()
+    transport = ResetTransport()
+    transport.protocol = connection
+    connection.makeConnection(transport)
+    connection.send("POST", b"/x", [(b"host", b"h")], b"x")
+    head = start(connection.read_head())
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+    assert head.result.status == 200
+    assert start(connection.read_chunk()).result == b"half"
+    rest = start(connection.read_chunk())
+    reason = ConnectionLost()
+    if is_looked_at:
+        assert not connection.is_seen_open
+        # What the reactor finds after that.
+        reason = ConnectionDone()
+    connection.connectionLost(Failure(reason))
+    assert isinstance(take_error(rest), ResponseBroken)
--- a/tests/http1/test_write.py
+++ b/tests/http1/test_write.py
@@ -1,4 +1,6 @@
 import socket
+import struct
+from types import SimpleNamespace
 
 import h11
 import pytest
@@ -221,6 +223,19 @@
         assert connection.socket.recv(10) == b"next"
         assert peek(connection) is UnreadInput.END
 
+    def test_reset_is_told_once_and_is_no_end(self):
+        """Guards against a reset that looks like a close in order afterwards."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            near = socket.create_connection(listener.getsockname())
+            far, _ = listener.accept()
+        linger = struct.pack("ii", 1, 0)
+        far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        far.close()
+        with near:
+            connection = SimpleNamespace(getHandle=lambda: near)
+            assert peek(connection) is UnreadInput.FAILURE
+            assert peek(connection) is UnreadInput.END
+
     def test_closed_socket_has_ended(self, pair):
         connection, _ = pair
         connection.socket.close()
