--- a/src/chivesaddle/forwarding/exchange.py
+++ b/src/chivesaddle/forwarding/exchange.py
@@ -66,13 +66,24 @@
 
 
 class NoUsableResponse(ChivesaddleError):
-    """The request was sent without a usable response and may have run."""
+    """The request was sent without a usable response and may have run.
+
+    Attributes
+    ----------
+    may_be_crash : bool
+        Whether the server may have crashed.
+    was_given_up : bool
+        Whether the server was still connected and could have gone on.
+    """
 
     code = "server_broke"
 
-    def __init__(self, message: str, *, may_be_crash: bool = False) -> None:
+    def __init__(
+        self, message: str, *, may_be_crash: bool = False, was_given_up: bool = False
+    ) -> None:
         super().__init__(message)
         self.may_be_crash = may_be_crash
+        self.was_given_up = was_given_up
 
 
 class ServerExchange:
@@ -188,7 +199,9 @@
         except ResponseBroken as error:
             raise NoUsableResponse(error.message, may_be_crash=True) from error
         except DeadlineExceeded as error:
-            raise NoUsableResponse("Server did not respond in time") from error
+            raise NoUsableResponse(
+                "Server did not respond in time", was_given_up=True
+            ) from error
         self._servers.record_response_bytes(
             self._server.id, serial, self._connection.connected_at
         )
--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -498,6 +498,8 @@
             except NoUsableResponse as error:
                 self._reporter.log_retry(context, candidate, error)
                 context.excluded.add(candidate.server.entry.id)
+                if error.was_given_up:
+                    context.given_up.append(candidate.server.entry.id)
                 if not (relay.can_go_on and self._attempts.may_retry(context)):
                     raise self._attempts.final_error(
                         context, relay, error.message
@@ -733,12 +735,13 @@
                 self._stream_software.record_start(context, software_version)
             run.record_events()
             context.server_began_at = run.first_event_at
+            context.server_event_at = self._clock.seconds()
 
         exchange.on_bytes = run.record_bytes
         relay.on_progress = record_progress
         outcome: ExchangeOutcome | None = None
         context.framing, context.unfinished_bytes = None, 0
-        context.server_began_at = None
+        context.server_began_at = context.server_event_at = None
         response_deadline = self._attempts.response_deadline(context)
         begin_deadline = self._begin_deadline(context, candidate)
         response: ServerResponse | None = None
--- a/src/chivesaddle/forwarding/request_context.py
+++ b/src/chivesaddle/forwarding/request_context.py
@@ -49,6 +49,10 @@
         When the last server's first event arrived, None before it.
     passed_to : list of DaemonId
         Daemons that the request was passed on to.
+    server_event_at : float or None
+        When the last server's latest event arrived, None before it.
+    given_up : list of BackendServerId
+        Servers that were given up although they were still connected.
     """
 
     request: CallerRequest
@@ -73,6 +77,8 @@
     unfinished_bytes: int = 0
     server_began_at: float | None = None
     passed_to: list[DaemonId] = field(default_factory=list)
+    server_event_at: float | None = None
+    given_up: list[BackendServerId] = field(default_factory=list)
 
     @property
     def began_as(self) -> RequestId:
@@ -109,6 +115,12 @@
             "answered_ms": None if began_at is None else round((now - began_at) * 1e3),
         }
 
+    def silent_ms(self, now: float) -> int | None:
+        """Return the time since the last server's latest event, None before it."""
+        if self.server_event_at is None:
+            return None
+        return round((now - self.server_event_at) * 1e3)
+
     def resumption_fields(self) -> dict[str, object]:
         """Return log fields about the stream that the caller resumes."""
         if self.request.resume_after is None:
@@ -128,6 +140,8 @@
         fields |= self.resumption_fields()
         if self.passed_to:
             fields["passed_to"] = self.passed_to
+        if self.given_up:
+            fields["given_up"] = self.given_up
         if self.request.earlier_runs is not None:
             fields["earlier_runs"] = self.request.earlier_runs
         candidate = self.last_candidate
--- a/src/chivesaddle/forwarding/results.py
+++ b/src/chivesaddle/forwarding/results.py
@@ -62,6 +62,10 @@
                 "server": candidate.server.entry.id,
                 "software": candidate.server.entry.software_version,
                 "cause": error.message,
+                "was_given_up": (
+                    isinstance(error, NoUsableResponse) and error.was_given_up
+                ),
+                "silent_ms": context.silent_ms(self._clock.seconds()),
                 "sends": context.sends,
                 "runs": context.runs,
                 **context.response_fields(),
--- a/src/chivesaddle/forwarding/stalls.py
+++ b/src/chivesaddle/forwarding/stalls.py
@@ -75,7 +75,9 @@
         except CancelledError:
             if not self._is_stalled:
                 raise
-            raise NoUsableResponse("Server sent no event in time") from None
+            raise NoUsableResponse(
+                "Server sent no event in time", was_given_up=True
+            ) from None
         finally:
             if timer.active():
                 timer.cancel()
