--- a/src/chivesaddle/standins/platform_server.py
+++ b/src/chivesaddle/standins/platform_server.py
@@ -61,6 +61,12 @@
         Time before a response begins, in seconds.
     event_interval_s : float
         Time between the events of a stream, in seconds.
+    event_count : int
+        Events of a stream.
+    slots : int
+        Requests that run at a time; others are refused as not run. 0 for no limit.
+    never_resumes : bool
+        Begin every stream with its first event.
     crash_marker : str
         End the process when it runs a request whose path contains this; "" disables it.
     crash_part : str
@@ -81,6 +87,9 @@
     is_leaving: bool = False
     processing_time_s: float = PROCESSING_TIME_S
     event_interval_s: float = EVENT_INTERVAL_S
+    event_count: int = STREAM_EVENT_COUNT
+    slots: int = 0
+    never_resumes: bool = False
     crash_marker: str = ""
     crash_part: str = ""
 
@@ -130,6 +139,7 @@
     server_id: str
     faults: PlatformServerFaults = field(default_factory=PlatformServerFaults)
     runs: list[str] = field(default_factory=list)
+    running: int = 0
     started_ms: int = field(default_factory=lambda: int(time.time() * 1_000))
 
     def handle(self, request: Any, responder: Any) -> None:
@@ -164,7 +174,8 @@
             status = 503 if self.faults.is_leaving or self.faults.shed else 200
             responder.answer(status, b"", attempt_headers)
             return
-        if self.faults.shed or self.faults.refuse_s:
+        is_full = 0 < self.faults.slots <= self.running
+        if self.faults.shed or self.faults.refuse_s or is_full:
             attempt_headers.append((b"x-chivesaddle-not-executed", b"1"))
             if self.faults.refuse_s:
                 retry_after = f"{self.faults.refuse_s:g}".encode()
@@ -174,6 +185,19 @@
         # Without an id, the request line is recorded, so that the request can be
         # traced.
         self.runs.append(request_id or f"{request.method!r} {request.target!r}")
+        self.running += 1
+        try:
+            await self._answer(request, request_id, responder, attempt_headers)
+        finally:
+            self.running -= 1
+
+    async def _answer(
+        self,
+        request: Any,
+        request_id: str,
+        responder: Any,
+        attempt_headers: HeaderList,
+    ) -> None:
         began_at = self.reactor.seconds()
         await sleep_until(self.reactor, began_at + self.faults.processing_time_s)
         marker = self.faults.crash_marker
@@ -200,13 +224,15 @@
         if self.faults.unframed:
             responder = UnframedResponder(responder)
         first_event_id = int(request.headers.get("last-event-id") or 0) + 1
+        if self.faults.never_resumes:
+            first_event_id = 1
         responder.start(200, b"OK", headers)
         if self.faults.crash_part:
             prompt = request.headers.get("x-chivesaddle-prompt-prefix") or ""
             parts = [entry.partition(":")[0] for entry in prompt.split(",")]
             if self.faults.crash_part in parts[:-1]:
                 os._exit(1)
-        for event_id in range(first_event_id, STREAM_EVENT_COUNT + 1):
+        for event_id in range(first_event_id, self.faults.event_count + 1):
             limit = self.faults.break_stream_after
             if first_event_id == 1:
                 limit = limit or self.faults.break_new_stream_after
