--- a/src/chivesaddle/forwarding/attempts.py
+++ b/src/chivesaddle/forwarding/attempts.py
@@ -4,6 +4,7 @@
 
 from chivesaddle.core.aio import Clock
 from chivesaddle.core.errors import ChivesaddleError
+from chivesaddle.core.serving_model import Route
 from chivesaddle.forwarding.errors import MayHaveRun, NotRun, TimedOut
 from chivesaddle.forwarding.relay import Relay
 from chivesaddle.forwarding.request_context import RequestContext
@@ -18,6 +19,10 @@
 # Multiple of the route's target latency within which a loaded server responds to a
 # repeatable request, and for which a caller waits.
 TARGET_TIMEOUT_FACTOR = 4.0
+# By the platform's protocol, callers wait at least this long for events of a stream,
+# and for this multiple of the longest pause that its route allows.
+MIN_CALLER_TIMEOUT_S = 2.0
+GAP_TIMEOUT_FACTOR = 8.0
 # Range of the random retry-after delay, so that callers that are rejected together do
 # not retry together.
 MIN_RETRY_AFTER_S = 0.2
@@ -26,6 +31,16 @@
 MIN_REMAINING_TIME_S = 0.02
 
 
+def max_gap_s(route: Route) -> float:
+    """Return how long a stream's server may send no event, in seconds."""
+    return max(MIN_CALLER_TIMEOUT_S, TARGET_TIMEOUT_FACTOR * route.target_s)
+
+
+def caller_timeout_s(route: Route) -> float:
+    """Return how long callers wait for an event of a stream at least, in seconds."""
+    return max(max_gap_s(route), GAP_TIMEOUT_FACTOR * route.target_gap_s)
+
+
 class Attempts:
     """Rules for the attempts of one request, at servers and through other daemons.
 
@@ -59,7 +74,7 @@
         return context.arrivals < MAX_ARRIVALS and context.sends < max_sends
 
     def response_deadline(self, context: RequestContext) -> float:
-        """Return the time at which to give up on this attempt and make another one."""
+        """Return when an attempt without a response counts as silent."""
         if not self.may_retry(context, additional=1):
             return context.deadline
         now = self._clock.seconds()
@@ -96,6 +111,7 @@
 __all__ = [
     "MAX_RETRY_AFTER_S",
     "MIN_RETRY_AFTER_S",
-    "TARGET_TIMEOUT_FACTOR",
     "Attempts",
+    "caller_timeout_s",
+    "max_gap_s",
 ]
--- a/src/chivesaddle/forwarding/exchange.py
+++ b/src/chivesaddle/forwarding/exchange.py
@@ -74,14 +74,22 @@
         Whether the server may have crashed.
     was_given_up : bool
         Whether the server was still connected and could have gone on.
+    outcome : ExchangeOutcome
+        What the failure says about the server.
     """
 
     code = "server_broke"
 
     def __init__(
-        self, message: str, *, may_be_crash: bool = False, was_given_up: bool = False
+        self,
+        message: str,
+        *,
+        may_be_crash: bool = False,
+        was_given_up: bool = False,
+        outcome: ExchangeOutcome = ExchangeOutcome.BROKEN,
     ) -> None:
         super().__init__(message)
+        self.outcome = outcome
         self.may_be_crash = may_be_crash
         self.was_given_up = was_given_up
 
--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -1,6 +1,5 @@
 """Forwarding of a caller's request: routing, sends to servers, and the response."""
 
-import math
 import random
 from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass, replace
@@ -17,7 +16,7 @@
 )
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.core.serving_model import Account, Configuration, Route, RouteKind
-from chivesaddle.forwarding.attempts import TARGET_TIMEOUT_FACTOR, Attempts
+from chivesaddle.forwarding.attempts import Attempts, caller_timeout_s
 from chivesaddle.forwarding.budget import RetryBudget
 from chivesaddle.forwarding.crashes import CrashRecord
 from chivesaddle.forwarding.errors import (
@@ -33,8 +32,8 @@
     NoUsableResponse,
     ReadStart,
     ServerDidNotRun,
-    ServerExchange,
 )
+from chivesaddle.forwarding.handover import Handover
 from chivesaddle.forwarding.messages import (
     CallerRequest,
     PassOptions,
@@ -42,18 +41,17 @@
     ServerResponse,
 )
 from chivesaddle.forwarding.passing import PeerDaemon, PeerPaths, RequestPasser
-from chivesaddle.forwarding.prompts import PromptPlanner, cache_scope
+from chivesaddle.forwarding.prompts import PromptPlanner
 from chivesaddle.forwarding.relay import Relay
 from chivesaddle.forwarding.request_context import RequestContext
 from chivesaddle.forwarding.results import ResultReporter
-from chivesaddle.forwarding.run import Run
+from chivesaddle.forwarding.server_attempt import ServerAccess, ServerAttempt
 from chivesaddle.forwarding.server_liveness import ServerLiveness
 from chivesaddle.forwarding.serving_state import (
     LAST_ATTEMPT_RESERVE_S,
     ServingState,
 )
 from chivesaddle.forwarding.shutdown import ShutdownAdmission
-from chivesaddle.forwarding.stalls import MIN_CALLER_TIMEOUT_S, StallWatch
 from chivesaddle.forwarding.stream_origins import StreamOrigins
 from chivesaddle.forwarding.stream_software import StreamSoftware
 from chivesaddle.forwarding.suspects import CrashSuspects
@@ -68,7 +66,6 @@
     AdmissionCounts,
     AdmissionQueue,
     Candidate,
-    ExchangeOutcome,
     MemoryRequest,
     NoCapacity,
     RateLimits,
@@ -78,6 +75,10 @@
     estimate_cost,
 )
 
+# A server that has sent nothing for this long on any connection is given no request of
+# another silent server.
+SILENT_SUCCESSOR_S = 0.5
+
 log = ComponentLogger("forward")
 
 
@@ -164,8 +165,6 @@
         read_start: ReadStart | None = None,
         was_paused: Callable[[], bool] = lambda: False,
     ) -> None:
-        self._read_start = read_start
-        self._liveness = ServerLiveness(clock, pool, was_paused)
         self._shares_by_account = shares_by_account
         self.admission_counts = AdmissionCounts()
         self._clock = clock
@@ -174,7 +173,6 @@
         self._serving_state = serving_state
         self._servers = servers
         self._limits = limits
-        self._pool = pool
         self._peer_paths = peer_paths
         self._budget = budget
         self._crashes = crashes
@@ -184,6 +182,22 @@
         self._random = random.Random()
         self._attempts = Attempts(clock)
         self.shutdown = ShutdownAdmission(clock)
+        self._access = ServerAccess(
+            clock,
+            servers,
+            limits,
+            pool,
+            codec.decode_response,
+            codec.encode_server_headers,
+            ServerLiveness(clock, pool, was_paused),
+            # Other servers have no report.
+            lambda service: read_start if self._server_memory_tokens(service) else None,
+            prompts,
+            serving_state,
+            self._stream_software,
+            crashes,
+            self._attempts,
+        )
         self._passer = RequestPasser(
             clock,
             peer_pool,
@@ -481,14 +495,10 @@
                 raise self._attempts.final_error(
                     context, relay, "the retry budget is used up"
                 )
-            context.sends += 1
-            context.last_candidate = candidate
             try:
-                await self._send(context, relay, candidate)
+                await self._run(context, relay, candidate)
                 return
             except ServerDidNotRun as error:
-                self._reporter.log_retry(context, candidate, error)
-                context.excluded.add(candidate.server.entry.id)
                 has_path = self._servers.has_path(context.service)
                 may_go_on = self._attempts.may_send_again(context, has_path)
                 if not may_go_on and not self._peers_to_pass_to(context):
@@ -496,15 +506,78 @@
                         context, relay, error.message
                     ) from error
             except NoUsableResponse as error:
-                self._reporter.log_retry(context, candidate, error)
-                context.excluded.add(candidate.server.entry.id)
-                if error.was_given_up:
-                    context.given_up.append(candidate.server.entry.id)
                 if not (relay.can_go_on and self._attempts.may_retry(context)):
                     raise self._attempts.final_error(
                         context, relay, error.message
                     ) from error
 
+    async def _run(
+        self, context: RequestContext, relay: Relay, candidate: Candidate
+    ) -> None:
+        """Run the request at a server, or at another one if that is silent.
+
+        Raises the error of the last server that had the request.
+        """
+        handover = Handover(
+            self._clock,
+            context,
+            lambda silent: self._open_successor(context, relay, silent),
+            lambda attempt, error: self._record_failure(context, attempt, error),
+        )
+        await handover.run(self._open_attempt(context, relay, candidate))
+
+    def _open_attempt(
+        self, context: RequestContext, relay: Relay, candidate: Candidate
+    ) -> ServerAttempt:
+        context.sends += 1
+        return ServerAttempt(
+            self._access, context, relay, candidate, self._priority(context)
+        )
+
+    async def _open_successor(
+        self, context: RequestContext, relay: Relay, silent: ServerAttempt
+    ) -> ServerAttempt:
+        """Return the attempt that may go on with the request of a silent server.
+
+        Raises
+        ------
+        ChivesaddleError
+            If no other server can take the request now.
+        """
+        if not relay.can_go_on:
+            raise NoUsableResponse("The stream has no event ids")
+        has_path = self._servers.has_path(context.service)
+        if not (
+            self._attempts.may_retry(context)
+            and self._attempts.may_send_again(context, has_path)
+        ):
+            raise NoUsableResponse("No attempt is left")
+        if not self._budget.allows_retry(context.service):
+            raise NoUsableResponse("The retry budget is used up")
+        context.excluded.add(silent.candidate.server.entry.id)
+        context.silent_since = context.server_event_at or context.received_at
+        try:
+            candidate = await self._find_server(context)
+        finally:
+            context.silent_since = None
+        self._check_may_send(context)
+        if not self._budget.try_acquire(context.service):
+            raise NoUsableResponse("The retry budget is used up")
+        return self._open_attempt(context, relay, candidate)
+
+    def _record_failure(
+        self, context: RequestContext, attempt: ServerAttempt, error: ChivesaddleError
+    ) -> None:
+        """Log a server that failed, and send the request there no more."""
+        if not isinstance(error, ServerDidNotRun | NoUsableResponse):
+            return
+        self._reporter.log_retry(context, attempt.candidate, error)
+        server = attempt.candidate.server.entry.id
+        context.last_candidate = attempt.candidate
+        context.excluded.add(server)
+        if isinstance(error, NoUsableResponse) and error.was_given_up:
+            context.given_up.append(server)
+
     def _check_may_send(self, context: RequestContext) -> None:
         """Raise the error of a request that must not be sent any more.
 
@@ -541,6 +614,7 @@
                 return candidate
         now = self._clock.seconds()
         target_s = context.route.target_s
+        waits_since = context.silent_since or context.received_at
         memory_request = MemoryRequest(
             tokens=max(1, context.request.memory_tokens),
             priority=self._priority(context) or 0,
@@ -548,7 +622,7 @@
             first_event_due=context.received_at + target_s,
             expires_at=min(
                 context.deadline - target_s,
-                context.received_at + _caller_timeout_s(context.route) - target_s,
+                waits_since + caller_timeout_s(context.route) - target_s,
             ),
             account=context.account_id,
             cost=self._estimate_cost(context),
@@ -631,9 +705,10 @@
         now = self._clock.seconds()
         servers = self._servers.of_service(context.service)
         requirements = self._requirements(context)
-        candidate = choose(
-            servers, requirements, self._zone, now, context.excluded, reserved
-        )
+        excluded = context.excluded
+        if context.silent_since is not None:
+            excluded = excluded | self._silent_servers(context.service)
+        candidate = choose(servers, requirements, self._zone, now, excluded, reserved)
         if candidate is None and context.excluded and context.runs == 0:
             candidate = choose(
                 servers, requirements, self._zone, now, reserved=reserved
@@ -649,6 +724,14 @@
             raise NotRun(message, retry_after_s=self._attempts.random_retry_after())
         return candidate
 
+    def _silent_servers(self, service: ServiceId) -> set[BackendServerId]:
+        now = self._clock.seconds()
+        return {
+            server.entry.id
+            for server in self._servers.of_service(service)
+            if server.silent_s(now) >= SILENT_SUCCESSOR_S
+        }
+
     def _requirements(self, context: RequestContext) -> ServerRequirements:
         caller_request = context.request
         if caller_request.model is None:
@@ -679,220 +762,6 @@
             ),
         )
 
-    async def _send(
-        self, context: RequestContext, relay: Relay, candidate: Candidate
-    ) -> None:
-        """Send to one server and forward its response."""
-        server = candidate.server
-        now = self._clock.seconds()
-        if self._attempts.has_timed_out(context):
-            raise DeadlineExceeded("no time left to send")
-        version, plan = candidate.version, candidate.plan
-        scope = None if version is None else cache_scope(version, context.account)
-        options = SendOptions(
-            server=server.entry.id,
-            time_left_s=context.deadline - now,
-            account=context.account_id,
-            weight_version=candidate.version,
-            priority=self._priority(context),
-            cache_scope=scope,
-            save_to=plan.save_to if plan else None,
-            fetch_from=plan.fetch_from if plan else None,
-            resume_after=relay.last_event_id or context.request.resume_after,
-        )
-        if scope is not None and plan is not None:
-            self._prompts.record_sent(context.request, scope, server, plan)
-        self._limits.record_send(server.entry.id)
-        exchange = ServerExchange(
-            self._clock,
-            self._servers,
-            self._limits,
-            self._pool,
-            server.entry,
-            self._codec.decode_response,
-            self._liveness,
-            # Other servers have no report.
-            self._read_start if self._server_memory_tokens(context.service) else None,
-        )
-        serial = self._servers.record_send(
-            server.entry.id,
-            plan.read_tokens if plan else 0,
-            context.request.memory_tokens if plan else 0,
-        )
-        software_version = server.entry.software_version
-
-        run = Run(
-            self._clock,
-            self._crashes,
-            context.suspects,
-            server.entry,
-            context.request.id,
-        )
-
-        def record_progress() -> None:
-            if run.first_event_at is None:
-                self._servers.record_first_event(server.entry.id, serial)
-                self._stream_software.record_start(context, software_version)
-            run.record_events()
-            context.server_began_at = run.first_event_at
-            context.server_event_at = self._clock.seconds()
-
-        exchange.on_bytes = run.record_bytes
-        relay.on_progress = record_progress
-        outcome: ExchangeOutcome | None = None
-        context.framing, context.unfinished_bytes = None, 0
-        context.server_began_at = context.server_event_at = None
-        response_deadline = self._attempts.response_deadline(context)
-        begin_deadline = self._begin_deadline(context, candidate)
-        response: ServerResponse | None = None
-        try:
-            headers = self._codec.encode_server_headers(context.request, options)
-            response = await exchange.send(
-                context.request,
-                headers,
-                serial,
-                is_repeatable=context.route.is_repeatable,
-                response_deadline=min(response_deadline, begin_deadline),
-                check_may_send=context.check_caller_waits,
-                on_sent=lambda: self._record_run(context),
-            )
-            if (
-                context.request.model is not None
-                and response.weight_version is not None
-            ):
-                self._servers.record_version(
-                    server.entry.id, context.request.model, response.weight_version
-                )
-            if response.status >= 500 and self._may_retry_server_error(context, relay):
-                outcome = ExchangeOutcome.FAILED
-                raise NoUsableResponse(
-                    f"Server responded with status {response.status}"
-                )
-            context.framing = response.framing
-            try:
-                forwarding = start(
-                    relay.forward(
-                        response, exchange.read_chunk, exchange.is_server_alive
-                    )
-                )
-                await self._watch(context, relay, forwarding, response_deadline)
-            finally:
-                context.unfinished_bytes = relay.unfinished_bytes
-            context.first_event_at = relay.started_at
-            outcome = (
-                ExchangeOutcome.FAILED
-                if response.status >= 500
-                else ExchangeOutcome.ANSWERED
-            )
-            exchange.finish(response)
-            run.record_complete(response.status)
-        except ServerDidNotRun as error:
-            context.runs -= exchange.was_sent
-            outcome = error.outcome
-            self._apply_refusal(context, candidate, error)
-            raise
-        except NoUsableResponse as error:
-            if response is None and self._clock.seconds() >= begin_deadline:
-                # The server is not to blame.
-                log.info(
-                    "request taken back",
-                    extra={
-                        "request": context.request.id,
-                        "server": server.entry.id,
-                        "version": version,
-                    },
-                )
-            elif outcome is None:
-                outcome = ExchangeOutcome.BROKEN
-            if error.may_be_crash:
-                run.record_break()
-            raise
-        finally:
-            run.end()
-            exchange.close()
-            self._servers.record_end(server.entry.id, serial, outcome)
-
-    def _begin_deadline(self, context: RequestContext, candidate: Candidate) -> float:
-        """Return until when a server must have begun the request.
-
-        A request that waits in a queue or on a path that hangs could otherwise begin on
-        older weights after their bound. One that cannot be sent again is not given up,
-        but sent to older weights only with `LAST_ATTEMPT_RESERVE_S`.
-        """
-        model, version = context.request.model, candidate.version
-        if model is None or version is None:
-            return math.inf
-        if not self._attempts.may_retry(context, additional=1):
-            return math.inf
-        return self._serving_state.begin_deadline(model, version)
-
-    async def _watch(
-        self,
-        context: RequestContext,
-        relay: Relay,
-        forwarding: "Deferred[None]",
-        first_deadline: float,
-    ) -> None:
-        """Wait for the end of the forwarding; give up a stalled stream if it can go on.
-
-        A stream that cannot be resumed ends with the request's time limit only, since
-        its server may go on.
-        """
-        is_stream = context.route.kind is RouteKind.STREAM
-        if not is_stream or not self._attempts.may_retry(context):
-            await forwarding
-            return
-        max_gap_s = _caller_timeout_s(context.route)
-        watch = StallWatch(
-            self._clock,
-            relay,
-            first_deadline,
-            max_gap_s,
-            lambda: relay.can_go_on and self._may_move(context),
-        )
-        await watch.watch(forwarding)
-
-    def _may_move(self, context: RequestContext) -> bool:
-        """Return whether a stream can go on at another server now."""
-        version = context.software_version
-        candidate = context.last_candidate
-        used = {candidate.server.entry.id} if candidate else set()
-        has_other_server = any(
-            server.entry.id not in context.excluded | used
-            and version in (None, server.entry.software_version)
-            for server in self._servers.of_service(context.service)
-        )
-        return has_other_server and self._budget.allows_retry(context.service)
-
-    def _record_run(self, context: RequestContext) -> None:
-        context.runs += 1
-        context.arrivals += 1
-
-    def _may_retry_server_error(self, context: RequestContext, relay: Relay) -> bool:
-        """Return whether to retry on another server instead of forwarding an error."""
-        has_other_servers = (
-            len(self._servers.of_service(context.service)) > len(context.excluded) + 1
-        )
-        return (
-            has_other_servers
-            and not relay.has_started
-            and self._attempts.may_retry(context)
-        )
-
-    def _apply_refusal(
-        self, context: RequestContext, candidate: Candidate, error: ServerDidNotRun
-    ) -> None:
-        server = candidate.server.entry.id
-        if error.response_status == 503:
-            self._servers.record_busy(server)
-        model = context.request.model
-        is_same_server = error.responding_server in (None, server)
-        if error.response_status == 421 and model is not None and is_same_server:
-            target_version = self._serving_state.target_version(model)
-            if target_version is not None:
-                self._servers.assume_version(server, model, target_version)
-            self._servers.record_busy(server)
-
     def _server_memory_tokens(self, service_id: ServiceId) -> int:
         """Return the memory of one server of the service in tokens, or 0."""
         configuration = self._serving_state.configuration
@@ -907,9 +776,4 @@
         return max(0, min(9, context.route.priority))
 
 
-def _caller_timeout_s(route: Route) -> float:
-    """Return how long callers wait for an event of a stream at least, in seconds."""
-    return max(MIN_CALLER_TIMEOUT_S, TARGET_TIMEOUT_FACTOR * route.target_s)
-
-
 __all__ = ["Forwarder", "MessageCodec"]
--- /dev/null
+++ b/src/chivesaddle/forwarding/preview.py
@@ -0,0 +1,73 @@
+"""Reads the begin of a response before it replaces that of a silent server."""
+
+from collections import deque
+
+from chivesaddle.forwarding.events import EventSplitter, has_event
+from chivesaddle.forwarding.exchange import NoUsableResponse
+from chivesaddle.forwarding.messages import ServerResponse
+from chivesaddle.forwarding.relay import (
+    MAX_BUFFERED_BYTES,
+    MAX_EVENT_BYTES,
+    ReadChunk,
+    Relay,
+)
+
+
+async def read_ahead(
+    relay: Relay, response: ServerResponse, read_chunk: ReadChunk
+) -> ReadChunk:
+    """Read until the response is known to go on with what the caller has.
+
+    A stream is read up to its first event, another response up to its end or
+    `MAX_BUFFERED_BYTES`.
+
+    Parameters
+    ----------
+    relay : Relay
+        The caller's side.
+    response : ServerResponse
+        Head of the response.
+    read_chunk : callable
+        Reads the body.
+
+    Returns
+    -------
+    callable
+        Reads the whole body, with what has been read.
+
+    Raises
+    ------
+    NoUsableResponse
+        If the response breaks off, or does not go on with what the caller has.
+    """
+    relay.check_head(response)
+    if response.status >= 500:
+        raise NoUsableResponse(f"Server responded with status {response.status}")
+    chunks: deque[bytes | None] = deque()
+    splitter = EventSplitter(checks_order=True, resumes_after=relay.resumes_after)
+    size = 0
+    while True:
+        chunk = await read_chunk()
+        chunks.append(chunk)
+        if chunk is None:
+            break
+        size += len(chunk)
+        if not relay.expects_events(response):
+            if size > MAX_BUFFERED_BYTES:
+                break
+            continue
+        events = splitter.feed(chunk)
+        if splitter.fault is not None:
+            raise NoUsableResponse(splitter.fault.value)
+        if has_event(events):
+            break
+        if splitter.remaining_bytes > MAX_EVENT_BYTES:
+            raise NoUsableResponse(f"Event has over {MAX_EVENT_BYTES} bytes")
+
+    async def read_again() -> bytes | None:
+        return chunks.popleft() if chunks else await read_chunk()
+
+    return read_again
+
+
+__all__ = ["read_ahead"]
--- a/src/chivesaddle/forwarding/relay.py
+++ b/src/chivesaddle/forwarding/relay.py
@@ -87,6 +87,28 @@
         """Id of the last event that was forwarded."""
         return self._splitter.last_id
 
+    @property
+    def resumes_after(self) -> str | None:
+        """Id after which the next event follows, None if it is the first one."""
+        return self.last_event_id or self._resumes_after
+
+    def expects_events(self, response: ServerResponse) -> bool:
+        """Return whether the response is a stream of events."""
+        return self._is_stream and 200 <= response.status < 300
+
+    def check_head(self, response: ServerResponse) -> None:
+        """Raise `NoUsableResponse` unless it can follow what the caller has."""
+        if not self.has_started:
+            return
+        if not self.expects_events(response):
+            raise NoUsableResponse(
+                f"Server responded with status {response.status} to a resumed stream"
+            )
+        if response.media_type not in (None, EVENT_STREAM):
+            raise NoUsableResponse(
+                f"Server responded with {response.media_type} to a resumed stream"
+            )
+
     @property
     def can_go_on(self) -> bool:
         """Whether the response of another server can continue what the caller has."""
@@ -115,16 +137,9 @@
         self.waiting_since, self.has_event = None, False
         if not has_body(self._method, response.status):
             response = replace(response, framing=Framing.LENGTH, content_length=0)
-        if self._is_stream and 200 <= response.status < 300:
-            if self.has_started and response.media_type not in (None, EVENT_STREAM):
-                raise NoUsableResponse(
-                    f"Server responded with {response.media_type} to a resumed stream"
-                )
+        self.check_head(response)
+        if self.expects_events(response):
             await self._forward_events(response, read_chunk, is_server_alive)
-        elif self.has_started:
-            raise NoUsableResponse(
-                f"Server responded with status {response.status} to a resumed stream"
-            )
         else:
             await self._forward_body(response, read_chunk, is_server_alive)
 
@@ -172,12 +187,14 @@
             if not events:
                 self._check_no_fault()
                 continue
-            self.on_progress()
+            is_progress = has_event(events)
+            if is_progress:
+                self.on_progress()
             if self.has_started:
                 self._responder.write(events)
             else:
                 self._start(response, None, events)
-            if has_event(events):
+            if is_progress:
                 last_events = events
                 self.has_event = self._has_passed_events = True
                 self.waiting_since = None
@@ -190,7 +207,7 @@
             response.framing,
             self._splitter,
             last_events,
-            may_be_empty=(self.last_event_id or self._resumes_after) is not None
+            may_be_empty=self.resumes_after is not None
             or not has_body(self._method, response.status),
         )
         await self._check_end(end, response, is_server_alive)
--- a/src/chivesaddle/forwarding/request_context.py
+++ b/src/chivesaddle/forwarding/request_context.py
@@ -41,6 +41,9 @@
     software_version : SoftwareVersion or None
         Version of the servers' software at which the request's stream began; None
         before its first event.
+    silent_since : float or None
+        Since when the server that has the request sends nothing, while another one is
+        looked for.
     framing : Framing or None
         What marks the end of the last response, None before a response.
     unfinished_bytes : int
@@ -69,6 +72,7 @@
     arrivals: int = 0
     runs: int = 0
     excluded: set[BackendServerId] = field(default_factory=set)
+    silent_since: float | None = None
     first_event_at: float | None = None
     waited_s: float = 0.0
     last_candidate: Candidate | None = None
@@ -93,6 +97,11 @@
         """The client account of the request, if it has one."""
         return None if self.account is None else self.account.id
 
+    def reset_response(self) -> None:
+        """Forget the response of an earlier attempt."""
+        self.framing, self.unfinished_bytes = None, 0
+        self.server_began_at = self.server_event_at = None
+
     def check_caller_waits(self) -> None:
         """Raise `CallerLeft` if nobody waits for a response."""
         if self.has_caller_left():
--- a/src/chivesaddle/placement/table.py
+++ b/src/chivesaddle/placement/table.py
@@ -141,6 +141,12 @@
             return now - since if now > since else 0.0
         return 0.0
 
+    def silent_s(self, now: float) -> float:
+        """Return how long no byte has arrived for any of this daemon's requests."""
+        if len(self.unanswered) >= self.in_flight.count:
+            return self.unresponsive_s(now)
+        return now - self.last_byte_at
+
     @property
     def last_contact_at(self) -> float:
         """When the server last sent a byte or accepted a connection."""
--- a/tests/e2e_platform/test_silent_servers.py
+++ b/tests/e2e_platform/test_silent_servers.py
@@ -136,9 +136,11 @@
 @pytest.mark.parametrize(
     ("stalls", "names", "slots_of_other", "never_resumes"),
     [
+        pytest.param(ONE, ["stream"], 64, False, id="other-has-room"),
         pytest.param(ONE, ["stream"], 2, False, id="other-is-full"),
         pytest.param(BOTH, ["stream"], 64, False, id="other-falls-silent-too"),
         pytest.param(ONE, ["stream"], 64, True, id="other-does-not-resume"),
+        pytest.param(ONE, ["safe"], 1, False, id="without-streams"),
     ],
 )
 def test_no_request_is_lost_while_a_server_stands_still_around_a_configuration_version(
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -202,7 +202,10 @@
         harness.advance()
         harness.advance()
         assert len(harness.connections) == 2
+        harness.connections[1].respond(body=b"second")
+        harness.advance()
         assert harness.connections[0].transport.is_lost
+        assert caller.received().endswith(b"second")
 
     def test_exhausted_retry_budget_prevents_retries(self, harness, caller):
         harness.budget.try_acquire = lambda service: False
--- a/tests/forwarding/test_stalls.py
+++ b/tests/forwarding/test_stalls.py
@@ -34,8 +34,9 @@
         server.start_stream()
         advance(harness, MAX_GAP_S + 0.2, lambda: sent and server.chunk(sent))
         second = second_server(harness)
-        assert server.transport.is_lost
         second.start_stream(EVENT_1)
+        harness.advance()
+        assert server.transport.is_lost
         second.end_stream()
         assert caller.received().endswith(b"0\r\n\r\n")
 
@@ -57,6 +58,7 @@
         caller.request("/resumable/x")
         harness.connections[0].start_stream(EVENT_1)
         advance(harness, MAX_GAP_S + 0.2)
+        second_server(harness).start_stream(EVENT_2)
         harness.connections[0].transport.lose_connection()
         assert not harness.crashes.collect()
 
