--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -16,7 +16,7 @@
 )
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.core.serving_model import Account, Configuration, Route, RouteKind
-from chivesaddle.forwarding.attempts import Attempts, caller_timeout_s
+from chivesaddle.forwarding.attempts import Attempts, caller_timeout_s, max_gap_s
 from chivesaddle.forwarding.budget import RetryBudget
 from chivesaddle.forwarding.crashes import CrashRecord
 from chivesaddle.forwarding.errors import (
@@ -614,16 +614,15 @@
                 return candidate
         now = self._clock.seconds()
         target_s = context.route.target_s
-        waits_since = context.silent_since or context.received_at
+        caller_waits_until = context.received_at + max_gap_s(context.route)
+        if context.silent_since is not None:
+            caller_waits_until = context.silent_since + caller_timeout_s(context.route)
         memory_request = MemoryRequest(
             tokens=max(1, context.request.memory_tokens),
             priority=self._priority(context) or 0,
             arrived_at=context.received_at,
             first_event_due=context.received_at + target_s,
-            expires_at=min(
-                context.deadline - target_s,
-                waits_since + caller_timeout_s(context.route) - target_s,
-            ),
+            expires_at=min(context.deadline, caller_waits_until) - target_s,
             account=context.account_id,
             cost=self._estimate_cost(context),
             caller_gives_up_at=context.caller_deadline,
--- a/src/chivesaddle/forwarding/handover.py
+++ b/src/chivesaddle/forwarding/handover.py
@@ -105,7 +105,7 @@
         self._timer: DelayedCall | None = None
         self._overlap_timer: DelayedCall | None = None
         self._result: Deferred[None] = Deferred()
-        self._last_reason: str | None = None
+        self._last_code: str | None = None
 
     async def run(self, attempt: A) -> None:
         """Run the attempt, or a successor, until the response is complete.
@@ -176,15 +176,15 @@
             case CancelledError():
                 pass
             case ChivesaddleError() as error:
-                self._log_stay(error.message)
+                self._log_stay(error.code, error.message)
             case error:
                 log.error("no successor", extra=self._fields(repr(error)))
 
-    def _log_stay(self, reason: str) -> None:
-        """Log why a request stays at its silent server, unless the last line did."""
-        if reason != self._last_reason:
-            self._last_reason = reason
-            log.info("request stays", extra=self._fields(reason))
+    def _log_stay(self, code: str, cause: str) -> None:
+        """Log why a request stays at its silent server, once for each code in a row."""
+        if code != self._last_code:
+            self._last_code = code
+            log.info("request stays", extra=self._fields(cause))
 
     def _fields(self, cause: str) -> dict[str, object]:
         return {
@@ -233,7 +233,7 @@
         """Record that the attempt that has the request goes on."""
         if self._opening is not None or self._successor is not None:
             self._drop_successor()
-            self._log_stay("Its server goes on")
+            self._log_stay("went_on", "Its server went on")
 
     def _drop_successor(self) -> None:
         opening, self._opening = self._opening, None
@@ -256,12 +256,12 @@
         match failure.value:
             case ChivesaddleError() as error:
                 self._record_failure(running.attempt, error)
-                cause = error.message
+                code, cause = error.code, error.message
             case unexpected:
-                cause = repr(unexpected)
+                code, cause = "unexpected", repr(unexpected)
                 log.error("attempt failed", extra=self._fields(cause))
         if is_successor:
-            self._log_stay(cause)
+            self._log_stay(code, cause)
         elif self._successor is not None:
             self._current, self._successor = self._successor, None
             self._restart_timer()
