--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -1,7 +1,7 @@
 """Forwarding of a caller's request: routing, sends to servers, and the response."""
 
 import random
-from collections.abc import Callable, Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, replace
 
 from twisted.internet.defer import CancelledError, Deferred
@@ -40,7 +40,13 @@
     SendOptions,
     ServerResponse,
 )
-from chivesaddle.forwarding.passing import PeerDaemon, PeerPaths, RequestPasser
+from chivesaddle.forwarding.passing import (
+    NoPath,
+    NotPassedOn,
+    PeerAttempt,
+    PeerPaths,
+    RequestPasser,
+)
 from chivesaddle.forwarding.prompts import PromptPlanner
 from chivesaddle.forwarding.relay import Relay
 from chivesaddle.forwarding.request_context import RequestContext
@@ -79,6 +85,8 @@
 # another silent server.
 SILENT_SUCCESSOR_S = 0.5
 
+AnyAttempt = ServerAttempt | PeerAttempt
+
 log = ComponentLogger("forward")
 
 
@@ -92,13 +100,6 @@
     encode_peer_headers: Callable[[CallerRequest, PassOptions], HeaderList]
 
 
-class NoPath(ChivesaddleError):
-    """Only other daemons reach servers of the service."""
-
-    code = "no_path"
-    status = 503
-
-
 class Forwarder:
     """Forwards requests of callers.
 
@@ -203,10 +204,11 @@
             peer_pool,
             codec.encode_peer_headers,
             codec.decode_response,
+            peer_paths,
             self._attempts,
             budget,
             self._check_may_send,
-            self._reporter,
+            self._run,
         )
         self._queues_by_service: dict[ServiceId, AdmissionQueue] = {}
         self._tasks: set[Deferred[None]] = set()
@@ -475,10 +477,10 @@
             raise TimedOut(f"No complete response in time: {error.message}") from error
 
     async def _send_with_retries(self, context: RequestContext, relay: Relay) -> None:
-        if not self._peers_to_pass_to(context):
+        if not self._passer.peers(context):
             await self._stream_software.resume(context)
         while True:
-            if peers := self._peers_to_pass_to(context):
+            if peers := self._passer.peers(context):
                 self._check_may_begin(context)
                 await self._passer.pass_on(context, relay, peers)
                 return
@@ -496,12 +498,13 @@
                     context, relay, "the retry budget is used up"
                 )
             try:
-                await self._run(context, relay, candidate)
+                attempt = self._open_attempt(context, relay, candidate)
+                await self._run(context, relay, attempt)
                 return
-            except ServerDidNotRun as error:
+            except (ServerDidNotRun, NotPassedOn, NotRun) as error:
                 has_path = self._servers.has_path(context.service)
                 may_go_on = self._attempts.may_send_again(context, has_path)
-                if not may_go_on and not self._peers_to_pass_to(context):
+                if not may_go_on and not self._passer.peers(context):
                     raise self._attempts.final_error(
                         context, relay, error.message
                     ) from error
@@ -512,19 +515,19 @@
                     ) from error
 
     async def _run(
-        self, context: RequestContext, relay: Relay, candidate: Candidate
+        self, context: RequestContext, relay: Relay, attempt: AnyAttempt
     ) -> None:
-        """Run the request at a server, or at another one if that is silent.
+        """Run an attempt, or another one if its server or daemon is silent.
 
-        Raises the error of the last server that had the request.
+        Raises the error of the last attempt that had the request.
         """
-        handover = Handover(
+        handover = Handover[AnyAttempt](
             self._clock,
             context,
             lambda silent: self._open_successor(context, relay, silent),
-            lambda attempt, error: self._record_failure(context, attempt, error),
+            lambda attempt, error: attempt.record_failure(self._reporter, error),
         )
-        await handover.run(self._open_attempt(context, relay, candidate))
+        await handover.run(attempt)
 
     def _open_attempt(
         self, context: RequestContext, relay: Relay, candidate: Candidate
@@ -535,29 +538,36 @@
         )
 
     async def _open_successor(
-        self, context: RequestContext, relay: Relay, silent: ServerAttempt
-    ) -> ServerAttempt:
-        """Return the attempt that may go on with the request of a silent server.
+        self, context: RequestContext, relay: Relay, silent: AnyAttempt
+    ) -> AnyAttempt:
+        """Return the attempt that may go on with the request of a silent one.
 
         Raises
         ------
         ChivesaddleError
-            If no other server can take the request now.
+            If no other server or daemon can take the request now.
         """
         if not relay.can_go_on:
             raise NoUsableResponse("The stream has no event ids")
         has_path = self._servers.has_path(context.service)
-        if not (
-            self._attempts.may_retry(context)
-            and self._attempts.may_send_again(context, has_path)
+        if not self._attempts.may_retry(context) or not (
+            self._attempts.may_send_again(context, has_path)
+            or self._passer.peers(context)
         ):
             raise NoUsableResponse("No attempt is left")
         if not self._budget.allows_retry(context.service):
             raise NoUsableResponse("The retry budget is used up")
-        context.excluded.add(silent.candidate.server.entry.id)
+        if isinstance(silent, ServerAttempt):
+            context.excluded.add(silent.candidate.server.entry.id)
+        elif not self._passer.peers(context):
+            await self._stream_software.resume(context)
         context.silent_since = context.server_event_at or context.received_at
         try:
             candidate = await self._find_server(context)
+        except NoPath:
+            if isinstance(silent, ServerAttempt):
+                raise
+            return self._passer.open_successor(context, relay)
         finally:
             context.silent_since = None
         self._check_may_send(context)
@@ -565,19 +575,6 @@
             raise NoUsableResponse("The retry budget is used up")
         return self._open_attempt(context, relay, candidate)
 
-    def _record_failure(
-        self, context: RequestContext, attempt: ServerAttempt, error: ChivesaddleError
-    ) -> None:
-        """Log a server that failed, and send the request there no more."""
-        if not isinstance(error, ServerDidNotRun | NoUsableResponse):
-            return
-        self._reporter.log_retry(context, attempt.candidate, error)
-        server = attempt.candidate.server.entry.id
-        context.last_candidate = attempt.candidate
-        context.excluded.add(server)
-        if isinstance(error, NoUsableResponse) and error.was_given_up:
-            context.given_up.append(server)
-
     def _check_may_send(self, context: RequestContext) -> None:
         """Raise the error of a request that must not be sent any more.
 
@@ -596,12 +593,6 @@
                 raise MayHaveRun(error.message) from error
             raise
 
-    def _peers_to_pass_to(self, context: RequestContext) -> Sequence[PeerDaemon]:
-        """Return the daemons to pass the request on to; none if servers are reached."""
-        if context.request.earlier_runs is not None:
-            return ()
-        return self._peer_paths.reaching(context.service)
-
     async def _find_server(self, context: RequestContext) -> Candidate:
         """Return a server, after waiting for one with capacity if necessary.
 
@@ -700,7 +691,7 @@
         NoPath
             If the request must be passed on instead.
         """
-        if self._peers_to_pass_to(context):
+        if self._passer.peers(context):
             raise NoPath(f"No server of {context.service} is reached")
         now = self._clock.seconds()
         servers = self._servers.of_service(context.service)
--- a/src/chivesaddle/forwarding/results.py
+++ b/src/chivesaddle/forwarding/results.py
@@ -4,6 +4,7 @@
 
 from chivesaddle.core.aio import Clock
 from chivesaddle.core.errors import ChivesaddleError
+from chivesaddle.core.ids import DaemonId
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.forwarding.exchange import NoUsableResponse, ServerDidNotRun
 from chivesaddle.forwarding.messages import CallerRequest
@@ -74,15 +75,19 @@
         )
 
     def log_not_passed_on(
-        self, context: RequestContext, error: ChivesaddleError
+        self, context: RequestContext, peer: DaemonId, error: ChivesaddleError
     ) -> None:
         """Log that another daemon did not get the request, or did not respond."""
         log.info(
             "passing on failed",
             extra={
                 "request": context.request.id,
+                "peer": peer,
                 "passed_to": context.passed_to,
                 "cause": error.message,
+                "was_given_up": (
+                    isinstance(error, NoUsableResponse) and error.was_given_up
+                ),
                 "runs": context.runs,
             },
         )
--- a/src/chivesaddle/forwarding/server_attempt.py
+++ b/src/chivesaddle/forwarding/server_attempt.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from chivesaddle.core.aio import Clock
-from chivesaddle.core.errors import DeadlineExceeded
+from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded
 from chivesaddle.core.ids import ServiceId
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.core.serving_model import RouteKind
@@ -27,6 +27,7 @@
 from chivesaddle.forwarding.prompts import PromptPlanner, cache_scope
 from chivesaddle.forwarding.relay import ReadChunk, Relay
 from chivesaddle.forwarding.request_context import RequestContext
+from chivesaddle.forwarding.results import ResultReporter
 from chivesaddle.forwarding.run import Run
 from chivesaddle.forwarding.server_liveness import ServerLiveness
 from chivesaddle.forwarding.serving_state import ServingState
@@ -140,6 +141,18 @@
             return False
         return tracked.last_byte_at >= self._sent_at or tracked.in_flight.count <= 1
 
+    def record_failure(self, reporter: ResultReporter, error: ChivesaddleError) -> None:
+        """Log that the server failed, and send the request there no more."""
+        if not isinstance(error, ServerDidNotRun | NoUsableResponse):
+            return
+        context = self._context
+        reporter.log_retry(context, self.candidate, error)
+        server = self.candidate.server.entry.id
+        context.last_candidate = self.candidate
+        context.excluded.add(server)
+        if isinstance(error, NoUsableResponse) and error.was_given_up:
+            context.given_up.append(server)
+
     def _find_begin_deadline(self) -> float:
         """Return until when a server must have begun the request.
 
--- /dev/null
+++ b/tests/forwarding/test_silent_peers.py
@@ -0,0 +1,302 @@
+"""Requests that are passed on to a daemon that is silent for a while, and goes on."""
+
+import pytest
+
+from chivesaddle.core.ids import DaemonId
+from chivesaddle.forwarding.passing import MAX_PEERS, PeerDaemon
+
+from .test_software_versions import resume, start_version_mix, version_of
+
+EVENT_1 = b"id: 1\ndata: a\n\n"
+EVENT_2 = b"id: 2\ndata: b\n\n"
+# Of the routes in conftest.py: longest time without an event of a stream, and without a
+# head of a repeatable request.
+MAX_GAP_S = 4.0
+MAX_HEAD_WAIT_S = 0.5
+# Two servers must not work on one request for longer.
+MAX_OVERLAP_S = 0.4
+PEERS = [PeerDaemon(DaemonId(f"d{n}"), f"10.0.1.{n}:80") for n in range(1, 6)]
+REFUSAL = b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
+KINDS = pytest.mark.parametrize(
+    ("target", "wait_s"),
+    [("/safe/x", MAX_HEAD_WAIT_S), ("/resumable/x", MAX_GAP_S)],
+)
+
+
+@pytest.fixture
+def cut_off(harness):
+    """A daemon that reaches no server, and two others that do."""
+    harness.peer_paths.peers = PEERS[:2]
+    return harness
+
+
+def advance(harness, seconds):
+    for _ in range(round(seconds / 0.05)):
+        harness.advance(0.05)
+
+
+def connections_to(harness, peer):
+    return [c for c in harness.connections if c.address == peer.address]
+
+
+def pass_on_until_silent(harness, caller, target, wait_s):
+    """Return the connections to the first daemon, which is silent, and to the next."""
+    caller.request(target)
+    (first,) = harness.connections
+    advance(harness, wait_s + 0.05)
+    first_one, *others = harness.connections
+    assert first_one is first
+    return first, others
+
+
+def answer(connection):
+    if "/safe/" in connection.head:
+        connection.respond(body=EVENT_1 + EVENT_2 + b"\r\n0\r\n\r\n")
+    else:
+        connection.start_stream(EVENT_1, EVENT_2)
+        connection.end_stream()
+
+
+def is_answered(caller):
+    return caller.status == 200 and caller.received().endswith(
+        EVENT_2 + b"\r\n0\r\n\r\n"
+    )
+
+
+@KINDS
+class TestRequestOfASilentDaemon:
+    """Guards against a 502 for a request that the first daemon would have answered."""
+
+    def test_is_answered_through_it_if_the_next_one_refuses_it(
+        self, cut_off, caller, target, wait_s
+    ):
+        first, [other] = pass_on_until_silent(cut_off, caller, target, wait_s)
+        other.send(REFUSAL)
+        advance(cut_off, 0.3)
+        answer(first)
+        assert is_answered(caller)
+
+    @pytest.mark.parametrize("status", [500, 502, 504])
+    def test_is_answered_through_it_if_the_next_one_fails(
+        self, cut_off, caller, target, wait_s, status
+    ):
+        first, [other] = pass_on_until_silent(cut_off, caller, target, wait_s)
+        other.send(f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n".encode())
+        advance(cut_off, 0.3)
+        answer(first)
+        assert is_answered(caller)
+
+    @pytest.mark.parametrize("failure", ["refusing", "unresponsive"])
+    def test_is_answered_through_it_if_the_next_one_is_not_reached(
+        self, cut_off, caller, target, wait_s, failure
+    ):
+        addresses = getattr(cut_off.reactor, f"{failure}_addresses")
+        addresses.add(PEERS[1].address)
+        first, others = pass_on_until_silent(cut_off, caller, target, wait_s)
+        advance(cut_off, 0.4)
+        assert others == []
+        answer(first)
+        assert is_answered(caller)
+
+    def test_is_answered_through_it_if_the_next_one_loses_the_connection(
+        self, cut_off, caller, target, wait_s
+    ):
+        first, [other] = pass_on_until_silent(cut_off, caller, target, wait_s)
+        other.transport.lose_connection()
+        advance(cut_off, 0.3)
+        answer(first)
+        assert is_answered(caller)
+
+    def test_is_answered_through_it_if_the_next_one_is_silent_too(
+        self, cut_off, caller, target, wait_s
+    ):
+        other_caller = cut_off.caller()
+        cut_off.peer_paths.peers = PEERS[1::-1]
+        other_caller.request("/stream/x", "a2")
+        cut_off.peer_paths.peers = PEERS[:2]
+        caller.request(target)
+        (first,) = connections_to(cut_off, PEERS[0])
+        advance(cut_off, wait_s + MAX_OVERLAP_S)
+        assert len(connections_to(cut_off, PEERS[1])) == 2
+        answer(first)
+        assert is_answered(caller)
+
+    def test_is_answered_through_it_if_the_retry_budget_is_used_up(
+        self, cut_off, caller, target, wait_s
+    ):
+        while cut_off.budget.try_acquire("app"):
+            pass
+        first, others = pass_on_until_silent(cut_off, caller, target, wait_s)
+        assert others == []
+        answer(first)
+        assert is_answered(caller)
+
+    def test_is_answered_through_it_if_no_other_one_reaches_servers(
+        self, cut_off, caller, target, wait_s
+    ):
+        cut_off.peer_paths.peers = PEERS[:1]
+        first, others = pass_on_until_silent(cut_off, caller, target, wait_s)
+        assert others == []
+        answer(first)
+        assert is_answered(caller)
+
+    def test_is_answered_through_the_next_one_if_that_answers_first(
+        self, cut_off, caller, target, wait_s
+    ):
+        first, [other] = pass_on_until_silent(cut_off, caller, target, wait_s)
+        assert not first.transport.is_lost
+        answer(other)
+        cut_off.advance()
+        assert first.transport.is_lost
+        assert is_answered(caller)
+        assert cut_off.results == ["answered"]
+
+    def test_is_answered_through_the_next_one_if_it_breaks(
+        self, cut_off, caller, target, wait_s
+    ):
+        first, [other] = pass_on_until_silent(cut_off, caller, target, wait_s)
+        first.transport.lose_connection()
+        cut_off.advance()
+        assert not other.transport.is_lost
+        answer(other)
+        assert is_answered(caller)
+
+    def test_ends_at_the_next_one_if_it_answers_first(
+        self, cut_off, caller, target, wait_s
+    ):
+        """Guards against servers that work for a caller that has its response."""
+        first, [other] = pass_on_until_silent(cut_off, caller, target, wait_s)
+        answer(first)
+        cut_off.advance()
+        assert other.transport.is_lost
+        assert is_answered(caller)
+
+    def test_is_run_by_two_servers_for_a_short_time_only(
+        self, cut_off, caller, target, wait_s
+    ):
+        first, [other] = pass_on_until_silent(cut_off, caller, target, wait_s)
+        advance(cut_off, MAX_OVERLAP_S)
+        assert first.transport.is_lost
+        assert not other.transport.is_lost
+        if target == "/resumable/x":
+            answer(other)
+            assert is_answered(caller)
+
+    def test_ends_at_both_if_the_caller_leaves(self, cut_off, caller, target, wait_s):
+        first, [other] = pass_on_until_silent(cut_off, caller, target, wait_s)
+        caller.close_connection()
+        cut_off.advance()
+        assert first.transport.is_lost and other.transport.is_lost
+
+    def test_is_passed_on_with_the_number_of_its_runs(
+        self, cut_off, caller, target, wait_s
+    ):
+        """Guards against more runs than the route allows."""
+        first, [other] = pass_on_until_silent(cut_off, caller, target, wait_s)
+        assert first.header("passed-on-after-runs") == "0"
+        assert other.header("passed-on-after-runs") == "1"
+
+
+class TestRulesOfRequestsThatArePassedOn:
+    @pytest.mark.parametrize("target", ["/unsafe/x", "/stream/x"])
+    def test_one_that_must_not_be_repeated_stays(self, cut_off, caller, target):
+        caller.request(target)
+        advance(cut_off, 0.9)
+        (first,) = cut_off.connections
+        assert not first.transport.is_lost
+
+    def test_at_most_a_fixed_number_of_daemons_get_one(self, harness, caller):
+        harness.peer_paths.peers = PEERS
+        caller.request("/resumable/x")
+        (first,) = harness.connections
+        refused = {first}
+        for _ in range(120):
+            harness.advance(0.05)
+            for other in set(harness.connections) - refused:
+                refused.add(other)
+                other.send(REFUSAL)
+        assert len(harness.connections) == MAX_PEERS
+        assert len({c.address for c in harness.connections}) == MAX_PEERS
+        answer(first)
+        assert is_answered(caller)
+
+    def test_one_whose_response_has_begun_is_not_sent_to_the_next_one(
+        self, cut_off, caller
+    ):
+        """Guards against two daemons that watch the silence of one stream."""
+        caller.request("/resumable/x")
+        (first,) = cut_off.connections
+        first.start_stream(EVENT_1)
+        advance(cut_off, MAX_GAP_S + 0.5)
+        assert cut_off.connections == [first]
+        first.chunk(EVENT_2)
+        first.end_stream()
+        assert is_answered(caller)
+
+    def test_one_that_times_out_at_silent_daemons_is_answered_as_such(
+        self, cut_off, caller
+    ):
+        first, [other] = pass_on_until_silent(
+            cut_off, caller, "/safe/x", MAX_HEAD_WAIT_S
+        )
+        advance(cut_off, 1)
+        assert caller.status == 504
+        assert first.transport.is_lost and other.transport.is_lost
+
+    def test_one_that_both_daemons_refuse_is_answered_as_not_run(self, cut_off, caller):
+        first, [other] = pass_on_until_silent(
+            cut_off, caller, "/safe/x", MAX_HEAD_WAIT_S
+        )
+        other.send(REFUSAL)
+        cut_off.advance()
+        first.send(REFUSAL)
+        cut_off.advance()
+        assert caller.status == 503
+        assert cut_off.results == ["not_run"]
+
+    def test_one_goes_on_at_a_server_that_is_reached_again(self, cut_off, caller):
+        cut_off.peer_paths.peers = PEERS[:1]
+        caller.request("/resumable/x")
+        cut_off.peer_paths.peers = []
+        advance(cut_off, MAX_GAP_S + 0.05)
+        first, other = cut_off.connections
+        assert other.header("x-chivesaddle-expected-instance") is not None
+        answer(other)
+        cut_off.advance()
+        assert first.transport.is_lost
+        assert is_answered(caller)
+
+    def test_one_that_resumes_a_stream_goes_on_at_the_version_that_began_it(
+        self, harness
+    ):
+        """Guards against events of two versions in one stream."""
+        start_version_mix(harness)
+        for number in range(4):
+            caller = harness.caller()
+            caller.request("/resumable/x", f"a{number}")
+            began_at = harness.connections[-1]
+            began_at.start_stream(EVENT_1)
+            caller.close_connection()
+            harness.peer_paths.peers = PEERS[:1]
+            resume(harness, f"a{number}", request_id=f"b{number}")
+            harness.peer_paths.peers = []
+            advance(harness, MAX_GAP_S)
+            for server in harness.servers.all():
+                is_own = server.entry.software_version == version_of(began_at)
+                server.failure_rate = 0.9 if is_own else 0.0
+            advance(harness, 0.3)
+            went_on_at = harness.connections[-1]
+            assert went_on_at is not began_at
+            assert went_on_at.address != PEERS[0].address
+            assert version_of(went_on_at) == version_of(began_at)
+
+    def test_a_daemon_that_is_given_up_is_logged(self, cut_off, caller, caplog):
+        caplog.set_level("INFO")
+        _, [other] = pass_on_until_silent(cut_off, caller, "/safe/x", MAX_HEAD_WAIT_S)
+        answer(other)
+        lines = [
+            r for r in caplog.records if r.getMessage().endswith("passing on failed")
+        ]
+        assert [(line.peer, line.was_given_up) for line in lines] == [("d1", True)]
+        (line,) = [r for r in caplog.records if r.getMessage().endswith("answered")]
+        assert line.passed_to == ["d1", "d2"]
