--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -565,8 +565,6 @@
         try:
             candidate = await self._find_server(context)
         except NoPath:
-            if isinstance(silent, ServerAttempt):
-                raise
             return self._passer.open_successor(context, relay)
         finally:
             context.silent_since = None
--- a/tests/forwarding/test_silent_peers.py
+++ b/tests/forwarding/test_silent_peers.py
@@ -5,6 +5,8 @@
 from chivesaddle.core.ids import DaemonId
 from chivesaddle.forwarding.passing import MAX_PEERS, PeerDaemon
 
+from . import test_lost_paths
+from .test_lost_paths import Cut, PathFleet
 from .test_software_versions import resume, start_version_mix, version_of
 
 EVENT_1 = b"id: 1\ndata: a\n\n"
@@ -300,3 +302,147 @@
         assert [(line.peer, line.was_given_up) for line in lines] == [("d1", True)]
         (line,) = [r for r in caplog.records if r.getMessage().endswith("answered")]
         assert line.passed_to == ["d1", "d2"]
+
+
+class TestRequestAtAServerOnAPathThatHangs:
+    """Guards against requests that wait there although another daemon is answered."""
+
+    def lose_paths(self, harness):
+        harness.peer_paths.peers = PEERS[:2]
+
+    def test_stream_goes_on_through_another_daemon(self, harness, caller):
+        caller.request("/resumable/x")
+        (server,) = harness.connections
+        server.start_stream(EVENT_1)
+        self.lose_paths(harness)
+        advance(harness, MAX_GAP_S + 0.05)
+        (other,) = connections_to(harness, PEERS[0])
+        assert other.header("passed-on-after-runs") == "1"
+        assert other.header("last-event-id") == "1"
+        assert not server.transport.is_lost
+        other.start_stream(EVENT_2)
+        harness.advance()
+        assert server.transport.is_lost
+        other.end_stream()
+        assert is_answered(caller)
+
+    def test_request_without_a_head_goes_on_through_another_daemon(
+        self, harness, caller
+    ):
+        caller.request("/safe/x")
+        (server,) = harness.connections
+        self.lose_paths(harness)
+        advance(harness, MAX_HEAD_WAIT_S + 0.05)
+        (other,) = connections_to(harness, PEERS[0])
+        assert not server.transport.is_lost
+        answer(other)
+        harness.advance()
+        assert server.transport.is_lost
+        assert is_answered(caller)
+
+    def test_stream_goes_on_before_its_connection_is_found_dead(self, monkeypatch):
+        """With paths that the daemon judges itself."""
+        monkeypatch.setattr(test_lost_paths, "DEAD_CONNECTION_S", 60.0)
+        fleet = PathFleet(3)
+        fleet.play(2)
+        run = fleet.send(fleet.daemons[0], "/resumable/")
+        fleet.advance(0.05)
+        server = fleet.connection_of(run.id)
+        server.start_stream(EVENT_1, request_id=run.id)
+        fleet.runs.remove(run)
+        fleet.advance(0.05)
+        fleet.cut(1, Cut.HANG)
+        fleet.play(MAX_GAP_S, target="/unsafe/")
+        assert fleet.daemons[0].paths.is_cut_off
+        assert not server.transport.is_lost
+        other = fleet.connection_of(run.id)
+        assert other is not server
+        other.start_stream(EVENT_2, request_id=run.id)
+        other.end_stream()
+        fleet.advance(0.05)
+        assert is_answered(run.caller)
+
+    def test_stream_goes_on_there_if_the_other_daemon_refuses_it(self, harness, caller):
+        caller.request("/resumable/x")
+        (server,) = harness.connections
+        server.start_stream(EVENT_1)
+        harness.peer_paths.peers = PEERS[:1]
+        advance(harness, MAX_GAP_S + 0.05)
+        (other,) = connections_to(harness, PEERS[0])
+        other.send(REFUSAL)
+        advance(harness, 0.5)
+        server.chunk(EVENT_2)
+        server.end_stream()
+        assert is_answered(caller)
+
+    def test_next_daemon_gets_it_if_the_server_breaks_before_one_refuses(
+        self, harness, caller
+    ):
+        caller.request("/resumable/x")
+        (server,) = harness.connections
+        server.start_stream(EVENT_1)
+        self.lose_paths(harness)
+        advance(harness, MAX_GAP_S + 0.05)
+        (other,) = connections_to(harness, PEERS[0])
+        server.transport.lose_connection()
+        harness.advance()
+        other.send(REFUSAL)
+        harness.advance()
+        harness.advance()
+        (last,) = connections_to(harness, PEERS[1])
+        last.start_stream(EVENT_2)
+        last.end_stream()
+        assert is_answered(caller)
+
+    def test_next_daemon_gets_a_request_that_has_run_nowhere(self, harness, caller):
+        caller.request("/safe/x")
+        (server,) = harness.connections
+        self.lose_paths(harness)
+        advance(harness, MAX_HEAD_WAIT_S + 0.05)
+        (other,) = connections_to(harness, PEERS[0])
+        server.respond(503, extra_header="X-Chivesaddle-Not-Executed: 1")
+        harness.advance()
+        other.send(REFUSAL)
+        harness.advance()
+        harness.advance()
+        (last,) = connections_to(harness, PEERS[1])
+        answer(last)
+        assert is_answered(caller)
+
+    def test_stream_of_a_model_goes_on_through_another_daemon(self, harness, caller):
+        """Guards against a wait for memory of servers that are not reached."""
+        harness.use_model_engines()
+        headers = "X-Chivesaddle-Model: m\r\nX-Chivesaddle-Token-Counts: 90,10"
+        caller.request("/resumable/x", headers=headers)
+        (server,) = harness.connections
+        server.start_stream(EVENT_1)
+        self.lose_paths(harness)
+        advance(harness, MAX_GAP_S + 0.05)
+        (other,) = connections_to(harness, PEERS[0])
+        other.start_stream(EVENT_2)
+        other.end_stream()
+        assert is_answered(caller)
+
+    def test_stream_that_waits_for_another_server_goes_on_through_a_daemon(
+        self, harness, caller
+    ):
+        harness.use_model_engines()
+        headers = (
+            "X-Chivesaddle-Model: m\r\nX-Chivesaddle-Token-Counts: 90,10\r\n"
+            "X-Chivesaddle-Prompt-Prefix: p1:90"
+        )
+        caller.request("/resumable/x", headers=headers)
+        harness.caller().request("/stream/x", "b1", headers=headers)
+        server, other_server = harness.connections
+        server.start_stream(EVENT_1)
+        other_server.start_stream(EVENT_1)
+        for _ in range(85):
+            harness.advance(0.05)
+            other_server.chunk(b": alive\n\n")
+        assert len(harness.connections) == 2
+        self.lose_paths(harness)
+        advance(harness, 0.5)
+        (other,) = connections_to(harness, PEERS[0])
+        other.start_stream(EVENT_2)
+        other.end_stream()
+        assert is_answered(caller)
