--- a/src/chivesaddle/forwarding/handover.py
+++ b/src/chivesaddle/forwarding/handover.py
@@ -38,6 +38,10 @@
     def is_taken(self) -> bool:
         """Whether the request is the attempt's."""
 
+    @property
+    def has_successor(self) -> bool:
+        """Whether another attempt has the request too, if this one has taken it."""
+
     def take(self) -> None:
         """Take the request over; the attempt so far ends."""
 
@@ -123,6 +127,11 @@
         finally:
             self._stop()
 
+    @property
+    def has_successor(self) -> bool:
+        """Whether a successor runs beside the attempt that has the request."""
+        return self._successor is not None
+
     def is_current(self, running: "_RunningAttempt[A]") -> bool:
         """Return whether the request is the attempt's."""
         return running is self._current
@@ -312,6 +321,11 @@
         """Whether the request is the attempt's."""
         return self._handover.is_current(self)
 
+    @property
+    def has_successor(self) -> bool:
+        """Whether another attempt has the request too, if this one has taken it."""
+        return self._handover.has_successor
+
     def take(self) -> None:
         """Take the request over; the attempt so far ends."""
         self._handover.take_over(self)
--- a/src/chivesaddle/forwarding/peer_attempt.py
+++ b/src/chivesaddle/forwarding/peer_attempt.py
@@ -256,7 +256,7 @@
 
         read_chunk: ReadChunk = read_from_peer
         if not turn.is_taken:
-            read_chunk = await read_ahead(relay, response, read_from_peer)
+            read_chunk = await read_ahead(relay, response, read_from_peer, _is_alive)
             turn.take()
             context.reset_response()
             context.framing = response.framing
--- a/src/chivesaddle/forwarding/preview.py
+++ b/src/chivesaddle/forwarding/preview.py
@@ -8,13 +8,18 @@
 from chivesaddle.forwarding.relay import (
     MAX_BUFFERED_BYTES,
     MAX_EVENT_BYTES,
+    IsServerAlive,
     ReadChunk,
     Relay,
 )
+from chivesaddle.forwarding.response_end import body_end
 
 
 async def read_ahead(
-    relay: Relay, response: ServerResponse, read_chunk: ReadChunk
+    relay: Relay,
+    response: ServerResponse,
+    read_chunk: ReadChunk,
+    is_server_alive: IsServerAlive,
 ) -> ReadChunk:
     """Read until the response is known to go on with what the caller has.
 
@@ -29,6 +34,8 @@
         Head of the response.
     read_chunk : callable
         Reads the body.
+    is_server_alive : callable
+        Returns whether the process that sends the response is known to live on.
 
     Returns
     -------
@@ -44,15 +51,23 @@
     if response.status >= 500:
         raise NoUsableResponse(f"Server responded with status {response.status}")
     chunks: deque[bytes | None] = deque()
+    is_stream = relay.expects_events(response)
     splitter = EventSplitter(checks_order=True, resumes_after=relay.resumes_after)
     size = 0
     while True:
         chunk = await read_chunk()
-        chunks.append(chunk)
         if chunk is None:
+            end = (
+                relay.stream_end(response, splitter, b"")
+                if is_stream
+                else body_end(response, b"".join(filter(None, chunks)))
+            )
+            await relay.check_end(end, response, is_server_alive)
+            chunks.append(None)
             break
+        chunks.append(chunk)
         size += len(chunk)
-        if not relay.expects_events(response):
+        if not is_stream:
             if size > MAX_BUFFERED_BYTES:
                 break
             continue
--- a/src/chivesaddle/forwarding/relay.py
+++ b/src/chivesaddle/forwarding/relay.py
@@ -162,7 +162,7 @@
                 self._start(response, response.content_length, b"".join(buffered))
                 await self._responder.wait_writable()
         body = None if self.has_started else b"".join(buffered)
-        await self._check_end(body_end(response, body), response, is_server_alive)
+        await self.check_end(body_end(response, body), response, is_server_alive)
         if body is not None:
             self.on_progress()
             self._start(response, size, body)
@@ -203,14 +203,8 @@
             else:
                 await self._responder.wait_writable()
             self._check_no_fault()
-        end = stream_end(
-            response.framing,
-            self._splitter,
-            last_events,
-            may_be_empty=self.resumes_after is not None
-            or not has_body(self._method, response.status),
-        )
-        await self._check_end(end, response, is_server_alive)
+        end = self.stream_end(response, self._splitter, last_events)
+        await self.check_end(end, response, is_server_alive)
         if not last_events:
             self.on_progress()
         if not self.has_started:
@@ -222,7 +216,19 @@
         if self._splitter.fault is not None:
             raise NoUsableResponse(self._splitter.fault.value)
 
-    async def _check_end(
+    def stream_end(
+        self, response: ServerResponse, splitter: EventSplitter, last_events: bytes
+    ) -> ResponseEnd:
+        """Return how a stream ended that ``splitter`` has read; see `stream_end`."""
+        return stream_end(
+            response.framing,
+            splitter,
+            last_events,
+            may_be_empty=self.resumes_after is not None
+            or not has_body(self._method, response.status),
+        )
+
+    async def check_end(
         self,
         end: ResponseEnd,
         response: ServerResponse,
--- a/src/chivesaddle/forwarding/server_attempt.py
+++ b/src/chivesaddle/forwarding/server_attempt.py
@@ -308,16 +308,21 @@
         self._has_head = True
         read_chunk: ReadChunk = exchange.read_chunk
         if response.status >= 500 and not (
-            turn.is_taken and self._must_pass_on_error()
+            turn.is_taken and not turn.has_successor and self._must_pass_on_error()
         ):
             raise NoUsableResponse(
                 f"Server responded with status {response.status}",
                 outcome=ExchangeOutcome.FAILED,
             )
         if not turn.is_taken:
-            read_chunk = await read_ahead(relay, response, exchange.read_chunk)
+            read_chunk = await read_ahead(
+                relay, response, exchange.read_chunk, exchange.is_server_alive
+            )
             turn.take()
             context.reset_response()
+        elif not relay.expects_events(response):
+            # Nothing goes to the caller before the whole body has arrived.
+            turn.record_progress()
         self._is_forwarding = True
         server = self.candidate.server.entry
 
@@ -342,7 +347,7 @@
         context, access = self._context, self._access
         servers = access.servers.of_service(context.service)
         return (
-            len(servers) <= len(context.excluded) + 1
+            len(servers) <= len(context.excluded | {self.candidate.server.entry.id})
             or self._relay.has_started
             or not access.attempts.may_retry(context)
         )
