--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -51,7 +51,11 @@
 from chivesaddle.forwarding.relay import Relay
 from chivesaddle.forwarding.request_context import RequestContext
 from chivesaddle.forwarding.results import ResultReporter
-from chivesaddle.forwarding.server_attempt import ServerAccess, ServerAttempt
+from chivesaddle.forwarding.server_attempt import (
+    ProbeServer,
+    ServerAccess,
+    ServerAttempt,
+)
 from chivesaddle.forwarding.server_liveness import ServerLiveness
 from chivesaddle.forwarding.serving_state import (
     LAST_ATTEMPT_RESERVE_S,
@@ -139,6 +143,8 @@
         Reads when the process at a model engine's address was started.
     was_paused : callable
         Returns whether this process did not run for a while just before.
+    probe_server : callable or None
+        Returns whether a server answers anything; None if servers cannot be asked.
 
     Attributes
     ----------
@@ -165,6 +171,7 @@
         shares_by_account: bool = False,
         read_start: ReadStart | None = None,
         was_paused: Callable[[], bool] = lambda: False,
+        probe_server: ProbeServer | None = None,
     ) -> None:
         self._shares_by_account = shares_by_account
         self.admission_counts = AdmissionCounts()
@@ -198,6 +205,7 @@
             self._stream_software,
             crashes,
             self._attempts,
+            probe_server,
         )
         self._passer = RequestPasser(
             clock,
--- a/src/chivesaddle/forwarding/handover.py
+++ b/src/chivesaddle/forwarding/handover.py
@@ -3,7 +3,8 @@
 A silent server may go on at any time, and no other one has promised anything before it
 has the request. So the silent server keeps the request until another one has taken it:
 the other one's response has begun, or it has had the request for `OVERLAP_S` without
-refusing it. If it refuses, fails, or the silent server goes on first, nothing is lost.
+refusing it and has sent something meanwhile. If it refuses, fails, or the silent server
+goes on first, nothing is lost.
 """
 
 import math
@@ -25,8 +26,6 @@
 RECHECK_INTERVAL_S = 0.25
 # Two servers must not work on one request for 0.4 s; the rest is for the network.
 OVERLAP_S = 0.3
-# Interval at which a second server that is silent as well is looked at again.
-SILENT_SUCCESSOR_INTERVAL_S = 0.05
 
 log = ComponentLogger("forward")
 
@@ -70,7 +69,7 @@
         """Return when the attempt counts as silent, infinite if never."""
 
     def shows_life(self) -> bool:
-        """Return whether the server is known to work since it got the request."""
+        """Return whether the server has sent anything since it got the request."""
 
 
 A = TypeVar("A", bound=Attempt)
@@ -212,7 +211,7 @@
     def _end_overlap(self, running: "_RunningAttempt[A]") -> None:
         """Leave the request to a successor that works on it.
 
-        One that is silent as well does not: the first server to go on has the request.
+        One that is silent as well is closed, so that two never have it for longer.
         """
         self._overlap_timer = None
         if running is not self._successor:
@@ -220,9 +219,8 @@
         if running.attempt.shows_life():
             self.take_over(running)
         else:
-            self._overlap_timer = self._clock.callLater(
-                SILENT_SUCCESSOR_INTERVAL_S, self._end_overlap, running
-            )
+            self._drop_successor()
+            self._log_stay("silent_successor", "The other server was silent as well")
 
     def take_over(self, running: "_RunningAttempt[A]") -> None:
         """Give the request to the successor, and end the attempt that had it."""
@@ -339,4 +337,4 @@
         self._handover.record_progress()
 
 
-__all__ = ["Attempt", "Handover", "Turn"]
+__all__ = ["OVERLAP_S", "Attempt", "Handover", "Turn"]
--- a/src/chivesaddle/forwarding/server_attempt.py
+++ b/src/chivesaddle/forwarding/server_attempt.py
@@ -1,14 +1,16 @@
 """One send of a request to one backend server."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from chivesaddle.core.aio import Clock
+from twisted.internet.defer import Deferred
+
+from chivesaddle.core.aio import Clock, log_failure, sleep_until, start
 from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded
 from chivesaddle.core.ids import ServiceId
 from chivesaddle.core.logs import ComponentLogger
-from chivesaddle.core.serving_model import RouteKind
+from chivesaddle.core.serving_model import RouteKind, ServerEntry
 from chivesaddle.forwarding.attempts import Attempts, max_gap_s
 from chivesaddle.forwarding.crashes import CrashRecord
 from chivesaddle.forwarding.exchange import (
@@ -17,7 +19,7 @@
     ServerDidNotRun,
     ServerExchange,
 )
-from chivesaddle.forwarding.handover import Turn
+from chivesaddle.forwarding.handover import OVERLAP_S, Turn
 from chivesaddle.forwarding.messages import (
     CallerRequest,
     SendOptions,
@@ -40,6 +42,12 @@
     ServerTable,
 )
 
+# Most servers refuse or respond within this time, so that few are probed.
+PROBE_AFTER_S = 0.1
+
+# Returns whether a server answers anything by a deadline in seconds.
+ProbeServer = Callable[[ServerEntry, float], Awaitable[bool]]
+
 log = ComponentLogger("forward")
 
 
@@ -52,6 +60,8 @@
     read_start : callable
         Returns the function that reads when a server of a service was started, None if
         its servers have no report.
+    probe : callable or None
+        Returns whether a server answers; None if servers cannot be asked.
     """
 
     clock: Clock
@@ -67,6 +77,7 @@
     stream_software: StreamSoftware
     crashes: CrashRecord
     attempts: Attempts
+    probe: ProbeServer | None
 
 
 class ServerAttempt:
@@ -109,6 +120,7 @@
         self._sent_at = math.inf
         self._has_head = False
         self._is_forwarding = False
+        self._has_answered_probe = False
         self._begin_deadline = self._find_begin_deadline()
         self._first_deadline = access.attempts.response_deadline(context)
         self._max_gap_s = max_gap_s(context.route)
@@ -132,14 +144,19 @@
         return waiting_since + self._max_gap_s
 
     def shows_life(self) -> bool:
-        """Return whether the server is known to work since it got the request.
-
-        One that has only this request may be reading its prompt, and counts as alive.
-        """
+        """Return whether the server has sent anything since it got the request."""
         tracked = self._access.servers.get(self.candidate.server.entry.id)
-        if tracked is None:
-            return False
-        return tracked.last_byte_at >= self._sent_at or tracked.in_flight.count <= 1
+        return self._has_answered_probe or (
+            tracked is not None and tracked.last_byte_at >= self._sent_at
+        )
+
+    async def _await_answer(self, probe: ProbeServer) -> None:
+        """Ask a server that may be reading a long prompt whether it is alive."""
+        now = self._clock.seconds()
+        await sleep_until(self._clock, now + PROBE_AFTER_S)
+        if not self.shows_life():
+            server = self.candidate.server.entry
+            self._has_answered_probe = await probe(server, now + OVERLAP_S)
 
     def record_failure(self, reporter: ResultReporter, error: ChivesaddleError) -> None:
         """Log that the server failed, and send the request there no more."""
@@ -231,8 +248,14 @@
         exchange.on_bytes = run.record_bytes
         outcome: ExchangeOutcome | None = None
 
+        probing: Deferred[None] | None = None
+
         def record_sent() -> None:
+            nonlocal probing
             self._sent_at = self._clock.seconds()
+            if access.probe is not None and not turn.is_taken:
+                probing = start(self._await_answer(access.probe))
+                probing.addErrback(log_failure(log, "server was not probed"))
             context.runs += 1
             context.arrivals += 1
             turn.record_sent()
@@ -289,6 +312,8 @@
                 run.record_break()
             raise
         finally:
+            if probing is not None:
+                probing.cancel()
             if self.was_given_up:
                 outcome = ExchangeOutcome.BROKEN
             run.end()
--- a/src/chivesaddle/forwarding/serving_state.py
+++ b/src/chivesaddle/forwarding/serving_state.py
@@ -76,6 +76,12 @@
         known = configuration and configuration.services_by_id.get(service)
         return known.health_path if known else None
 
+    def has_engines(self, service: ServiceId) -> bool:
+        """Return whether a service has model engines."""
+        configuration = self.configuration
+        known = configuration and configuration.services_by_id.get(service)
+        return bool(known and known.engine)
+
     def services_with_resumption(self) -> Collection[ServiceId]:
         """Return the services with streams that callers may resume."""
         return self._services_with_resumption
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -106,6 +106,7 @@
 from chivesaddle.serving.registration import Registration
 from chivesaddle.serving.request_senders import RequestSenders
 from chivesaddle.serving.server_activity import ServerActivity
+from chivesaddle.serving.server_probe import ServerProbe
 from chivesaddle.serving.settings import ServingSettings, SettingsError
 from chivesaddle.serving.silent_paths import SilentPaths
 from chivesaddle.serving.software_record import SoftwareRecord
@@ -459,6 +460,13 @@
             Features.from_contracts(settings.contracts).shares_by_account,
             backend_client.read_start,
             lambda: self._loop_lag.was_late,
+            ServerProbe(
+                reactor,
+                self._server_pool,
+                backend_client.read_start,
+                self._serving_state.has_engines,
+                self._serving_state.health_path,
+            ).answers,
         )
         self._loop_lag = LoopLag(
             reactor,
