--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -16,7 +16,7 @@
 )
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.core.serving_model import Account, Configuration, Route, RouteKind
-from chivesaddle.forwarding.attempts import Attempts, caller_timeout_s, max_gap_s
+from chivesaddle.forwarding.attempts import Attempts, max_gap_s
 from chivesaddle.forwarding.budget import RetryBudget
 from chivesaddle.forwarding.crashes import CrashRecord
 from chivesaddle.forwarding.errors import (
@@ -604,16 +604,18 @@
 
         Raises `NotRun` or `MayHaveRun` if there is none.
         """
-        self._limits.record_demand(context.service)
+        if context.silent_since is None:
+            self._limits.record_demand(context.service)
         if not self._server_memory_tokens(context.service):
             candidate = self._choose(context)
             if candidate.has_capacity:
                 return candidate
         now = self._clock.seconds()
         target_s = context.route.target_s
-        caller_waits_until = context.received_at + max_gap_s(context.route)
-        if context.silent_since is not None:
-            caller_waits_until = context.silent_since + caller_timeout_s(context.route)
+        # A request that a silent server has may wait here until its caller leaves.
+        caller_waits_until = context.deadline
+        if context.silent_since is None:
+            caller_waits_until = context.received_at + max_gap_s(context.route)
         memory_request = MemoryRequest(
             tokens=max(1, context.request.memory_tokens),
             priority=self._priority(context) or 0,
--- a/src/chivesaddle/forwarding/handover.py
+++ b/src/chivesaddle/forwarding/handover.py
@@ -65,8 +65,11 @@
     async def run(self, turn: Turn) -> None:
         """Send, take the turn once the response can be passed on, and pass it on."""
 
+    def record_taken(self) -> None:
+        """Record that the request is the attempt's."""
+
     def silent_at(self) -> float:
-        """Return when the attempt counts as silent, infinite if never."""
+        """Return when the attempt counts as silent, infinite if never or not sent."""
 
     def shows_life(self) -> bool:
         """Return whether the server has sent anything since it got the request."""
@@ -119,8 +122,8 @@
             The error of the last attempt that had the request.
         """
         self._current = _RunningAttempt(self, attempt)
+        attempt.record_taken()
         self._current.start()
-        self._check_silence()
         try:
             await self._result
         finally:
@@ -136,16 +139,22 @@
         return running is self._current
 
     def _stop(self) -> None:
-        self._cancel_timers()
         self._drop_successor()
-        if self._current is not None:
-            self._current.cancel()
+        self._cancel_timers()
+        current, self._current = self._current, None
+        if current is not None:
+            current.cancel()
 
     def _cancel_timers(self) -> None:
-        for timer in (self._timer, self._overlap_timer):
-            if timer is not None and timer.active():
-                timer.cancel()
-        self._timer = self._overlap_timer = None
+        self._cancel_overlap()
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+    def _cancel_overlap(self) -> None:
+        if self._overlap_timer is not None and self._overlap_timer.active():
+            self._overlap_timer.cancel()
+        self._overlap_timer = None
 
     def _check_silence(self) -> None:
         """Look for a successor if the current attempt is silent; set the next timer."""
@@ -203,7 +212,10 @@
 
     def record_sent(self, running: "_RunningAttempt[A]") -> None:
         """Record that the server of an attempt has got the request."""
-        if running is not self._current:
+        if running is self._current:
+            if self._timer is None:
+                self._check_silence()
+        else:
             self._overlap_timer = self._clock.callLater(
                 OVERLAP_S, self._end_overlap, running
             )
@@ -234,6 +246,7 @@
             given_up.attempt,
             NoUsableResponse("Server was silent for too long", was_given_up=True),
         )
+        running.attempt.record_taken()
         self._restart_timer()
 
     def record_progress(self) -> None:
@@ -247,6 +260,7 @@
         if opening is not None:
             opening.cancel()
         successor, self._successor = self._successor, None
+        self._cancel_overlap()
         if successor is not None:
             successor.cancel()
 
@@ -260,6 +274,7 @@
         is_successor = running is self._successor
         if is_successor:
             self._successor = None
+            self._cancel_overlap()
         match failure.value:
             case ChivesaddleError() as error:
                 self._record_failure(running.attempt, error)
@@ -271,6 +286,7 @@
             self._log_stay(code, cause)
         elif self._successor is not None:
             self._current, self._successor = self._successor, None
+            self._current.attempt.record_taken()
             self._restart_timer()
         else:
             self._finish(failure)
@@ -337,4 +353,4 @@
         self._handover.record_progress()
 
 
-__all__ = ["OVERLAP_S", "Attempt", "Handover", "Turn"]
+__all__ = ["OVERLAP_S", "TIMER_TOLERANCE_S", "Attempt", "Handover", "Turn"]
--- a/src/chivesaddle/forwarding/peer_attempt.py
+++ b/src/chivesaddle/forwarding/peer_attempt.py
@@ -18,7 +18,7 @@
     ServerResponse,
 )
 from chivesaddle.forwarding.preview import read_ahead
-from chivesaddle.forwarding.relay import ReadChunk, Relay
+from chivesaddle.forwarding.relay import ReadChunk, Relay, ignore_progress
 from chivesaddle.forwarding.request_context import RequestContext
 from chivesaddle.forwarding.results import ResultReporter
 from chivesaddle.http1 import (
@@ -133,14 +133,19 @@
         self._first_deadline = access.attempts.response_deadline(context)
         self._activity = PeerActivity()
 
+    def record_taken(self) -> None:
+        """Record that the request is the attempt's."""
+        self._context.reset_response()
+
     def silent_at(self) -> float:
         """Return when the daemon is silent for too long, infinite if never.
 
         Once the response has begun, the other daemon watches its server itself.
         """
-        additional = 0 if self._sent_at < math.inf else 1
-        if self._has_head or not self._access.attempts.may_retry(
-            self._context, additional
+        if (
+            self._has_head
+            or self._sent_at == math.inf
+            or not self._access.attempts.may_retry(self._context)
         ):
             return math.inf
         return self._first_deadline
@@ -174,8 +179,6 @@
             request may have run.
         """
         context, peer, pool = self._context, self.peer, self._access.pool
-        if turn.is_taken:
-            context.reset_response()
         connection = await self._send()
         self._record_sent(turn)
         is_complete = False
@@ -189,6 +192,7 @@
         finally:
             if turn.is_taken:
                 context.unfinished_bytes = self._relay.unfinished_bytes
+            self._relay.on_progress = ignore_progress
             if is_complete:
                 pool.release(peer.address, connection, response.keep_alive_s)
             else:
@@ -258,7 +262,6 @@
         if not turn.is_taken:
             read_chunk = await read_ahead(relay, response, read_from_peer, _is_alive)
             turn.take()
-            context.reset_response()
             context.framing = response.framing
         # Servers of other daemons are not observed here.
         relay.on_progress = turn.record_progress
--- a/src/chivesaddle/forwarding/relay.py
+++ b/src/chivesaddle/forwarding/relay.py
@@ -68,7 +68,7 @@
         self._is_stream = is_stream
         self._splitter = EventSplitter(checks_order=True, resumes_after=resumes_after)
         self.started_at: float | None = None
-        self.on_progress: Callable[[], None] = lambda: None
+        self.on_progress: Callable[[], None] = ignore_progress
         self.waiting_since: float | None = None
         self.has_event = False
         self._resumes_after = resumes_after
@@ -259,4 +259,8 @@
         await self._responder.wait_writable()
 
 
-__all__ = ["Relay"]
+def ignore_progress() -> None:
+    """Do nothing when an event goes to the caller."""
+
+
+__all__ = ["Relay", "ignore_progress"]
--- a/src/chivesaddle/forwarding/server_attempt.py
+++ b/src/chivesaddle/forwarding/server_attempt.py
@@ -19,7 +19,7 @@
     ServerDidNotRun,
     ServerExchange,
 )
-from chivesaddle.forwarding.handover import OVERLAP_S, Turn
+from chivesaddle.forwarding.handover import OVERLAP_S, TIMER_TOLERANCE_S, Turn
 from chivesaddle.forwarding.messages import (
     CallerRequest,
     SendOptions,
@@ -27,7 +27,7 @@
 )
 from chivesaddle.forwarding.preview import read_ahead
 from chivesaddle.forwarding.prompts import PromptPlanner, cache_scope
-from chivesaddle.forwarding.relay import ReadChunk, Relay
+from chivesaddle.forwarding.relay import ReadChunk, Relay, ignore_progress
 from chivesaddle.forwarding.request_context import RequestContext
 from chivesaddle.forwarding.results import ResultReporter
 from chivesaddle.forwarding.run import Run
@@ -125,13 +125,24 @@
         self._first_deadline = access.attempts.response_deadline(context)
         self._max_gap_s = max_gap_s(context.route)
 
+    def record_taken(self) -> None:
+        """Record that the request is the attempt's."""
+        self._context.reset_response()
+        self._context.last_candidate = self.candidate
+
     def silent_at(self) -> float:
-        """Return when the server is silent for too long, infinite if never."""
-        is_sent = self._sent_at < math.inf
-        if not self._access.attempts.may_retry(
-            self._context, additional=0 if is_sent else 1
+        """Return when the server is silent for too long, infinite if never.
+
+        That is only known once the request has been sent, and never if the route does
+        not allow another attempt.
+        """
+        if self._sent_at == math.inf or not self._access.attempts.may_retry(
+            self._context
         ):
             return math.inf
+        return self._next_event_due()
+
+    def _next_event_due(self) -> float:
         if not self._is_forwarding:
             return self._first_deadline
         if self._context.route.kind is not RouteKind.STREAM:
@@ -143,6 +154,12 @@
             return self._first_deadline
         return waiting_since + self._max_gap_s
 
+    def _was_silent_at_the_end(self) -> bool:
+        """Return whether the time limit has ended the request of a silent server."""
+        due, deadline = self._next_event_due(), self._context.deadline
+        now = self._clock.seconds() + TIMER_TOLERANCE_S
+        return due < deadline <= now and due <= now
+
     def shows_life(self) -> bool:
         """Return whether the server has sent anything since it got the request."""
         tracked = self._access.servers.get(self.candidate.server.entry.id)
@@ -165,7 +182,6 @@
         context = self._context
         reporter.log_retry(context, self.candidate, error)
         server = self.candidate.server.entry.id
-        context.last_candidate = self.candidate
         context.excluded.add(server)
         if isinstance(error, NoUsableResponse) and error.was_given_up:
             context.given_up.append(server)
@@ -217,9 +233,6 @@
         server_id = server.entry.id
         if access.attempts.has_timed_out(context):
             raise DeadlineExceeded("no time left to send")
-        if turn.is_taken:
-            context.reset_response()
-            context.last_candidate = self.candidate
         headers = self._encode_headers()
         access.limits.record_send(server_id)
         exchange = ServerExchange(
@@ -314,8 +327,9 @@
         finally:
             if probing is not None:
                 probing.cancel()
-            if self.was_given_up:
+            if self.was_given_up or (outcome is None and self._was_silent_at_the_end()):
                 outcome = ExchangeOutcome.BROKEN
+            self._relay.on_progress = ignore_progress
             run.end()
             exchange.close()
             access.servers.record_end(server_id, serial, outcome)
@@ -344,7 +358,6 @@
                 relay, response, exchange.read_chunk, exchange.is_server_alive
             )
             turn.take()
-            context.reset_response()
         elif not relay.expects_events(response):
             # Nothing goes to the caller before the whole body has arrived.
             turn.record_progress()
@@ -363,7 +376,6 @@
             turn.record_progress()
 
         relay.on_progress = record_progress
-        context.last_candidate = self.candidate
         context.framing = response.framing
         await relay.forward(response, read_chunk, exchange.is_server_alive)
 
