--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -517,7 +517,11 @@
                         context, relay, error.message
                     ) from error
             except NoUsableResponse as error:
-                if not (relay.can_go_on and self._attempts.may_retry(context)):
+                if (
+                    not relay.can_go_on
+                    or not self._attempts.may_retry(context)
+                    or self._attempts.has_timed_out(context)
+                ):
                     raise self._attempts.final_error(
                         context, relay, error.message
                     ) from error
--- a/tests/forwarding/test_silent_servers.py
+++ b/tests/forwarding/test_silent_servers.py
@@ -301,3 +301,14 @@
         assert line.silent_ms >= MAX_GAP_S * 1e3
         (line,) = [r for r in caplog.records if r.getMessage().endswith("answered")]
         assert line.given_up == [given_up]
+
+
+class TestRequestWhoseTimeLimitIsOver:
+    def test_is_answered_as_timed_out(self, harness, caller):
+        """Guards against a search for another server that none can answer in time."""
+        harness.servers.remove("i-2", may_have_expired=False)
+        caller.request("/safe/x")
+        harness.advance(0.99)
+        harness.connections[0].transport.lose_connection()
+        harness.advance()
+        assert caller.status == 504
