--- a/src/chivesaddle/forwarding/attempts.py
+++ b/src/chivesaddle/forwarding/attempts.py
@@ -27,6 +27,10 @@
 # not retry together.
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 0.6
+# A daemon that has passed a request on looks for another one this long before the other
+# daemon looks for another server; both at once would have it run by a third server. One
+# that is found has the request after 0.3 s.
+PASSING_DAEMON_LEAD_S = 0.4
 # With less time than this, no response can reach the caller before the deadline.
 MIN_REMAINING_TIME_S = 0.02
 
@@ -79,9 +83,12 @@
             return context.deadline
         now = self._clock.seconds()
         attempt_timeout_s = TARGET_TIMEOUT_FACTOR * context.route.target_s
-        return now + min(
+        silent_at = now + min(
             attempt_timeout_s, FIRST_ATTEMPT_TIME_SHARE * (context.deadline - now)
         )
+        if context.request.earlier_runs is not None:
+            silent_at += PASSING_DAEMON_LEAD_S
+        return silent_at
 
     def has_timed_out(self, context: RequestContext) -> bool:
         """Return whether no response can reach the caller in time."""
--- a/tests/forwarding/test_silent_peers.py
+++ b/tests/forwarding/test_silent_peers.py
@@ -446,3 +446,46 @@
         other.start_stream(EVENT_2)
         other.end_stream()
         assert is_answered(caller)
+
+
+class TestServersOfARequestThatIsPassedOn:
+    def start(self, size, target):
+        """Pass on a request to whose first server nobody lets respond."""
+        fleet = PathFleet(size)
+        fleet.play(2)
+        fleet.cut(1, Cut.RESET)
+        fleet.play(2, target="/unsafe/")
+        assert fleet.daemons[0].paths.is_cut_off
+        run = fleet.send(fleet.daemons[0], target)
+        fleet.runs.remove(run)
+        return fleet, run
+
+    @pytest.mark.parametrize("target", ["/safe/x", "/resumable/x"])
+    def test_are_no_more_than_its_route_allows(self, target):
+        """Guards against both daemons that look for another server at once."""
+        fleet, run = self.start(3, target)
+        for _ in range(round(MAX_GAP_S / 0.05) + 20):
+            fleet.play(0.05, target="/unsafe/")
+            sent = connections_with(fleet, run)
+            running = [c for c in sent if not c.transport.is_lost]
+            assert len(running) <= 2
+        assert len(sent) == 2
+
+    def test_are_two_if_only_one_daemon_reaches_any(self):
+        """Guards against requests that no daemon looks for another server for."""
+        fleet, run = self.start(2, "/resumable/x")
+        fleet.advance(0.05)
+        (first,) = connections_with(fleet, run)
+        fleet.play(MAX_GAP_S + 0.5, target="/unsafe/")
+        (second,) = set(connections_with(fleet, run)) - {first}
+        second.start_stream(EVENT_1, EVENT_2, request_id=run.id)
+        second.end_stream()
+        fleet.advance(0.1)
+        assert first.transport.is_lost
+        assert is_answered(run.caller)
+
+
+def connections_with(fleet, run):
+    """Return the connections whose last request is the run's."""
+    end = b"\r\n\r\n" + run.id.encode()
+    return [c for c in fleet.reactor.connections if c.transport.value().endswith(end)]
