--- a/src/chivesaddle/core/serving_model.py
+++ b/src/chivesaddle/core/serving_model.py
@@ -57,8 +57,6 @@
         Largest number of backend servers to which one request is sent.
     may_resume : bool
         Whether an interrupted stream may be continued by another run.
-    target_gap_s : float
-        Longest pause between events of a stream that is on time, 0 if not declared.
     """
 
     id: RouteId
@@ -72,7 +70,6 @@
     priority: int
     allows_anonymous: bool
     may_resume: bool
-    target_gap_s: float = 0.0
 
     @property
     def is_repeatable(self) -> bool:
--- a/src/chivesaddle/forwarding/attempts.py
+++ b/src/chivesaddle/forwarding/attempts.py
@@ -19,10 +19,8 @@
 # Multiple of the route's target latency within which a loaded server responds to a
 # repeatable request, and for which a caller waits.
 TARGET_TIMEOUT_FACTOR = 4.0
-# By the platform's protocol, callers wait at least this long for events of a stream,
-# and for this multiple of the longest pause that its route allows.
+# By the platform's protocol, callers wait at least this long for events of a stream.
 MIN_CALLER_TIMEOUT_S = 2.0
-GAP_TIMEOUT_FACTOR = 8.0
 # Range of the random retry-after delay, so that callers that are rejected together do
 # not retry together.
 MIN_RETRY_AFTER_S = 0.2
@@ -40,11 +38,6 @@
     return max(MIN_CALLER_TIMEOUT_S, TARGET_TIMEOUT_FACTOR * route.target_s)
 
 
-def caller_timeout_s(route: Route) -> float:
-    """Return how long callers wait for an event of a stream at least, in seconds."""
-    return max(max_gap_s(route), GAP_TIMEOUT_FACTOR * route.target_gap_s)
-
-
 class Attempts:
     """Rules for the attempts of one request, at servers and through other daemons.
 
@@ -119,6 +112,5 @@
     "MAX_RETRY_AFTER_S",
     "MIN_RETRY_AFTER_S",
     "Attempts",
-    "caller_timeout_s",
     "max_gap_s",
 ]
--- a/src/chivesaddle/platform/documents.py
+++ b/src/chivesaddle/platform/documents.py
@@ -76,7 +76,6 @@
     attempts: _Integer = 1
     allow_anonymous: bool = False
     allow_resume: bool = False
-    target_gap_ms: float | None = None
 
 
 class _Engine(msgspec.Struct):
@@ -214,7 +213,6 @@
         priority=decoded.priority,
         allows_anonymous=decoded.allow_anonymous,
         may_resume=decoded.allow_resume,
-        target_gap_s=(decoded.target_gap_ms or 0.0) / 1_000,
     )
 
 
