--- a/src/chivesaddle/core/aio.py
+++ b/src/chivesaddle/core/aio.py
@@ -6,11 +6,17 @@
 """
 
 import asyncio
+import math
 import time
 from collections.abc import Awaitable, Callable, Coroutine
-from typing import Any, Protocol, TypeVar
-
-from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
+from typing import Any, Generic, Protocol, TypeVar
+
+from twisted.internet.defer import (
+    CancelledError,
+    Deferred,
+    ensureDeferred,
+    succeed,
+)
 from twisted.python.failure import Failure
 
 from chivesaddle.core.errors import DeadlineExceeded
@@ -132,6 +138,111 @@
             call.cancel()
 
 
+async def wait_for_any(clock: Clock, until: float, *signals: "Deferred[None]") -> None:
+    """Wait until one of several Deferreds fires, or until a time.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock on which ``until`` is expressed.
+    until : float
+        Seconds on ``clock``; infinite to wait for a signal only.
+    signals : Deferred
+        Not cancelled by the end of the wait or by its cancellation.
+    """
+    done: Deferred[None] = Deferred()
+
+    def finish(_: object = None) -> None:
+        if not done.called:
+            done.callback(None)
+
+    for signal in signals:
+        signal.addCallback(finish)
+    call = None
+    if math.isfinite(until):
+        call = clock.callLater(max(0.0, until - clock.seconds()), finish)
+    try:
+        await done
+    finally:
+        if call is not None and call.active():
+            call.cancel()
+
+
+class Task(Generic[T]):
+    """A coroutine that runs, and whose outcome can be looked at before it is used.
+
+    Parameters
+    ----------
+    coroutine : Coroutine
+        Twisted coroutine; started at once.
+    dispose : callable or None
+        Called with the result if the task is cancelled after it has ended.
+
+    Examples
+    --------
+    >>> async def add():
+    ...     return 1 + 1
+    >>> task = Task(add())
+    >>> task.has_succeeded, task.result()
+    (True, 2)
+    """
+
+    def __init__(
+        self,
+        coroutine: Coroutine[Any, Any, T],
+        dispose: Callable[[T], object] | None = None,
+    ) -> None:
+        self._dispose = dispose
+        self._outcome: tuple[T] | Failure | None = None
+        self._ended = Signal()
+        self._running = start(coroutine)
+        self._running.addCallbacks(lambda result: self._end((result,)), self._end)
+
+    @property
+    def is_done(self) -> bool:
+        """Whether the coroutine has ended."""
+        return self._outcome is not None
+
+    @property
+    def has_succeeded(self) -> bool:
+        """Whether the coroutine has ended without an error."""
+        return isinstance(self._outcome, tuple)
+
+    def result(self) -> T:
+        """Return the result of the coroutine, which has ended, or raise its error."""
+        match self._outcome:
+            case Failure() as failure:
+                failure.raiseException()
+            case (result,):
+                return result
+        raise RuntimeError("The coroutine has not ended")
+
+    def ended(self) -> "Deferred[None]":
+        """Return a Deferred that fires when the coroutine has ended."""
+        return self._ended.wait() if self._outcome is None else succeed(None)
+
+    async def outcome(self) -> T:
+        """Wait for the end and return the result; cancelling this cancels the task."""
+        try:
+            await self.ended()
+        except CancelledError:
+            self.cancel()
+            raise
+        return self.result()
+
+    def cancel(self) -> None:
+        """Cancel the coroutine, or dispose of its result."""
+        match self._outcome:
+            case None:
+                self._running.cancel()
+            case (result,) if self._dispose is not None:
+                self._dispose(result)
+
+    def _end(self, outcome: "tuple[T] | Failure") -> None:
+        self._outcome = outcome
+        self._ended.set()
+
+
 def from_asyncio(coroutine: Coroutine[Any, Any, T]) -> "Deferred[T]":
     """Run an asyncio coroutine on the shared loop; cancelling the Deferred fails it.
 
@@ -211,6 +322,7 @@
     "Clock",
     "DelayedCall",
     "Signal",
+    "Task",
     "from_asyncio",
     "install_reactor",
     "log_failure",
@@ -218,5 +330,6 @@
     "sleep_until",
     "start",
     "to_asyncio",
+    "wait_for_any",
     "with_deadline",
 ]
--- a/src/chivesaddle/engines/answer.py
+++ b/src/chivesaddle/engines/answer.py
@@ -73,10 +73,9 @@
         return self._accept_parsed(event)
 
     def prepare_continuation(self) -> None:
-        """Prepare to continue the answer on another server.
+        """Set ``resume_text`` to the text relayed so far, for another server.
 
-        Sets ``resume_text`` to the text relayed so far. The new server may number its
-        tokens from 0 or from the current position.
+        The events of the current server are accepted until `switch_server`.
 
         Raises
         ------
@@ -84,6 +83,12 @@
             If the answer so far cannot be expressed as text.
         """
         self.resume_text = relayed_text(self.events, self.style)
+
+    def switch_server(self) -> None:
+        """Accept the events of another server that continues the answer.
+
+        It may number its tokens from 0 or from the current position.
+        """
         self.continued = self.tokens > 0
         self._index_offset = None if self.continued else 0
 
--- a/src/chivesaddle/engines/stream.py
+++ b/src/chivesaddle/engines/stream.py
@@ -30,7 +30,8 @@
         Clock for the idle timeout.
     idle_timeout_s : float
         Maximum time in seconds without a complete event while a reader waits, after the
-        first event. Single bytes and comments do not extend it.
+        first event. Single bytes and comments do not extend it. The stream stays open
+        after it, since a silent engine may go on; the reader decides when to close it.
     first_deadline : float or None
         Time on the clock by which the first event must arrive; if None, the idle
         timeout applies to it too.
@@ -56,6 +57,33 @@
         self._idle_deadline = 0.0
         self._timer: DelayedCall | None = None
 
+    @property
+    def is_open(self) -> bool:
+        """Whether more events may arrive."""
+        return not self._ended
+
+    @property
+    def has_events(self) -> bool:
+        """Whether events have arrived that were not read."""
+        return bool(self._events)
+
+    def wait_until(self, deadline: float) -> None:
+        """Let the next event arrive by ``deadline`` instead of the idle timeout."""
+        self._first_deadline = deadline
+
+    def when_ready(self) -> "Deferred[None]":
+        """Return a Deferred that fires at the next event or the end, without a timeout.
+
+        It replaces a Deferred that was returned before. Reading replaces it too.
+        """
+        self._stop_timer()
+        ready: Deferred[None] = Deferred(self._clear_waiter)
+        if self._events or self._ended:
+            ready.callback(None)
+        else:
+            self._waiter = ready
+        return ready
+
     async def next_event(self) -> bytes | None:
         """Return the next complete event, or None after the last one.
 
@@ -64,7 +92,7 @@
         EngineReset
             If the connection was lost before the end of the body.
         EngineTimeout
-            If no event arrived before the timeout.
+            If no event arrived before the timeout. The stream can be read again.
         """
         await self._wait_for_events()
         event = self._events.popleft() if self._events else None
@@ -192,8 +220,8 @@
         if remaining_s > TIMER_TOLERANCE_S:
             self._start_timer(remaining_s)
             return
-        self._finish(EngineTimeout("Engine sent no event before the timeout"))
-        self.close()
+        waiter, self._waiter = self._waiter, None
+        waiter.errback(EngineTimeout("Engine sent no event before the timeout"))
 
 
 def _is_comment(event: bytes) -> bool:
--- a/src/chivesaddle/gateway/delegate.py
+++ b/src/chivesaddle/gateway/delegate.py
@@ -127,6 +127,20 @@
         """Record that the stream was resumed at the same server."""
         self._record_event(EventKind.REQUEST_RESUMED, target.server_id, after=after)
 
+    def returned(self, target: Target, after: int) -> None:
+        """Record that the request runs at a server that was reported as failed."""
+        router, now = self._deps.router, self._deps.clock.seconds()
+        router.stop_waiting(self._request.request_id)
+        announcements = list(self._record_run_end(server_fault=False))
+        self._running_server_id = target.server_id
+        announcements += router.record_start(
+            self._request, Send(target.server_id, 0.0), now
+        )
+        if self._first_token_received:
+            router.record_first_token(self._request.request_id, now)
+        self._announce_in_background(announcements)
+        self._record_event(EventKind.REQUEST_RESUMED, target.server_id, after=after)
+
     def finished(self, target: Target, answer: RelayedAnswer) -> None:
         """Record the complete answer."""
         self.finished_server = self._find_server(target.server_id)
@@ -136,11 +150,9 @@
             self._deps.clock.seconds(),
             self._request.prefix_keys,
         )
-        if announcements:
-            # Not awaited: they only report that a suspect run completed, so the answer
-            # need not wait for them.
-            announcing = start(self._announce(announcements))
-            announcing.addErrback(log_failure(_log, "announcement failed"))
+        # Not awaited: they only report that a suspect run completed, so the answer need
+        # not wait for them.
+        self._announce_in_background(announcements)
         self._record_event(
             EventKind.REQUEST_FINISHED, target.server_id, tokens=answer.tokens
         )
@@ -185,9 +197,7 @@
         """Report to the router that the request neither waits nor runs any more."""
         self._deps.router.cancel(self._request.request_id)
         announcements = self._record_run_end(server_fault=False)
-        if announcements:
-            announcing = start(self._announce(announcements))
-            announcing.addErrback(log_failure(_log, "announcement failed"))
+        self._announce_in_background(announcements)
 
     async def _find_stored_copies(self) -> None:
         """Look up a stored prefix of the prompt once; without one it is recomputed."""
@@ -277,6 +287,11 @@
         resume_at = min(max(until, now + MIN_WAIT_S), deadline)
         await sleep_until(self._deps.clock, resume_at)
 
+    def _announce_in_background(self, announcements: Sequence[Announcement]) -> None:
+        if announcements:
+            announcing = start(self._announce(announcements))
+            announcing.addErrback(log_failure(_log, "announcement failed"))
+
     async def _announce(self, announcements: Sequence[Announcement]) -> None:
         clock = self._deps.clock
         announcing = self._deps.announce(announcements)
@@ -356,6 +371,10 @@
         """Record that the stream was resumed after an interruption."""
         self._record_event(EventKind.REQUEST_RESUMED, target, after=after)
 
+    def returned(self, target: Target, after: int) -> None:
+        """Record that the caller waits for a server that was silent."""
+        self._record_event(EventKind.REQUEST_RESUMED, target, after=after)
+
     def finished(self, target: Target, answer: RelayedAnswer) -> None:
         """Record the complete answer."""
         self._record_event(EventKind.REQUEST_FINISHED, target, tokens=answer.tokens)
--- a/src/chivesaddle/gateway/dependencies.py
+++ b/src/chivesaddle/gateway/dependencies.py
@@ -46,6 +46,9 @@
     def cancel(self, request_id: RequestId) -> None:
         """Remove a waiting request from the queue."""
 
+    def stop_waiting(self, request_id: RequestId) -> None:
+        """Remove a request from the queue that may wait again later."""
+
     def record_start(
         self, request: RouteRequest, sent: Send, now: float
     ) -> Sequence[Announcement]:
--- a/src/chivesaddle/routing/router.py
+++ b/src/chivesaddle/routing/router.py
@@ -127,9 +127,13 @@
 
     def cancel(self, request_id: RequestId) -> None:
         """Remove a waiting request whose caller disconnected."""
+        self.stop_waiting(request_id)
+        self._charged_requests.pop(request_id, None)
+
+    def stop_waiting(self, request_id: RequestId) -> None:
+        """Remove a request that needs no server now; it is not charged again later."""
         for queue in self.pools.queues_by_model_id.values():
             queue.remove(request_id)
-        self._charged_requests.pop(request_id, None)
 
     def _charge_once(self, request: RouteRequest, now: float) -> AccountLimited | None:
         """Charge the account once per request, however often the request polls."""
--- a/tests/engines/conftest.py
+++ b/tests/engines/conftest.py
@@ -13,6 +13,7 @@
 from twisted.web.client import ResponseDone
 from zope.interface import implementer
 
+from chivesaddle.core.errors import ChivesaddleError
 from chivesaddle.core.ids import BackendServerId, RequestId
 from chivesaddle.engines import (
     ApiStyle,
@@ -49,11 +50,15 @@
 
 @implementer(IStreamClientEndpoint)
 class Network:
-    """Opens in-memory connections, or refuses them if ``refusing`` is set."""
+    """Opens in-memory connections, or refuses them if ``refusing`` is set.
+
+    ``failure`` is another error of new connections.
+    """
 
     def __init__(self):
         self.connections = []
         self.refusing = False
+        self.failure = None
 
     def endpointForURI(self, uri):  # noqa: N802
         return self
@@ -61,6 +66,8 @@
     def connect(self, factory):
         if self.refusing:
             return fail(ConnectionRefusedError())
+        if self.failure is not None:
+            return fail(self.failure)
         protocol = factory.buildProtocol(IPv4Address("TCP", "127.0.0.1", 1))
         connection = Connection(protocol)
         connection.protocol = protocol
@@ -121,28 +128,36 @@
 class FakeEngines:
     """Fake `EngineClient`: each call consumes the next scripted outcome.
 
-    An outcome is a stream, an exception to raise, or a function that gets the position
-    to resume after and returns a stream.
+    An outcome is a stream, an exception to raise, a Deferred of one of these, or a
+    function that gets the position to resume after and returns a stream. ``alive``
+    fires when the engines answer requests for their load.
     """
 
     opens: list = field(default_factory=list)
     resumes: list = field(default_factory=list)
     calls: list = field(default_factory=list)
     cancelled: list = field(default_factory=list)
+    alive: Deferred = field(default_factory=Deferred)
 
     async def open_stream(self, url, path, body, deadline):
         self.calls.append((url, json.loads(json.dumps(body))))
-        return self._next_outcome(self.opens, EngineRefused("no server"))
+        return await self._next_outcome(self.opens, EngineRefused("no server"))
 
     async def resume(self, url, request_id, after, cache_salt, deadline):
         self.calls.append((url, after))
-        return self._next_outcome(self.resumes, EngineNotFound("no stream"), after)
+        no_stream = EngineNotFound("no stream")
+        return await self._next_outcome(self.resumes, no_stream, after)
+
+    async def load(self, url, deadline):
+        await self.alive
 
     async def cancel(self, url, request_id, cache_salt, deadline):
         self.cancelled.append(url)
 
-    def _next_outcome(self, outcomes, default, *arguments):
+    async def _next_outcome(self, outcomes, default, *arguments):
         outcome = outcomes.pop(0) if outcomes else default
+        if isinstance(outcome, Deferred):
+            outcome = await outcome
         if isinstance(outcome, Exception):
             raise outcome
         return outcome(*arguments) if callable(outcome) else outcome
@@ -197,6 +212,9 @@
     def resumed(self, target, after):
         self.recorded_calls.append(("resumed", after))
 
+    def returned(self, target, after):
+        self.recorded_calls.append(("returned", target.server_id))
+
     def finished(self, target, answer):
         self.recorded_calls.append(("finished", target.server_id))
 
@@ -207,7 +225,10 @@
         self.recorded_calls.append((type(error).__name__, target.server_id))
 
     async def next_target(self, error):
-        return self.targets.pop(0)
+        if not self.targets:
+            raise ChivesaddleError("No server is left")
+        target = self.targets.pop(0)
+        return await target if isinstance(target, Deferred) else target
 
 
 class Budget:
--- a/tests/engines/test_client.py
+++ b/tests/engines/test_client.py
@@ -91,8 +91,21 @@
         waiting = start(stream.result.next_event())
         clock.advance(2.0)
         assert isinstance(error_of(waiting), EngineTimeout)
+        stream.result.close()
         assert not network.connections[0].connected
 
+    @pytest.mark.fault("silence", step="between tokens", fault="goes on later")
+    def test_a_stream_can_be_read_after_a_silence(self, client, network, clock):
+        """Guards against a stream that is lost before another server has taken it."""
+        stream = open_stream_request(client)
+        network.connections[0].answer(b"data: 1\n\n", complete=False)
+        start(stream.result.next_event())
+        waiting = start(stream.result.next_event())
+        clock.advance(2.0)
+        assert isinstance(error_of(waiting), EngineTimeout)
+        network.connections[0].protocol.dataReceived(b"data: 2\n\n")
+        assert start(stream.result.next_event()).result == b"data: 2\n\n"
+
     @pytest.mark.fault("silence", step="bytes between tokens")
     @pytest.mark.parametrize("sent", [b"d", b": wait\n\n"])
     def test_bytes_now_and_then_do_not_keep_a_stalled_stream(
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -92,6 +92,9 @@
     def cancel(self, request_id):
         pass
 
+    def stop_waiting(self, request_id):
+        pass
+
     def record_start(self, request, sent, now):
         self._servers_by_id[request.request_id] = sent.server_id
         self.recorded_calls.append(("start", sent.server_id))
@@ -162,6 +165,9 @@
         self.feed(stream, {"request_id": request_id}, after, len(self.token_texts) + 1)
         return stream
 
+    async def load(self, url, deadline):
+        return None
+
     async def cancel(self, url, request_id, cache_salt, deadline):
         self.cancelled_urls.append(url)
 
