--- a/src/chivesaddle/engines/client.py
+++ b/src/chivesaddle/engines/client.py
@@ -8,7 +8,7 @@
 import treq
 from treq.response import _Response as Response
 
-from chivesaddle.core.aio import Clock, with_deadline
+from chivesaddle.core.aio import Clock, Task, with_deadline
 from chivesaddle.core.errors import DeadlineExceeded
 from chivesaddle.core.ids import BlockKey, FencingToken, RequestId
 from chivesaddle.engines.connections import Connections
@@ -75,15 +75,24 @@
         ------
         EngineError
             The subclass identifies the failure; ``retry_on_other_server`` states
-            whether another backend server may succeed.
+            whether another backend server may succeed. ``pending`` may still give the
+            stream, if the server is silent on one connection and failed on another.
         """
-        response = await self._connections.request(
-            "POST",
-            url + path,
-            data=json.dumps(body).encode(),
-            headers={"Content-Type": "application/json"},
-            deadline=deadline,
-        )
+        try:
+            response = await self._connections.request(
+                "POST",
+                url + path,
+                data=json.dumps(body).encode(),
+                headers={"Content-Type": "application/json"},
+                deadline=deadline,
+                keep_pending=True,
+            )
+        except EngineError as error:
+            if error.pending is not None:
+                error.pending = Task(
+                    self._await_stream(error.pending, deadline), EngineStream.close
+                )
+            raise
         return await self._start_stream(response, deadline)
 
     async def resume(
@@ -224,6 +233,11 @@
         """Close the idle connections."""
         await self._connections.close()
 
+    async def _await_stream(
+        self, pending: Task[Response], deadline: float
+    ) -> EngineStream:
+        return await self._start_stream(await pending.outcome(), deadline)
+
     async def _start_stream(self, response: Response, deadline: float) -> EngineStream:
         if response.code != 200:
             raise _error_from_response(
--- a/src/chivesaddle/engines/connections.py
+++ b/src/chivesaddle/engines/connections.py
@@ -1,5 +1,6 @@
 """Connection pool for engines that detects failures of reused connections."""
 
+import math
 import re
 from typing import Any
 from typing import Protocol as Interface
@@ -25,19 +26,27 @@
 from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
-from chivesaddle.core.aio import Clock, sleep_until, with_deadline
+from chivesaddle.core.aio import (
+    Clock,
+    Task,
+    sleep_until,
+    wait_for_any,
+    with_deadline,
+)
 from chivesaddle.core.errors import DeadlineExceeded
 from chivesaddle.core.http import IpEndpointFactory, with_immediate_cancel
+from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.engines.errors import (
     EngineCrashed,
+    EngineError,
     EngineRefused,
     EngineReset,
     EngineTimeout,
     EngineUnreachable,
 )
 
-# Time limit for the headers on a reused connection. Half of the first-token target of
-# 0.36 s leaves time to repeat the request.
+# Time without headers after which a request on a reused connection is repeated. Half of
+# the first-token target of 0.36 s leaves time for that.
 REUSED_CONNECTION_TIMEOUT_MS = 180
 MAX_IDLE_CONNECTIONS_PER_SERVER = 16
 IDLE_CONNECTION_TIMEOUT_S = 30
@@ -49,6 +58,7 @@
 PROBE_TIMEOUT_S = 0.5
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}", re.IGNORECASE)
 _CONNECTION_LOST_ERRORS = (ResponseFailed, RequestTransmissionFailed, ConnectionClosed)
+_log = ComponentLogger("engines")
 
 
 class EndpointFactory(Interface):
@@ -152,9 +162,15 @@
         headers: dict[str, str] | None = None,
         deadline: float,
         fresh: bool = False,
+        keep_pending: bool = False,
     ) -> Response:
         """Return the response once its headers have arrived.
 
+        A request on a silent reused connection is repeated on a new one, and the first
+        response counts. If the new connection fails, the request on the silent one may
+        still be answered: with ``keep_pending`` it is ``pending`` of the error,
+        otherwise it is closed.
+
         Raises
         ------
         EngineRefused
@@ -168,20 +184,69 @@
         EngineTimeout
             No headers arrived by ``deadline`` (seconds on the clock).
         """
-        arguments = (method, url, data, headers or {})
+        arguments = (method, url, data, headers or {}, deadline)
+        first, reused = self._send(*arguments, fresh=fresh)
+        unread = [first]
+        lost: EngineReset | None = None
         try:
-            return await self._send_once(*arguments, deadline=deadline, fresh=fresh)
-        except (EngineReset, _ReusedConnectionTimeout) as first:
+            await self._wait_for_headers(first, reused, deadline)
+            if first.is_done:
+                unread.remove(first)
+                try:
+                    return first.result()
+                except EngineReset as error:
+                    lost = error
+            second, _ = self._send(*arguments, fresh=True)
+            unread.append(second)
+            await wait_for_any(
+                self._clock, math.inf, *(response.ended() for response in unread)
+            )
+            if first in unread and first.is_done:
+                unread.remove(first)
+                try:
+                    return first.result()
+                except EngineReset as error:
+                    lost = error
+                except EngineTimeout as error:
+                    _log.debug("no response on a reused connection: %s", error)
+            unread.remove(second)
             try:
-                return await self._send_once(*arguments, deadline=deadline, fresh=True)
-            except EngineRefused:
-                if isinstance(first, EngineReset):
-                    raise _crash_error(url) from first
+                return await self._receive_repeated(second, url, lost)
+            except EngineCrashed:
                 raise
-            except EngineReset as second:
-                if await self._refuses_connections(url):
-                    raise _crash_error(url) from second
+            except EngineError as error:
+                if keep_pending and unread:
+                    error.pending = unread.pop()
                 raise
+        finally:
+            for response in unread:
+                response.cancel()
+
+    async def _wait_for_headers(
+        self, response: Task[Response], reused: bool, deadline: float
+    ) -> None:
+        """Wait for the headers, on a reused connection until it counts as silent."""
+        silent_at = self._clock.seconds() + REUSED_CONNECTION_TIMEOUT_MS / 1_000
+        until = silent_at if reused and silent_at < deadline else math.inf
+        await wait_for_any(self._clock, until, response.ended())
+
+    async def _receive_repeated(
+        self, response: Task[Response], url: str, lost: EngineReset | None
+    ) -> Response:
+        """Return the response on a new connection; raises `EngineCrashed` for a crash.
+
+        ``lost`` is the error of the connection before, if that was lost.
+        """
+        try:
+            return await response.outcome()
+        except EngineRefused:
+            if lost is not None:
+                raise _crash_error(url) from lost
+            raise
+        except EngineReset as error:
+            if await self._refuses_connections(url):
+                raise _crash_error(url) from error
+            raise
 
     async def close(self) -> None:
         """Close the idle connections."""
@@ -202,16 +267,17 @@
         opened.transport.abortConnection()
         return False
 
-    async def _send_once(
+    def _send(
         self,
         method: str,
         url: str,
         data: bytes | None,
         headers: dict[str, str],
-        *,
         deadline: float,
+        *,
         fresh: bool,
-    ) -> Response:
+    ) -> tuple[Task[Response], bool]:
+        """Send a request; return its response and whether the connection was reused."""
         self._endpoints.last_endpoint = None
         pending_response = (
             self._fresh_client if fresh else self._pooled_client
@@ -225,15 +291,20 @@
         )
         endpoint = self._endpoints.last_endpoint
         reused = endpoint is not None and not endpoint.opened
-        attempt_deadline = deadline
-        if reused:
-            attempt_deadline = min(
-                deadline, self._clock.seconds() + REUSED_CONNECTION_TIMEOUT_MS / 1_000
-            )
+        receiving = self._receive(pending_response, method, url, deadline)
+        return Task(receiving, _discard), reused
+
+    async def _receive(
+        self,
+        pending_response: "Deferred[Response]",
+        method: str,
+        url: str,
+        deadline: float,
+    ) -> Response:
         try:
             response = await with_deadline(
                 self._clock,
-                attempt_deadline,
+                deadline,
                 with_immediate_cancel(pending_response),
                 f"{method} {url}",
             )
@@ -246,12 +317,12 @@
         except _CONNECTION_LOST_ERRORS as error:
             raise EngineReset(f"{url} dropped the connection: {error!r}") from None
         except DeadlineExceeded:
-            pass
-        if reused and attempt_deadline < deadline:
-            raise _ReusedConnectionTimeout(
-                f"{url} sent no response on a reused connection"
-            )
-        raise EngineTimeout(f"{url} sent no response before the deadline")
+            raise EngineTimeout(f"{url} sent no response before the deadline") from None
+
+
+def _discard(response: Response) -> None:
+    """Close the connection of a response that is not used."""
+    response.deliverBody(_Discard())
 
 
 class _Discard(Protocol):
@@ -276,7 +347,7 @@
         _STATUS_LINE.search(value) for value in (response.phrase, *values)
     )
     if not is_single:
-        response.deliverBody(_Discard())
+        _discard(response)
         raise EngineReset(f"{url} began another response inside a head")
 
 
@@ -284,8 +355,4 @@
     return EngineCrashed(f"{url} dropped the connection and refused a new one")
 
 
-class _ReusedConnectionTimeout(EngineTimeout):
-    """No headers arrived on a reused connection; a new one may work."""
-
-
 __all__ = ["REUSED_CONNECTION_TIMEOUT_MS", "Connections", "EndpointFactory"]
--- a/src/chivesaddle/engines/errors.py
+++ b/src/chivesaddle/engines/errors.py
@@ -1,5 +1,8 @@
 """Errors of requests to model engines."""
 
+from typing import Any
+
+from chivesaddle.core.aio import Task
 from chivesaddle.core.errors import ChivesaddleError
 
 
@@ -10,11 +13,15 @@
     ----------
     retry_on_other_server : bool
         Whether another backend server may succeed with the same request.
+    pending : Task or None
+        The same request on another connection to the server, which is silent and may
+        still be answered. Whoever handles the error takes it over or cancels it.
     """
 
     code = "engine_error"
     status = 502
     retry_on_other_server = True
+    pending: Task[Any] | None = None
 
 
 class EngineRefused(EngineError):
--- a/src/chivesaddle/engines/relay.py
+++ b/src/chivesaddle/engines/relay.py
@@ -245,8 +245,7 @@
                 await self._relay_from(self._run)
                 return
             except EngineError as error:
-                if isinstance(error, EngineCrashed):
-                    self._run.close()
+                self._keep_pending(self._run, error)
                 await self._delegate.failed(self._run.target, error)
                 if self._reached_token_limit():
                     self._give_up_failed(self._run, error)
@@ -298,8 +297,15 @@
                     break
                 except EngineError as failure:
                     error = failure
+                self._keep_pending(successor, error)
                 await self._delegate.failed(successor.target, error)
-                self._give_up_failed(successor, error)
+                if successor.is_waiting and not silent.is_waiting:
+                    self._give_up(silent)
+                    silent = successor
+                else:
+                    if successor.is_waiting:
+                        self._give_up(successor)
+                    self._give_up_failed(successor, error)
         except _SilentServerGoesOn:
             self._stay_at(silent, "It goes on")
         except ChivesaddleError as refusal:
@@ -486,6 +492,14 @@
         if not self._budget.try_spend(self._clock.seconds()):
             raise error
 
+    def _keep_pending(self, run: ServerRun, error: EngineError) -> None:
+        """Keep what may arrive from a server one of whose connections failed."""
+        pending, error.pending = error.pending, None
+        if pending is not None:
+            run.opening = pending
+        if isinstance(error, EngineCrashed):
+            run.close()
+
     def _patience_ends_at(self) -> float:
         """Return until when the answer may stay at a silent server.
 
--- a/tests/engines/test_client.py
+++ b/tests/engines/test_client.py
@@ -68,12 +68,57 @@
         stream = open_stream_request(client)
         assert len(network.connections) == 1
         clock.advance(0.18)
-        assert not reused.connected
         fresh = network.connections[1]
         assert b'{"request_id": "r"}' in fresh.value()
         fresh.answer(b"data: 1\n\n")
+        assert not reused.connected
         assert start(stream.result.next_event()).result == b"data: 1\n\n"
 
+    @pytest.mark.fault("silence", step="reused engine connection", fault="slow")
+    def test_a_response_on_the_silent_connection_counts_if_it_is_the_first(
+        self, client, network, reused, clock
+    ):
+        """Guards against a lost response of a server that takes no new connection."""
+        stream = open_stream_request(client)
+        clock.advance(0.2)
+        reused.answer(b"data: 1\n\n")
+        assert start(stream.result.next_event()).result == b"data: 1\n\n"
+        assert not network.connections[1].connected
+
+    @pytest.mark.fault("crashes", step="silent, then reset")
+    def test_a_reset_beside_a_silent_connection_is_a_crash_if_none_is_accepted(
+        self, client, network, reused, clock
+    ):
+        """Guards against waiting for the response of a server that has crashed."""
+        stream = open_stream_request(client)
+        clock.advance(0.18)
+        network.connections[1].drop()
+        network.refusing = True
+        clock.advance(0.05)
+        assert isinstance(error_of(stream), EngineCrashed)
+        assert not reused.connected
+
+    @pytest.mark.fault("crashes", step="silent, then reset", fault="other order")
+    def test_a_silent_connection_that_is_lost_beside_a_refusal_is_a_crash(
+        self, client, network, reused, clock
+    ):
+        stream = open_stream_request(client)
+        clock.advance(0.18)
+        reused.drop()
+        network.refusing = True
+        network.connections[1].drop()
+        clock.advance(0.05)
+        assert isinstance(error_of(stream), EngineCrashed)
+
+    def test_cancelling_closes_the_silent_and_the_new_connection(
+        self, client, network, reused, clock
+    ):
+        stream = open_stream_request(client)
+        clock.advance(0.18)
+        stream.cancel()
+        assert isinstance(error_of(stream), CancelledError)
+        assert not any(connection.connected for connection in network.connections)
+
     @pytest.mark.fault("silence", step="fresh engine connection")
     def test_a_fresh_connection_may_be_slow_until_the_deadline(self, client, clock):
         """Guards against repeating requests that have a long prefill."""
--- a/tests/engines/test_silent_engines.py
+++ b/tests/engines/test_silent_engines.py
@@ -4,8 +4,9 @@
 
 import pytest
 from twisted.internet.defer import Deferred
+from twisted.internet.error import TimeoutError
 
-from chivesaddle.core.aio import start
+from chivesaddle.core.aio import Task, start
 from chivesaddle.core.ids import BackendServerId
 from chivesaddle.engines import (
     ApiStyle,
@@ -14,6 +15,7 @@
     EngineTimeout,
     EngineUnreachable,
     StreamInterrupted,
+    StreamRelay,
     Target,
 )
 from chivesaddle.engines.chunks import DONE, encode
@@ -55,6 +57,10 @@
     return send_rest
 
 
+async def wait_for(response):
+    return await response
+
+
 def assert_complete(sink):
     assert sink.text == FULL_TEXT
     assert sink.events[-1] == DONE
@@ -259,3 +265,92 @@
         silent.transport.loseConnection()
         successor.callback(streams.complete(start=2))
         assert_complete(sink)
+
+
+class TestSilentReusedConnections:
+    @pytest.fixture
+    def reused(self, client, network):
+        """Return a pooled connection that has served one request."""
+        start(client.load(FIRST.url, 10.0)).addErrback(lambda _: None)
+        network.connections[0].answer()
+        return network.connections[0]
+
+    @pytest.fixture
+    def no_other(self, delegate, budget):
+        """Leave no other server and no retry budget; return the delegate."""
+        budget.remaining = 0
+        delegate.targets.clear()
+        return delegate
+
+    @pytest.fixture
+    def real_relay(self, client, clock, budget):
+        return StreamRelay(client, clock, budget)
+
+    @pytest.mark.parametrize("failure", ["refused", "unreachable"])
+    @pytest.mark.fault(
+        "silence", step="reused engine connection", fault="new one {failure}"
+    )
+    def test_a_request_is_finished_on_the_silent_connection_if_a_new_one_fails(
+        self, run, real_relay, network, reused, streams, sink, clock, no_other, failure
+    ):
+        """Guards against a request that fails though its engine has it and goes on.
+
+        The engine accepts no new connection, and no other one takes the request: there
+        is none, or the retry budget is used up.
+        """
+        run(real_relay)
+        if failure == "refused":
+            network.refusing = True
+        else:
+            network.failure = TimeoutError()
+        clock.advance(0.18)
+        assert sink.error is None
+        clock.advance(1)
+        reused.answer(b"".join(streams.answer_events()))
+        assert_complete(sink)
+        assert no_other.recorded_calls[-1] == ("finished", "a")
+
+    def test_retries_of_a_silent_request_stay_within_the_budget(
+        self, run, engines, streams, sink, budget, clock
+    ):
+        """Guards against retries that multiply the load of an overloaded fleet."""
+        budget.remaining = 1
+        response = Deferred()
+        unreachable = EngineUnreachable("no new connection")
+        unreachable.pending = Task(wait_for(response))
+        engines.opens = [unreachable, EngineFull("x"), streams.complete()]
+        run()
+        assert [url for url, _ in engines.calls] == ["http://a", "http://b"]
+        assert sink.error is None
+        response.callback(streams.complete())
+        assert_complete(sink)
+
+    def test_a_request_that_stays_silent_fails_at_its_deadline(
+        self, run, real_relay, network, reused, sink, delegate, clock
+    ):
+        delegate.targets.clear()
+        run(real_relay)
+        network.refusing = True
+        clock.pump([1.0] * 11)
+        assert sink.error is not None
+        assert not reused.connected
+
+    def test_another_server_that_takes_the_request_ends_the_silent_one(
+        self, run, real_relay, network, reused, streams, sink, delegate, clock
+    ):
+        """Guards against a run that goes on beside that of another engine."""
+        delegate.targets = [Deferred()]
+        selection = delegate.targets[0]
+        run(real_relay)
+        network.refusing = True
+        clock.advance(0.18)
+        assert reused.connected
+        network.refusing = False
+        selection.callback(Target(BackendServerId("b"), "http://b"))
+        posts = [c for c in network.connections if c.value().startswith(b"POST")]
+        assert len(posts) == 2
+        posts[-1].answer(b"".join(streams.answer_events()))
+        assert_complete(sink)
+        assert not reused.connected
+        sent = [connection.value() for connection in network.connections]
+        assert any(data.startswith(b"DELETE /v1/streams/req-1") for data in sent)
--- a/tests/faults/test_silence.py
+++ b/tests/faults/test_silence.py
@@ -87,9 +87,10 @@
         pending = CALLS[name](client, 5.0)
         assert len(network.connections) == 1
         clock.advance(silence_timeout_s())
-        assert not network.connections[0].connected
         assert len(network.connections) == 2
         assert network.connections[1].value()
+        network.connections[1].answer(LOAD)
+        assert not network.connections[0].connected
         pending.addErrback(lambda _: None)
 
     @pytest.mark.fault("silence", step="{count} idle connections", fault="all silent")
