--- a/src/chivesaddle/engines/relay.py
+++ b/src/chivesaddle/engines/relay.py
@@ -280,6 +280,8 @@
             If neither another server nor the one that failed can go on.
         """
         silent = self._run
+        if self._request.body is None and isinstance(error, EngineTimeout):
+            self._ask_again(silent)
         self._give_up_failed(silent, error)
         try:
             while True:
@@ -500,6 +502,21 @@
         if isinstance(error, EngineCrashed):
             run.close()
 
+    def _ask_again(self, silent: ServerRun) -> None:
+        """Ask a silent server for its stream once more, which no other one may have."""
+        if silent.is_waiting or self._has_stayed_at(silent):
+            return
+        silent.opening = Task(
+            self._client.resume(
+                silent.target.url,
+                self._request.request_id,
+                self._answer.resume_position(),
+                self._request.cache_salt,
+                self._clock.seconds() + CONTINUATION_TIMEOUT_S,
+            ),
+            EngineStream.close,
+        )
+
     def _patience_ends_at(self) -> float:
         """Return until when the answer may stay at a silent server.
 
@@ -547,7 +564,10 @@
         """Give up a run after an error, unless its server is silent and may go on."""
         if run.is_waiting:
             return
-        if isinstance(error, _RESUMABLE_ERRORS):
+        # Only the server that has a run can go on with it if there is no body. It keeps
+        # the run if it is silent, for callers that ask for the stream later.
+        is_kept = self._request.body is None and isinstance(error, EngineTimeout)
+        if isinstance(error, _RESUMABLE_ERRORS) and not is_kept:
             self._cancel(run.target)
         run.is_given_up = True
 
--- a/tests/gateway/test_silent_engines.py
+++ b/tests/gateway/test_silent_engines.py
@@ -74,3 +74,41 @@
         started = [call for call in fakes.router.recorded_calls if call[0] == "start"]
         assert len(fakes.announced) == len(started) == 4
         fakes.engines.feed(silent, body, 1, 3)
+
+
+class TestResumes:
+    @pytest.fixture
+    def resume(self, complete, call, fakes):
+        """Resume a stream after its first token, as its caller at another daemon."""
+        complete(stream=True)
+        request_id = fakes.engines.request_bodies[0]["request_id"]
+        path = f"/v1/requests/{request_id}/stream?after=1"
+        return lambda: call("GET", path)
+
+    @pytest.mark.fault("silence", step="resume through any daemon")
+    def test_a_stream_of_a_silent_engine_is_resumed_when_it_goes_on(
+        self, resume, fakes, clock, silent_resumes
+    ):
+        """Guards against ending a run that only its silent engine can go on with.
+
+        The other engines do not have it, which does not mean that it has ended.
+        """
+        caller = resume()
+        clock.pump([1.0] * 5)
+        assert fakes.engines.cancelled_urls == []
+        body = fakes.engines.request_bodies[0]
+        stream = fakes.engines._stream()
+        fakes.engines.feed(stream, body, 1, 3)
+        silent_resumes[-1].callback(stream)
+        assert caller.sse_events == fakes.engines.events(body)[1:]
+        assert fakes.engines.cancelled_urls == []
+
+    def test_a_stream_of_an_engine_that_stays_silent_is_not_reported_as_ended(
+        self, resume, fakes, clock, silent_resumes
+    ):
+        """Guards against a caller that sends the request again while it still runs."""
+        caller = resume()
+        clock.pump([1.0] * 20)
+        assert (caller.response.status, caller.error_code) == (504, "engine_silent")
+        assert "retry-after" in caller.response.headers
+        assert fakes.engines.cancelled_urls == []
