--- a/tests/e2e/test_backend_servers.py
+++ b/tests/e2e/test_backend_servers.py
@@ -92,6 +92,32 @@
         for name in deployment.engines:
             deployment.fleet.set_faults(name)
 
+    def test_paused_while_all_others_drain(self, deployment):
+        """Guards against streams that end although their server goes on."""
+        fleet = deployment.fleet
+        streams = start_streams(deployment, "no other server")
+        paused = server_of(streams[0])
+        others = [name for name in deployment.engines if name != paused]
+        for name in others:
+            fleet.set_faults(name, draining=True)
+        fleet.pause(paused)
+        try:
+            assert wait_until(
+                lambda: any(
+                    event["kind"] == "request_failed"
+                    and event["detail"]["code"] == "engine_silent"
+                    for event in deployment.events(object=paused)
+                ),
+                WAIT_TIMEOUT_S,
+            )
+        finally:
+            fleet.resume(paused)
+        for stream in streams:
+            stream.assert_text_complete()
+        for name in others:
+            fleet.set_faults(name)
+            deployment.reuse_server(name)
+
 
 class TestCrashingRequest:
     def test_it_takes_down_at_most_two_servers(self, deployment, background_load):
