--- a/src/chivesaddle/core/json_text.py
+++ b/src/chivesaddle/core/json_text.py
@@ -38,8 +38,7 @@
     >>> nests_at_most(b'["[[[[["]', 1)
     True
     """
-    # Most text has no brackets within strings, and is not searched for strings.
-    return _peels_off(text, levels) or _peels_off(_STRINGS.sub(b"", text), levels)
+    return _peels_off(_STRINGS.sub(b"", text), levels)
 
 
 def _peels_off(text: bytes, levels: int) -> bool:
--- a/tests/core/test_json_text.py
+++ b/tests/core/test_json_text.py
@@ -48,6 +48,14 @@
     assert depth(value) == 0 or not nests_at_most(text, depth(value) - 1)
 
 
+@pytest.mark.parametrize("levels", [2, 62, 200])
+def test_brackets_within_strings_do_not_hide_nesting(levels):
+    """Guards against a document nested deeper than `MAX_NESTING` that is decoded."""
+    text = b'["]",' * levels + b"1" + b',"["]' * levels
+    assert not nests_at_most(text, levels - 1)
+    assert nests_at_most(text, levels)
+
+
 @pytest.mark.parametrize("levels", [31, 32, 33, 100, 50_000])
 def test_members_of_any_nesting_are_found(levels):
     """Guards against recursion, and against the step from single brackets to many."""
