--- a/src/chivesaddle/core/aio.py
+++ b/src/chivesaddle/core/aio.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Generator
 from typing import Any, Protocol, TypeVar
 
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
@@ -86,6 +86,33 @@
     return done
 
 
+async def run_in_turns(
+    clock: Clock, steps: Generator[int, None, T], turn_work: int
+) -> T:
+    """Run a generator to its end and return its result.
+
+    Other events are handled in between, so that much work does not hold up the loop.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock whose event loop handles the other events.
+    steps : generator
+        Yields the work done since it yielded last, in a unit of its own.
+    turn_work : int
+        Work after which other events are handled before the next step.
+    """
+    work = 0
+    while True:
+        try:
+            work += next(steps)
+        except StopIteration as end:
+            return end.value
+        if work >= turn_work:
+            work = 0
+            await sleep_until(clock, clock.seconds())
+
+
 async def with_deadline(
     clock: Clock, deadline: float, awaitable: Awaitable[T], operation: str
 ) -> T:
@@ -214,6 +241,7 @@
     "from_asyncio",
     "install_reactor",
     "log_failure",
+    "run_in_turns",
     "seconds_since_boot",
     "sleep_until",
     "start",
--- a/src/chivesaddle/core/json_text.py
+++ b/src/chivesaddle/core/json_text.py
@@ -12,6 +12,7 @@
 
 import re
 from array import array
+from collections.abc import Iterable
 from itertools import accumulate
 
 import msgspec
@@ -121,9 +122,32 @@
     >>> split_object(b'{"a": [1], "b": 1e999}')
     {'a': b'[1]', 'b': b'1e999'}
     """
+    return read_members(object_members(text))
+
+
+def object_members(text: bytes) -> list[bytes]:
+    """Return the text of each member of an object; raises `ValueError` if it is none.
+
+    Examples
+    --------
+    >>> object_members(b'{"a": [1], "b": 1e999}')
+    [b'"a": [1]', b'"b": 1e999']
+    """
+    return _split(text, b"{")
+
+
+def read_members(members: Iterable[bytes]) -> dict[str, bytes]:
+    """Return the text of each value of some members of an object by key.
+
+    Members whose keys cannot be decoded are left out; of equal keys, the last counts.
+
+    Examples
+    --------
+    >>> read_members([b'"a": [1]', b'"b": 1e999', b'"a":', b'1'])
+    {'a': b'', 'b': b'1e999'}
+    """
     values = {}
-    members = filter(None, _split(text, b"{"))
-    for key in filter(None, map(_KEY.match, members)):
+    for key in filter(None, map(_KEY.match, filter(None, members))):
         try:
             name = _DECODE_KEY(key[1])
         except ValueError:
@@ -245,14 +269,15 @@
     # The first symbol is the highest byte, so that a shift to the right is one to later
     # symbols. After shifts by 1, 2, 4 ..., a byte depends on the last 2, 4, 8 ... ones.
     size = len(symbols)
-    ones = int.from_bytes(b"\1" * size)
     shifts = [8 << power for power in range((size - 1).bit_length())]
     within = int.from_bytes(symbols.translate(_IS_QUOTE))
     for shift in shifts:
         within ^= within >> shift
     if is_within:
-        within ^= ones
-    escaped = int.from_bytes(symbols.translate(_IS_ESCAPED_QUOTE))
+        within ^= int.from_bytes(b"\1" * size)
+    escaped = 0
+    if b"e" in symbols:
+        escaped = int.from_bytes(symbols.translate(_IS_ESCAPED_QUOTE))
     if escaped & ~within:
         # A backslash outside of strings escapes nothing. After an escaped quote, all is
         # within a string, up to an odd number of quotes since then.
@@ -317,4 +342,10 @@
     return int.from_bytes(text, "little")
 
 
-__all__ = ["nests_at_most", "split_array", "split_object"]
+__all__ = [
+    "nests_at_most",
+    "object_members",
+    "read_members",
+    "split_array",
+    "split_object",
+]
--- a/src/chivesaddle/platform/pages.py
+++ b/src/chivesaddle/platform/pages.py
@@ -3,19 +3,36 @@
 Any program may write to the store. An object that cannot be decoded does not keep the
 others of the same response from being read: its value is `UNREADABLE_VALUE`, which no
 reader of a kind takes for a document.
+
+A response of a megabyte may hold half a million items that are no objects, and takes
+seconds to read. So responses are read by generators, which yield the work done since
+the last step, for `chivesaddle.core.aio.run_in_turns`. The unit of work is a byte whose
+nesting is found.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Generator
 from typing import Annotated, Any, TypeVar
 
 import msgspec
 
-from chivesaddle.core.json_text import nests_at_most, split_array, split_object
+from chivesaddle.core.json_text import (
+    nests_at_most,
+    object_members,
+    read_members,
+    split_array,
+)
 from chivesaddle.core.objects import MAX_NESTING, REVISIONS_PER_ERA, UNREADABLE_VALUE
 
 # Longer names are those of no daemon, server or zone, and do not fit into the request
 # for the next page.
 MAX_NAME_CHARACTERS = 1_024
+# Work of one turn of the event loop: at 0.08 us each, some 20 ms.
+TURN_WORK = 250_000
+# An unreadable object takes 30 to 50 us besides its bytes; rather too high than too low.
+ITEM_WORK = 1_000
+# A member of an object takes 1 us.
+MEMBER_WORK = 15
+MEMBERS_PER_STEP = 5_000
 
 _Revision = Annotated[int, msgspec.Meta(ge=0, lt=REVISIONS_PER_ERA)]
 _Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
@@ -74,8 +91,10 @@
 
 T = TypeVar("T")
 
+Steps = Generator[int, None, T]
+
 
-def decode_page(content: bytes, report: UnreadableObserver) -> Page:
+def decode_page(content: bytes, report: UnreadableObserver) -> Steps[Page]:
     """Decode a part of a listing; raises `ValueError` if it is none.
 
     Objects whose names cannot be read are left out.
@@ -84,25 +103,35 @@
         return _decode(content, Page)
     except (ValueError, RecursionError):
         pass
-    raw = _split(content, "items", _RawPage)
-    items = [_decode_item(text, raw.at, report) for text in map(bytes, raw.items)]
-    return Page([item for item in items if item is not None], raw.at, raw.more)
+    yield len(content)
+    raw = yield from _split(content, "items", _RawPage)
+    items = []
+    for text in map(bytes, raw.items):
+        item = yield from _decode_item(text, raw.at, report)
+        if item is not None:
+            items.append(item)
+    return Page(items, raw.at, raw.more)
 
 
-def decode_events(content: bytes, report: UnreadableObserver) -> Events:
+def decode_events(content: bytes, report: UnreadableObserver) -> Steps[Events]:
     """Decode the response to a watch; raises `ValueError` if it is none."""
     try:
         return _decode(content, Events)
     except (ValueError, RecursionError):
         pass
-    raw = _split(content, "events", _RawEvents)
-    events = [_decode_event(text, raw.at, report) for text in map(bytes, raw.events)]
-    return Events([event for event in events if event is not None], raw.at)
+    yield len(content)
+    raw = yield from _split(content, "events", _RawEvents)
+    events = []
+    for text in map(bytes, raw.events):
+        event = yield from _decode_event(text, raw.at, report)
+        if event is not None:
+            events.append(event)
+    return Events(events, raw.at)
 
 
-def decode_object(content: bytes, report: UnreadableObserver) -> Object:
+def decode_object(content: bytes, report: UnreadableObserver) -> Steps[Object]:
     """Decode one object; raises `ValueError` if its name or revision is unreadable."""
-    decoded = _decode_item(content, None, report)
+    decoded = yield from _decode_item(content, None, report)
     if decoded is None:
         raise ValueError("Name or revision of the object is unreadable")
     return decoded
@@ -114,14 +143,16 @@
     return msgspec.json.decode(text, type=expected_type)
 
 
-def _split(content: bytes, list_name: str, raw_type: type[T]) -> T:
+def _split(content: bytes, list_name: str, raw_type: type[T]) -> Steps[T]:
     """Return a response whose list is not decoded."""
     try:
         return msgspec.json.decode(content, type=raw_type)
     except (ValueError, RecursionError):
         # Nesting, or text that the decoder refuses even where it is not needed.
-        members = split_object(content)
-        items = split_array(members.pop(list_name, b""))
+        pass
+    members = yield from _read_members(content)
+    items = split_array(members.pop(list_name, b""))
+    yield len(content)
     others = {key: msgspec.Raw(text) for key, text in members.items()}
     decoded: Any = msgspec.json.decode(
         msgspec.json.encode({**others, list_name: []}), type=raw_type
@@ -132,18 +163,25 @@
 
 def _decode_item(
     text: bytes, at: int | None, report: UnreadableObserver
-) -> Object | None:
+) -> Steps[Object | None]:
     """Decode an object; None if it has no readable name.
 
     ``at`` is used as the revision of an object whose own is unreadable.
     """
+    yield ITEM_WORK + len(text)
     try:
         return _decode(text, Object)
     except (ValueError, RecursionError) as error:
         cause = str(error)
-    metadata = _members(_members(text).get("metadata", b""))
-    name = _decode_or_none(metadata.get("name", b""), _Name)
-    revision = _decode_or_none(metadata.get("revision", b""), _Revision)
+    members = yield from _members(text)
+    metadata_text = members.get("metadata", b"")
+    metadata = _decode_or_none(metadata_text, Metadata)
+    if metadata is not None:
+        name, revision = metadata.name, metadata.revision
+    else:
+        members = yield from _members(metadata_text)
+        name = _decode_or_none(members.get("name", b""), _Name)
+        revision = _decode_or_none(members.get("revision", b""), _Revision)
     if revision is None:
         revision = at
     report(name, revision or 0, cause)
@@ -152,9 +190,11 @@
     return Object(Metadata(name, revision), UNREADABLE_VALUE)
 
 
-def _decode_event(text: bytes, at: int, report: UnreadableObserver) -> Event | None:
-    members = _members(text)
-    item = _decode_item(members.get("object", b""), at, report)
+def _decode_event(
+    text: bytes, at: int, report: UnreadableObserver
+) -> Steps[Event | None]:
+    members = yield from _members(text)
+    item = yield from _decode_item(members.get("object", b""), at, report)
     if item is None:
         return None
     is_deleted = _decode_or_none(members.get("deleted", b"false"), bool)
@@ -164,13 +204,25 @@
     return Event(item, is_deleted)
 
 
-def _members(text: bytes) -> dict[str, bytes]:
+def _members(text: bytes) -> Steps[dict[str, bytes]]:
     try:
-        return split_object(text)
+        return (yield from _read_members(text))
     except ValueError:
         return {}
 
 
+def _read_members(text: bytes) -> Steps[dict[str, bytes]]:
+    """Return the text of each value of an object, as `split_object` does."""
+    members = object_members(text)
+    yield len(text)
+    values: dict[str, bytes] = {}
+    for begin in range(0, len(members), MEMBERS_PER_STEP):
+        some = members[begin : begin + MEMBERS_PER_STEP]
+        values.update(read_members(some))
+        yield MEMBER_WORK * len(some)
+    return values
+
+
 def _decode_or_none(text: bytes, expected_type: Any) -> Any:
     try:
         return msgspec.json.decode(text, type=expected_type)
@@ -179,11 +231,14 @@
 
 
 __all__ = [
+    "ITEM_WORK",
     "MAX_NAME_CHARACTERS",
+    "TURN_WORK",
     "Event",
     "Events",
     "Object",
     "Page",
+    "Steps",
     "UnreadableObserver",
     "decode_events",
     "decode_object",
--- a/src/chivesaddle/platform/store.py
+++ b/src/chivesaddle/platform/store.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from chivesaddle.core.aio import Clock
+from chivesaddle.core.aio import Clock, run_in_turns
 from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded, InvalidValue
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.core.objects import (
@@ -36,8 +36,10 @@
 )
 from chivesaddle.objects.era import StoreEra
 from chivesaddle.platform.pages import (
+    TURN_WORK,
     Event,
     Object,
+    Steps,
     UnreadableObserver,
     decode_events,
     decode_object,
@@ -114,7 +116,7 @@
     async def get(self, kind: str, name: str, *, deadline: float) -> StoredObject:
         """Read one object."""
         reply = await self._read(_object_path(kind, name), deadline)
-        decoded = self._decode(decode_object, kind, reply)
+        decoded = await self._decode(decode_object, kind, reply)
         return _to_stored_object(kind, decoded, reply.era)
 
     async def list_objects(
@@ -131,7 +133,7 @@
         while True:
             query = f"?{urlencode({'after': after})}" if after else ""
             reply = await self._read(_object_path(kind) + query, deadline)
-            page = self._decode(decode_page, kind, reply)
+            page = await self._decode(decode_page, kind, reply)
             if revision is None:
                 revision = make_revision(reply.era, page.at)
             elif era_of(revision) != reply.era:
@@ -204,7 +206,9 @@
         target = f"{_object_path(kind)}?{query}"
         reply = await self._call("GET", target, b"", call_deadline)
         self._check_watchable(after)
-        decoded = self._decode(decode_events, kind, reply)
+        decoded = await self._decode(decode_events, kind, reply)
+        # Another response may have named a new era meanwhile.
+        self._check_watchable(after)
         return ObjectChanges(
             make_revision(reply.era, decoded.at),
             tuple(_to_change(kind, event, reply.era) for event in decoded.events),
@@ -238,9 +242,9 @@
                 remedy="List the kind again and watch from its revision",
             )
 
-    def _decode(
+    async def _decode(
         self,
-        decode: Callable[[bytes, UnreadableObserver], T],
+        decode: Callable[[bytes, UnreadableObserver], Steps[T]],
         kind: str,
         reply: "_Reply",
     ) -> T:
@@ -248,7 +252,8 @@
             self._report_unreadable(kind, name, revision, cause)
 
         try:
-            return decode(reply.content, report)
+            steps = decode(reply.content, report)
+            return await run_in_turns(self._clock, steps, TURN_WORK)
         except (ValueError, RecursionError) as error:
             raise PlatformUnavailable(
                 f"The store's response is malformed: {error}"
--- a/tests/core/test_core.py
+++ b/tests/core/test_core.py
@@ -3,7 +3,7 @@
 import pytest
 from twisted.internet.defer import Deferred
 
-from chivesaddle.core.aio import sleep_until, start, with_deadline
+from chivesaddle.core.aio import run_in_turns, sleep_until, start, with_deadline
 from chivesaddle.core.errors import DeadlineExceeded
 from chivesaddle.core.events import (
     Event,
@@ -60,6 +60,42 @@
         assert clock.getDelayedCalls() == []
 
 
+class TestTurns:
+    """Guards against long work during which no other event is handled."""
+
+    @staticmethod
+    def steps(works, done):
+        for work in works:
+            done.append(work)
+            yield work
+        return "result"
+
+    def test_other_events_are_handled_after_the_work_of_a_turn(self, clock):
+        done = []
+        steps = self.steps([1, 2, 3, 1, 1, 9, 1], done)
+        result = start(run_in_turns(clock, steps, turn_work=5))
+        assert sum(done) == 6
+        clock.callLater(0, done.append, "other event")
+        assert not result.called
+        clock.advance(0)
+        assert done == [1, 2, 3, 1, 1, 9, "other event", 1]
+        assert result.result == "result"
+
+    def test_little_work_is_done_at_once(self, clock):
+        result = start(run_in_turns(clock, self.steps([1, 2, 1], []), turn_work=5))
+        assert result.result == "result"
+        assert not clock.getDelayedCalls()
+
+    def test_cancelled_work_is_not_continued(self, clock):
+        done = []
+        result = start(run_in_turns(clock, self.steps([9, 9], done), turn_work=5))
+        result.addErrback(lambda _: None)
+        result.cancel()
+        clock.advance(0)
+        assert done == [9]
+        assert not clock.getDelayedCalls()
+
+
 class TestHybridClock:
     def test_event_after_a_received_message_is_ordered_after_its_cause(self):
         """Guards against effects ordered before their causes when clocks differ."""
--- a/tests/platform/test_pages.py
+++ b/tests/platform/test_pages.py
@@ -5,7 +5,7 @@
 import pytest
 
 from chivesaddle.core.objects import UNREADABLE_VALUE
-from chivesaddle.platform.pages import decode_events, decode_object, decode_page
+from chivesaddle.platform import pages
 
 GOOD = {"metadata": {"name": "good", "revision": 5}, "specification": {"x": 1}}
 HUGE = b"9" * 5_000
@@ -52,6 +52,27 @@
 }
 
 
+def complete(steps):
+    """Run a generator to its end and return its result."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            return end.value
+
+
+def decode_page(content, report):
+    return complete(pages.decode_page(content, report))
+
+
+def decode_events(content, report):
+    return complete(pages.decode_events(content, report))
+
+
+def decode_object(content, report):
+    return complete(pages.decode_object(content, report))
+
+
 def item(metadata, value):
     return b'{"metadata": ' + metadata + b', "specification": ' + value + b"}"
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,4 +1,5 @@
 import json
+from itertools import pairwise
 
 import pytest
 from twisted.internet.error import ConnectionLost, ConnectionRefusedError
@@ -300,6 +301,46 @@
         respond(network.open()[0], 200, self.page(self.NAMELESS, more=b"true"))
         expect_error(result, PlatformUnavailable)
 
+    def many(self, separator=b"%b"):
+        odds = (self.ODD.replace(b"odd", b"odd-%d" % n) for n in range(2_000))
+        return b",".join(separator % odd for odd in odds)
+
+    def test_that_are_many_let_other_events_be_handled(self, network, caplog):
+        """Guards against 0.7 s without other events for 1 MB of small odd objects."""
+        result = start(network.api.list_objects("k", deadline=2))
+        respond(network.open()[0], 200, self.page(self.many()))
+        logged_by_turn = [0]
+
+        def other_event():
+            logged_by_turn.append(len(caplog.records))
+            if not result.called:
+                network.reactor.callLater(0, other_event)
+
+        other_event()
+        network.reactor.advance(0)
+        assert len(result.result.items_by_name) == logged_by_turn[-1] == 2_000
+        # At 50 us each, 500 objects take 25 ms.
+        turns = pairwise(logged_by_turn)
+        assert max(end - begin for begin, end in turns) <= 500
+
+    def test_that_are_many_are_all_in_a_watch(self, network):
+        result = start(network.api.wait_for_changes("k", after=3, deadline=5))
+        body = b'{"events": [%b], "at": 9}' % self.many(b'{"object": %b}')
+        respond(network.open()[0], 200, body)
+        network.reactor.advance(0)
+        names = {change.item.name for change in result.result.changes}
+        assert names == {f"odd-{n}" for n in range(2_000)}
+
+    def test_of_an_earlier_era_are_no_changes(self, network):
+        """Guards against an era that begins while the response is read in turns."""
+        result = start(network.api.wait_for_changes("k", after=3, deadline=5))
+        body = b'{"events": [%b], "at": 9}' % self.many(b'{"object": %b}')
+        respond(network.open()[0], 200, body)
+        assert not result.called
+        network.api.era.observe(1)
+        network.reactor.advance(0)
+        expect_error(result, RevisionCompacted)
+
 
 def in_era(network, era, revision=7):
     """Make the client read an object of an era; return the object's version."""
