--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -616,9 +616,9 @@
                 return candidate
         now = self._clock.seconds()
         target_s = context.route.target_s
-        # A request that a silent server has may wait here until its caller leaves.
+        # A request that has run cannot be refused, so it waits until its caller leaves.
         caller_waits_until = context.deadline
-        if context.silent_since is None:
+        if context.runs == 0:
             caller_waits_until = context.received_at + max_gap_s(context.route)
         memory_request = MemoryRequest(
             tokens=max(1, context.request.memory_tokens),
--- a/tests/forwarding/test_silent_servers.py
+++ b/tests/forwarding/test_silent_servers.py
@@ -312,3 +312,33 @@
         harness.connections[0].transport.lose_connection()
         harness.advance()
         assert caller.status == 504
+
+
+class TestStreamWhoseServerBreaks:
+    PROMPT = "X-Chivesaddle-Model: m\r\nX-Chivesaddle-Token-Counts: {},10"
+
+    def test_waits_for_the_other_server_that_is_full(self, harness):
+        """Guards against a wait that was over before the stream could need it."""
+        harness.use_model_engines()
+        callers = [harness.caller() for _ in range(2)]
+        harness.servers.get("i-2").ejected_until = 1e9
+        callers[0].request("/resumable/x", "a1", headers=self.PROMPT.format(20))
+        broken = harness.connections[0]
+        broken.start_stream(EVENT_1)
+        harness.servers.get("i-2").ejected_until = 0.0
+        harness.servers.get("i-1").ejected_until = 1e9
+        callers[1].request("/resumable/x", "a2", headers=self.PROMPT.format(80))
+        full = harness.connections[1]
+        full.start_stream(EVENT_1)
+        for number in range(2, 50):
+            harness.advance(0.1)
+            broken.chunk(b"id: %d\ndata: a\n\n" % number)
+        broken.transport.lose_connection()
+        advance(harness, 0.5)
+        full.transport.clear()
+        go_on(full)
+        advance(harness, 0.3)
+        assert full.header("last-event-id") == "49"
+        full.start_stream(b"id: 50\ndata: b\n\n")
+        full.end_stream()
+        assert callers[0].received().endswith(b"0\r\n\r\n")
