--- a/src/chivesaddle/platform/pages.py
+++ b/src/chivesaddle/platform/pages.py
@@ -28,7 +28,7 @@
 MAX_NAME_CHARACTERS = 1_024
 # Work of one turn of the event loop: at 0.08 us each, some 20 ms.
 TURN_WORK = 250_000
-# An unreadable object takes 30 to 50 us besides its bytes.
+# An unreadable object takes 30 to 50 us besides its bytes, so this is on the safe side.
 ITEM_WORK = 1_000
 # A member of an object takes 1 us.
 MEMBER_WORK = 15
