--- a/src/chivesaddle/standins/platform_server.py
+++ b/src/chivesaddle/standins/platform_server.py
@@ -1,8 +1,9 @@
 """Fake backend server that implements the platform's protocol, with fault switches.
 
 Run ``python -m chivesaddle.standins.platform_server IP:PORT ID``.
-``GET /control/runs`` lists the requests that it ran, ``GET /report`` says when it was
-started, and ``GET /health`` whether it takes requests.
+``GET /control/runs`` lists the requests that it ran, ``GET /control/spans`` when each
+of them ran, ``GET /report`` says when the server was started, and ``GET /health``
+whether it takes requests.
 """
 
 import os
@@ -103,6 +104,14 @@
         return headers
 
 
+class RunSpan(msgspec.Struct):
+    """When a request ran, in seconds of ``CLOCK_MONOTONIC``; it may still run."""
+
+    request_id: str
+    began_at: float
+    ended_at: float | None = None
+
+
 class UnframedResponder:
     """Writes a response that ends with its connection."""
 
@@ -139,6 +148,7 @@
     server_id: str
     faults: PlatformServerFaults = field(default_factory=PlatformServerFaults)
     runs: list[str] = field(default_factory=list)
+    spans: list[RunSpan] = field(default_factory=list)
     running: int = 0
     started_ms: int = field(default_factory=lambda: int(time.time() * 1_000))
 
@@ -147,6 +157,8 @@
         target = request.target.decode()
         if target == "/control/runs":
             responder.answer(200, msgspec.json.encode(self.runs))
+        elif target == "/control/spans":
+            responder.answer(200, msgspec.json.encode(self.spans))
         elif target == "/control/faults":
             self.faults = msgspec.json.decode(request.body, type=PlatformServerFaults)
             responder.answer(200)
@@ -185,11 +197,14 @@
         # Without an id, the request line is recorded, so that the request can be
         # traced.
         self.runs.append(request_id or f"{request.method!r} {request.target!r}")
+        span = RunSpan(self.runs[-1], time.monotonic())
+        self.spans.append(span)
         self.running += 1
         try:
             await self._answer(request, request_id, responder, attempt_headers)
         finally:
             self.running -= 1
+            span.ended_at = time.monotonic()
 
     async def _answer(
         self,
@@ -265,4 +280,4 @@
     main(sys.argv[1], sys.argv[2])
 
 
-__all__ = ["PlatformServer", "PlatformServerFaults", "main"]
+__all__ = ["PlatformServer", "PlatformServerFaults", "RunSpan", "main"]
