--- a/src/chivesaddle/tools/platform_fleet.py
+++ b/src/chivesaddle/tools/platform_fleet.py
@@ -4,11 +4,15 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
+from chivesaddle.standins.platform_server import RunSpan
 from chivesaddle.tools.processes import HTTP_CLIENT, Processes, ProcessSpec, free_ports
 
 HOST_NAME = "soak.example"
 API_KEY = "key-1"
 SERVICE = "app"
+SHUTDOWN_S = 8.0
 LISTENERS = ("callers", "readiness", "peers", "addresses", "metrics")
 
 
@@ -51,6 +55,8 @@
         own, so that proxies can tell them apart.
     evacuation_s : float or None
         The daemons' bound for evacuations; None if zones are never evacuated.
+    shutdown_s : float
+        The daemons' bound for the time from SIGTERM to their end.
     """
 
     def __init__(
@@ -62,7 +68,9 @@
         *,
         has_own_hosts: bool = False,
         evacuation_s: float | None = None,
+        shutdown_s: float = SHUTDOWN_S,
     ) -> None:
+        self._shutdown_s = shutdown_s
         self._evacuation_s = evacuation_s
         self._build_dir = build_dir
         self.processes = Processes(build_dir / "logs")
@@ -118,6 +126,11 @@
         """Stop all processes that this fleet started."""
         self.processes.stop(list(self.processes.pids), 10.0)
 
+    def kill(self) -> None:
+        """Kill all processes that this fleet started, suspended ones as well."""
+        for name in self.processes.pids:
+            self.processes.kill(name)
+
     def put_configuration(self, routes: list[dict[str, Any]]) -> int:
         """Write a new version of the configuration; return its number."""
         self._version += 1
@@ -198,6 +211,11 @@
         """Return the request id of every run on a backend server, with repeats."""
         return HTTP_CLIENT.get(f"http://{self.servers[name]}/control/runs").json()
 
+    def spans_at(self, name: str) -> list[RunSpan]:
+        """Return when every run on a backend server began and ended."""
+        response = HTTP_CLIENT.get(f"http://{self.servers[name]}/control/spans")
+        return msgspec.json.decode(response.content, type=list[RunSpan])
+
     def set_faults(self, name: str, **switches: Any) -> None:
         """Replace the injected faults of a backend server."""
         url = f"http://{self.servers[name]}/control/faults"
@@ -231,7 +249,7 @@
                 "retry_slack": 60,
                 "retry_window_s": 10,
                 "older_weights_s": 8,
-                "shutdown_s": 8,
+                "shutdown_s": self._shutdown_s,
                 "address_valid_most_s": 5,
             },
             "seeds": [listeners["peers"] for listeners in self.listeners.values()],
--- a/src/chivesaddle/tools/soak/__main__.py
+++ b/src/chivesaddle/tools/soak/__main__.py
@@ -7,7 +7,7 @@
 
 import typer
 
-from chivesaddle.tools.soak.run import run_seed
+from chivesaddle.tools.soak import FIRST_SILENCE_SEED, run_seed
 
 FAULT_S = 12.0
 
@@ -19,16 +19,21 @@
 ) -> None:
     """Run the soak test with each seed; exit with status 1 on a violation."""
     chosen_seeds = [int(seed) for seed in seeds.split(",") if seed]
-    chosen_seeds = chosen_seeds or [secrets.randbelow(1_000_000) for _ in range(count)]
+    chosen_seeds = chosen_seeds or [
+        secrets.randbelow(2 * FIRST_SILENCE_SEED) for _ in range(count)
+    ]
     failed = 0
     for seed in chosen_seeds:
         build_dir = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         result, fault_log = run_seed(seed, fault_s, build_dir)
+        recovered = result.served_after_recovery
+        after_recovery = (
+            "" if recovered is None else f"{recovered:.2f} after recovery, "
+        )
         typer.echo(
             f"seed {seed}: {result.requests} requests, "
             f"{result.served_share:.2f} served, "
-            f"{result.served_after_recovery:.2f} after recovery, "
-            f"{len(result.violations)} violations"
+            f"{after_recovery}{len(result.violations)} violations"
         )
         if result.violations:
             failed += 1
--- a/src/chivesaddle/tools/soak/callers.py
+++ b/src/chivesaddle/tools/soak/callers.py
@@ -1,16 +1,18 @@
 """Callers of the soak test: send requests to daemons and check the responses."""
 
 import asyncio
+import contextlib
 import random
 import re
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field
+from enum import Enum
 
 import httpx
 
 from chivesaddle.platform.headers import LAST_EVENT, REQUEST_ID, RESUMES, TIME_LIMIT
 from chivesaddle.standins.platform_server import STREAM_EVENT_COUNT
-from chivesaddle.tools.platform_fleet import API_KEY, HOST_NAME
+from chivesaddle.tools.platform_fleet import API_KEY, HOST_NAME, PlatformFleet
 
 REQUEST_TIMEOUT_MS = 3_000
 # Times that a caller resumes a stream that was broken off.
@@ -20,13 +22,56 @@
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 
 
+class EndKind(Enum):
+    """How a request ended for its caller."""
+
+    RESPONDED = "responded"
+    NOT_SENT = "not_sent"
+    # The connection was closed before the response was complete.
+    CUT = "cut"
+    # The caller closed the connection, after waiting for as long as it does.
+    LEFT = "left"
+
+
+@dataclass(frozen=True, slots=True)
+class RequestEnd:
+    """How and when a request ended for its caller, in seconds of the callers' clock."""
+
+    kind: EndKind
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class CallerProfile:
+    """How callers behave.
+
+    Attributes
+    ----------
+    routes : tuple of str
+        Names of the routes; each request draws one of them.
+    time_limit_ms : int
+        Time limit of each request.
+    event_count : int
+        Events of a whole stream.
+    max_gap_s : float
+        Seconds that a caller waits for the first or next event of a stream.
+    """
+
+    routes: tuple[str, ...] = ("safe", "unsafe", "stream")
+    time_limit_ms: int = REQUEST_TIMEOUT_MS
+    event_count: int = STREAM_EVENT_COUNT
+    max_gap_s: float = REQUEST_TIMEOUT_MS / 1_000 + 2
+
+
 @dataclass(slots=True)
 class RequestLog:
-    """Requests that callers sent, their response statuses, and violations found."""
+    """Requests that callers sent, how they ended, and violations found."""
 
     route_by_id: dict[str, str] = field(default_factory=dict)
     status_by_id: dict[str, int | None] = field(default_factory=dict)
     sent_at_by_id: dict[str, float] = field(default_factory=dict)
+    end_by_id: dict[str, RequestEnd] = field(default_factory=dict)
+    resuming_ids: set[str] = field(default_factory=set)
     violations: list[str] = field(default_factory=list)
 
     def served_share(self, since: float) -> float:
@@ -36,6 +81,9 @@
         return served / len(ids) if ids else 0.0
 
 
+DEFAULT_PROFILE = CallerProfile()
+
+
 class Caller:
     """One caller; stays with a daemon until a request to it fails.
 
@@ -53,6 +101,8 @@
         Returns the time in seconds.
     software_by_server : mapping
         Software version of each backend server.
+    profile : CallerProfile
+        How it behaves.
     """
 
     def __init__(
@@ -63,8 +113,10 @@
         list_addresses: Callable[[], Awaitable[list[str]]],
         clock: Callable[[], float],
         software_by_server: Mapping[str, str],
+        profile: CallerProfile = DEFAULT_PROFILE,
     ) -> None:
         self._name = name
+        self._profile = profile
         self._software_by_server = software_by_server
         self._random = random.Random(seed)
         self._request_log = request_log
@@ -74,7 +126,8 @@
 
     async def run(self, deadline: float) -> None:
         """Send requests one after another until ``deadline``."""
-        async with httpx.AsyncClient(timeout=REQUEST_TIMEOUT_MS / 1_000 + 2) as client:
+        timeout_s = self._profile.time_limit_ms / 1_000 + 2
+        async with httpx.AsyncClient(timeout=timeout_s) as client:
             address = ""
             while self._clock() < deadline:
                 if not address:
@@ -85,7 +138,7 @@
                 await asyncio.sleep(self._random.uniform(0.0, 0.08))
 
     async def _request(self, client: httpx.AsyncClient, address: str) -> bool:
-        route = self._random.choice(("safe", "unsafe", "stream"))
+        route = self._random.choice(self._profile.routes)
         if route == "stream":
             return await self._request_stream(client, address)
         request_id, headers = self._start(route)
@@ -94,9 +147,11 @@
             response = await client.post(
                 url, headers=headers, content=request_id.encode()
             )
-        except httpx.HTTPError:
+        except httpx.HTTPError as error:
             # After a connection error the request may or may not have run.
+            self._record_end(request_id, _kind_of_end(error))
             return False
+        self._record_end(request_id, EndKind.RESPONDED)
         self._request_log.status_by_id[request_id] = response.status_code
         if (
             response.status_code == 200
@@ -107,6 +162,9 @@
             )
         return response.status_code < 500
 
+    def _record_end(self, request_id: str, kind: EndKind) -> None:
+        self._request_log.end_by_id[request_id] = RequestEnd(kind, self._clock())
+
     def _start(self, route: str) -> tuple[str, dict[str, str]]:
         """Record a new request; return its id and headers."""
         self._sent_count += 1
@@ -118,7 +176,7 @@
             "Host": HOST_NAME,
             "Authorization": f"Bearer {API_KEY}",
             REQUEST_ID.decode(): request_id,
-            TIME_LIMIT.decode(): str(REQUEST_TIMEOUT_MS),
+            TIME_LIMIT.decode(): str(self._profile.time_limit_ms),
         }
 
     async def _request_stream(self, client: httpx.AsyncClient, address: str) -> bool:
@@ -128,13 +186,19 @@
         for _ in range(1 + MAX_RESUMPTIONS):
             request_id, headers = self._start("stream")
             if events:
+                self._request_log.resuming_ids.add(request_id)
                 headers |= {RESUMES.decode(): began, LAST_EVENT.decode(): events[-1][0]}
             text, is_complete = await self._receive(
                 client, f"http://{address}{target}", request_id, headers
             )
             began = began if events else request_id
             events += EVENT.findall(text)
-            found = check_events(events, is_complete, self._software_by_server)
+            found = check_events(
+                events,
+                is_complete,
+                self._software_by_server,
+                self._profile.event_count,
+            )
             self._request_log.violations += [f"{request_id}: {v}" for v in found]
             if is_complete or not events:
                 break
@@ -151,21 +215,51 @@
     ) -> tuple[str, bool]:
         """Return the body that arrived, and whether it is a complete success."""
         text = ""
+        gap_s = self._profile.max_gap_s
         try:
-            async with client.stream("POST", url, headers=headers) as response:
+            async with client.stream(
+                "POST", url, headers=headers, timeout=gap_s
+            ) as response:
                 async for part in response.aiter_text():
                     text += part
-        except httpx.HTTPError:
+        except httpx.HTTPError as error:
             # What arrived before the connection broke counts.
+            self._record_end(request_id, _kind_of_end(error))
             return text, False
+        self._record_end(request_id, EndKind.RESPONDED)
         self._request_log.status_by_id[request_id] = response.status_code
         return text, response.status_code == 200
 
 
+def _kind_of_end(error: httpx.HTTPError) -> EndKind:
+    match error:
+        case httpx.ConnectError() | httpx.ConnectTimeout() | httpx.PoolTimeout():
+            return EndKind.NOT_SENT
+        case httpx.TimeoutException():
+            return EndKind.LEFT
+        case _:
+            return EndKind.CUT
+
+
+async def list_addresses(fleet: PlatformFleet, names: Sequence[str]) -> list[str]:
+    """Return the client addresses that the first daemon to respond lists."""
+    async with httpx.AsyncClient(timeout=0.5) as client:
+        for name in names:
+            address = fleet.listeners[name]["addresses"]
+            with contextlib.suppress(httpx.HTTPError):
+                response = await client.get(
+                    f"http://{address}/resolve", params={"zone": "z"}
+                )
+                if response.status_code == 200:
+                    return response.json()["addresses"]
+    return []
+
+
 def check_events(
     events: Sequence[tuple[str, str]],
     is_complete: bool,
     software_by_server: Mapping[str, str],
+    event_count: int = STREAM_EVENT_COUNT,
 ) -> list[str]:
     """Return the violations that the events of a stream show, over all its requests.
 
@@ -173,7 +267,7 @@
     """
     violations = []
     ids = [int(event_id) for event_id, _ in events]
-    expected = list(range(1, STREAM_EVENT_COUNT + 1))
+    expected = list(range(1, event_count + 1))
     if ids != (expected if is_complete else expected[: len(ids)]):
         violations.append(f"events {ids}, complete: {is_complete}")
     versions = {software_by_server[server] for _, server in events}
@@ -204,4 +298,13 @@
     return violations
 
 
-__all__ = ["Caller", "RequestLog", "check_events", "check_runs"]
+__all__ = [
+    "Caller",
+    "CallerProfile",
+    "EndKind",
+    "RequestEnd",
+    "RequestLog",
+    "check_events",
+    "check_runs",
+    "list_addresses",
+]
--- a/src/chivesaddle/tools/soak/run.py
+++ b/src/chivesaddle/tools/soak/run.py
@@ -7,7 +7,6 @@
 import time
 from collections import Counter
 from collections.abc import Iterator
-from dataclasses import dataclass
 from pathlib import Path
 
 import httpx
@@ -15,8 +14,14 @@
 from chivesaddle.platform.headers import PROMPT_PARTS, REQUEST_ID, TIME_LIMIT
 from chivesaddle.tools.platform_fleet import API_KEY, ROUTES, PlatformFleet, route
 from chivesaddle.tools.processes import free_ports, wait_until
-from chivesaddle.tools.soak.callers import Caller, RequestLog, check_runs
+from chivesaddle.tools.soak.callers import (
+    Caller,
+    RequestLog,
+    check_runs,
+    list_addresses,
+)
 from chivesaddle.tools.soak.proxy import Proxy, ProxyMode
+from chivesaddle.tools.soak.result import SoakResult
 
 DAEMON_COUNT = 3
 SERVER_COUNT = 4
@@ -53,17 +58,6 @@
 MAX_CRASHES = 8
 
 
-@dataclass(frozen=True, slots=True)
-class SoakResult:
-    """Outcome of the run of one seed; shares are of requests sent, 0 to 1."""
-
-    seed: int
-    requests: int
-    served_share: float
-    served_after_recovery: float
-    violations: tuple[str, ...]
-
-
 class Soak:
     """Processes, proxies and faults of one seed.
 
@@ -121,7 +115,8 @@
         finally:
             for proxy in self._proxies.values():
                 proxy.stop()
-            await loop.run_in_executor(None, self.fleet.stop)
+            # Shutdowns would take some seconds more and are not checked here.
+            await loop.run_in_executor(None, self.fleet.kill)
         return self._result(runs)
 
     async def _run_callers_and_faults(self) -> None:
@@ -175,16 +170,7 @@
     async def _list_addresses(self) -> list[str]:
         names = list(self.fleet.listeners)
         self._random.shuffle(names)
-        async with httpx.AsyncClient(timeout=0.5) as client:
-            for name in names:
-                address = self.fleet.listeners[name]["addresses"]
-                with contextlib.suppress(httpx.HTTPError):
-                    response = await client.get(
-                        f"http://{address}/resolve", params={"zone": "z"}
-                    )
-                    if response.status_code == 200:
-                        return response.json()["addresses"]
-        return []
+        return await list_addresses(self.fleet, names)
 
     def _running_daemon(self) -> str | None:
         """Return a running daemon to stop; None if fewer than two are available.
@@ -522,12 +508,4 @@
         )
 
 
-def run_seed(
-    seed: int, fault_s: float, build_dir: Path
-) -> tuple[SoakResult, list[str]]:
-    """Run the soak test with one seed; return its result and the log of faults."""
-    soak = Soak(seed, fault_s, build_dir)
-    return asyncio.run(soak.run()), soak.fault_log
-
-
-__all__ = ["Soak", "SoakResult", "run_seed"]
+__all__ = ["Soak"]
