--- a/src/chivesaddle/serving/server_probe.py
+++ b/src/chivesaddle/serving/server_probe.py
@@ -8,7 +8,28 @@
 from chivesaddle.core.serving_model import ServerEntry
 from chivesaddle.http1 import ConnectionPool, NotSent, ResponseBroken, exchange
 
-log = ComponentLogger("servers")
+log = ComponentLogger("paths")
+
+
+async def request_health(
+    pool: ConnectionPool,
+    clock: Clock,
+    server: ServerEntry,
+    health_path: str,
+    deadline: float,
+) -> bool:
+    """Return whether a server responds by a deadline, whatever it responds."""
+    try:
+        await exchange(
+            pool, clock, server.address, "GET", health_path, deadline=deadline
+        )
+    except (NotSent, ResponseBroken) as error:
+        log.debug(
+            "no answer to health request",
+            extra={"server": server.id, "cause": error.message},
+        )
+        return False
+    return True
 
 
 class ServerProbe:
@@ -51,22 +72,9 @@
         health_path = self._health_path(server.service)
         if health_path is None:
             return False
-        try:
-            await exchange(
-                self._pool,
-                self._clock,
-                server.address,
-                "GET",
-                health_path,
-                deadline=deadline,
-            )
-        except (NotSent, ResponseBroken) as error:
-            log.debug(
-                "no answer to health request",
-                extra={"server": server.id, "cause": error.message},
-            )
-            return False
-        return True
+        return await request_health(
+            self._pool, self._clock, server, health_path, deadline
+        )
 
 
-__all__ = ["ServerProbe"]
+__all__ = ["ServerProbe", "request_health"]
--- a/src/chivesaddle/serving/silent_paths.py
+++ b/src/chivesaddle/serving/silent_paths.py
@@ -15,9 +15,10 @@
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.fleet import TickGrid
 from chivesaddle.fleet.beacons import server_hash
-from chivesaddle.http1 import ConnectionPool, NotSent, ResponseBroken, exchange
+from chivesaddle.http1 import ConnectionPool
 from chivesaddle.placement import ServerTable, TrackedServer
 from chivesaddle.serving.server_activity import ServerActivity
+from chivesaddle.serving.server_probe import request_health
 
 INTERVAL_S = 0.1
 # Interval while no request is at a server and no path is lost.
@@ -267,19 +268,10 @@
     async def _request_health(self, server: TrackedServer, health_path: str) -> bool:
         """Return whether the server responds, whatever it responds."""
         self.health_requests_sent += 1
-        address = server.entry.address
         deadline = self._clock.seconds() + HEALTH_TIMEOUT_S
-        try:
-            await exchange(
-                self._pool, self._clock, address, "GET", health_path, deadline=deadline
-            )
-        except (NotSent, ResponseBroken) as error:
-            log.debug(
-                "no answer to health request",
-                extra={"server": server.entry.id, "cause": error.message},
-            )
-            return False
-        return True
+        return await request_health(
+            self._pool, self._clock, server.entry, health_path, deadline
+        )
 
     def _record_silent(
         self, service: ServiceId, servers: Sequence[TrackedServer]
--- a/tests/serving/test_answer_questions.py
+++ b/tests/serving/test_answer_questions.py
@@ -10,7 +10,7 @@
 from chivesaddle.forwarding.passing import PeerDaemon
 from chivesaddle.http1 import ResponseBroken
 from chivesaddle.placement import ExchangeOutcome, ServerTable
-from chivesaddle.serving import silent_paths
+from chivesaddle.serving import server_probe
 from chivesaddle.serving.answer_questions import AnswerQuestions
 from chivesaddle.serving.peer_paths import FleetPaths
 from chivesaddle.serving.silent_paths import SilentPaths
@@ -81,7 +81,7 @@
         self.servers_run = True
         self.asked_by = []
         self.daemons = [Daemon(self, number) for number in range(SIZE)]
-        monkeypatch.setattr(silent_paths, "exchange", self.exchange)
+        monkeypatch.setattr(server_probe, "exchange", self.exchange)
 
     async def exchange(self, daemon, clock, address, method, target, *, deadline):
         self.asked_by.append(daemon.member.id)
--- a/tests/serving/test_silent_paths.py
+++ b/tests/serving/test_silent_paths.py
@@ -8,7 +8,7 @@
 from chivesaddle.core.serving_model import ServerEntry, ServerState
 from chivesaddle.http1 import ResponseBroken
 from chivesaddle.placement import ExchangeOutcome, ServerTable
-from chivesaddle.serving import silent_paths
+from chivesaddle.serving import server_probe, silent_paths
 from chivesaddle.serving.silent_paths import SilentPaths
 
 SERVERS = ("s0", "s1", "s2")
@@ -55,7 +55,7 @@
         self.daemons = [Daemon(self.clock), Daemon(self.clock)]
         self.first, self.second = self.daemons
         self.asked = []
-        monkeypatch.setattr(silent_paths, "exchange", self.exchange)
+        monkeypatch.setattr(server_probe, "exchange", self.exchange)
 
     async def exchange(self, daemon, clock, address, method, target, *, deadline):
         assert (method, target) == ("GET", "/health")
