--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -573,13 +573,13 @@
             context.excluded.add(silent.candidate.server.entry.id)
         elif not self._passer.peers(context):
             await self._stream_software.resume(context)
-        context.silent_since = context.server_event_at or context.received_at
+        context.seeks_successor = True
         try:
             candidate = await self._find_server(context)
         except NoPath:
             return self._passer.open_successor(context, relay)
         finally:
-            context.silent_since = None
+            context.seeks_successor = False
         self._check_may_send(context)
         if not self._budget.try_acquire(context.service):
             raise NoUsableResponse("The retry budget is used up")
@@ -608,7 +608,7 @@
 
         Raises `NotRun` or `MayHaveRun` if there is none.
         """
-        if context.silent_since is None:
+        if not context.seeks_successor:
             self._limits.record_demand(context.service)
         if not self._server_memory_tokens(context.service):
             candidate = self._choose(context)
@@ -617,15 +617,17 @@
         now = self._clock.seconds()
         target_s = context.route.target_s
         # A request that has run cannot be refused, so it waits until its caller leaves.
-        caller_waits_until = context.deadline
+        waits_until = context.deadline
         if context.runs == 0:
-            caller_waits_until = context.received_at + max_gap_s(context.route)
+            waits_until = min(
+                waits_until, context.received_at + max_gap_s(context.route)
+            )
         memory_request = MemoryRequest(
             tokens=max(1, context.request.memory_tokens),
             priority=self._priority(context) or 0,
             arrived_at=context.received_at,
             first_event_due=context.received_at + target_s,
-            expires_at=min(context.deadline, caller_waits_until) - target_s,
+            expires_at=waits_until - target_s,
             account=context.account_id,
             cost=self._estimate_cost(context),
             caller_gives_up_at=context.caller_deadline,
@@ -708,7 +710,7 @@
         servers = self._servers.of_service(context.service)
         requirements = self._requirements(context)
         excluded = context.excluded
-        if context.silent_since is not None:
+        if context.seeks_successor:
             excluded = excluded | self._silent_servers(context.service)
         candidate = choose(servers, requirements, self._zone, now, excluded, reserved)
         if candidate is None and context.excluded and context.runs == 0:
--- a/src/chivesaddle/forwarding/request_context.py
+++ b/src/chivesaddle/forwarding/request_context.py
@@ -41,9 +41,8 @@
     software_version : SoftwareVersion or None
         Version of the servers' software at which the request's stream began; None
         before its first event.
-    silent_since : float or None
-        Since when the server that has the request sends nothing, while another one is
-        looked for.
+    seeks_successor : bool
+        Whether another server is looked for while a silent one has the request.
     framing : Framing or None
         What marks the end of the last response, None before a response.
     unfinished_bytes : int
@@ -72,7 +71,7 @@
     arrivals: int = 0
     runs: int = 0
     excluded: set[BackendServerId] = field(default_factory=set)
-    silent_since: float | None = None
+    seeks_successor: bool = False
     first_event_at: float | None = None
     waited_s: float = 0.0
     last_candidate: Candidate | None = None
