--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+cd "$(dirname "$0")/../.."
+PYTHONPATH=target/review-2 exec python3 review/10/case.py
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -31,19 +31,25 @@
     """The case could not run."""
 
 
+_given_ports: set[int] = set()
+
+
 def free_port(host: str) -> int:
-    """Return a port that is free for TCP and UDP."""
+    """Return a port that is free for TCP and UDP and was not returned before."""
     for _ in range(50):
         with (
             socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
             socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
         ):
             tcp.bind((host, 0))
+            port = tcp.getsockname()[1]
             try:
-                udp.bind(tcp.getsockname())
+                udp.bind((host, port))
             except OSError:
                 continue
-            return tcp.getsockname()[1]
+            if port not in _given_ports:
+                _given_ports.add(port)
+                return port
     raise NotRun("no free port")
 
 
@@ -108,6 +114,8 @@
     def __init__(self, record: Record, hosts: tuple[str, ...] = ("127.0.0.1",)) -> None:
         self.record = record
         self._folder = Path(tempfile.mkdtemp(prefix="review-"))
+        # Runners that a request ends write its id here.
+        self.crash_log = self._folder / "crashes.txt"
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self.store = f"127.0.0.1:{free_port('127.0.0.1')}"
         self.listeners = {
@@ -151,7 +159,8 @@
             self.runners[name] = (f"127.0.0.1:{free_port('127.0.0.1')}", software)
         address, software = self.runners[name]
         self._starts[name] = self._starts.get(name, 0) + 1
-        self._start_standin(name, "runner.py", address, name, software)
+        log = str(self.crash_log)
+        self._start_standin(name, "runner.py", address, name, software, log)
         await self._wait(address, "/health")
         self.record.write(f"runner {name} ({software}) started")
 
--- a/review/standins-2/runner.py
+++ b/review/standins-2/runner.py
@@ -1,23 +1,31 @@
-"""Stand-in of a runner: ``python3 runner.py IP:PORT ID SOFTWARE``.
+"""Stand-in of a runner: ``python3 runner.py IP:PORT ID SOFTWARE [LOG]``.
 
 It runs a request as soon as it has read it. Targets with ``/stream/`` in them are
 answered with events that have ids from 1 on, and are resumed behind ``Last-Event-Id``;
-all others with a short body. ``PUT /control`` sets the fields of `Behaviour`,
-``GET /control`` returns the runs. Both are calls of the test, not of the platform.
+all others with a short body. A request whose target has ``/deadly/`` in it ends the
+process once it has begun to run; ``LOG`` gets its id before that.
+
+``PUT /control`` sets the fields of `Behaviour`, ``GET /control`` returns the runs. Both
+are calls of the test, not of the platform.
 """
 
 import asyncio
 import json
+import os
 import socket
 import struct
 import sys
 import time
 import zlib
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 
 import wire
 
+# Time after which a request that crashes runners does so.
+CRASH_AFTER_S = 0.05
+
 
 @dataclass
 class Behaviour:
@@ -54,7 +62,8 @@
 class Runner:
     """Answers requests and records those that it ran."""
 
-    def __init__(self, identifier: str, software: str) -> None:
+    def __init__(self, identifier: str, software: str, log: str = "") -> None:
+        self._log = log
         self.identifier = identifier
         self.software = software
         self.behaviour = Behaviour()
@@ -122,6 +131,11 @@
             "is_done": False,
         }
         self.runs.append(run)
+        if "/deadly/" in request.target:
+            with Path(self._log).open("a") as file:
+                print(time.time(), self.identifier, identifier, file=file)
+            await asyncio.sleep(CRASH_AFTER_S)
+            os._exit(1)
         mark = zlib.crc32(f"{identifier}/{self.identifier}".encode()) % 1_000
         if mark < 1_000 * self.behaviour.lost_share:
             await asyncio.sleep(self.behaviour.work_s)
@@ -183,13 +197,13 @@
     writer.transport.abort()
 
 
-async def main(address: str, identifier: str, software: str) -> None:
+async def main(address: str, identifier: str, software: str, log: str = "") -> None:
     """Serve until the process is killed."""
     host, _, port = address.rpartition(":")
-    runner = Runner(identifier, software)
+    runner = Runner(identifier, software, log)
     server = await asyncio.start_server(runner.serve, host, int(port), limit=2**16)
     await server.serve_forever()
 
 
 if __name__ == "__main__":
-    asyncio.run(main(*sys.argv[1:4]))
+    asyncio.run(main(*sys.argv[1:5]))
