Keep what an attempt knows of its response in the attempt

Cause: `Relay.on_progress` was one field that all attempts of a request set, and cleared at their end. While a server is silent a second attempt runs beside its own; when that one was refused, failed or was dropped, it cleared the callback of the attempt that had the request. The first event that came afterwards recorded neither the software version (`record_start`), nor that the server answers (crash evidence, time of the first event), nor that the request goes on, so that a later successor was not dropped. Change: `Relay.forward` gets the callback as an argument and keeps it for that response alone. What else attempts shared (framing, unfinished bytes, times of events, waiting) is a `ResponseProgress` of each attempt; the context refers to that of the attempt that has the request. Looked at too: the callback in `PeerAttempt` (the same fault, mended here); engines/relay.py, where each run has its stream, the answer switches servers only when one has taken it, and the delegate records the first one again on its return: no shared callback there.

--- a/src/chivesaddle/forwarding/peer_attempt.py
+++ b/src/chivesaddle/forwarding/peer_attempt.py
@@ -18,8 +18,9 @@
     ServerResponse,
 )
 from chivesaddle.forwarding.preview import read_ahead
-from chivesaddle.forwarding.relay import ReadChunk, Relay, ignore_progress
+from chivesaddle.forwarding.relay import ReadChunk, Relay
 from chivesaddle.forwarding.request_context import RequestContext
+from chivesaddle.forwarding.response_progress import ResponseProgress
 from chivesaddle.forwarding.results import ResultReporter
 from chivesaddle.http1 import (
     ConnectionPool,
@@ -132,10 +133,11 @@
         self._has_head = False
         self._first_deadline = access.attempts.response_deadline(context)
         self._activity = PeerActivity()
+        self._progress = ResponseProgress()
 
     def record_taken(self) -> None:
         """Record that the request is the attempt's."""
-        self._context.reset_response()
+        self._context.response = self._progress
 
     def silent_at(self) -> float:
         """Return when the daemon is silent for too long, infinite if never.
@@ -191,8 +193,7 @@
             raise NoUsableResponse(f"Daemon {peer.id}: {error.message}") from error
         finally:
             if turn.is_taken:
-                context.unfinished_bytes = self._relay.unfinished_bytes
-            self._relay.on_progress = ignore_progress
+                self._progress.unfinished_bytes = self._relay.unfinished_bytes
             if is_complete:
                 pool.release(peer.address, connection, response.keep_alive_s)
             else:
@@ -246,10 +247,9 @@
         self, turn: Turn, connection: ServerConnection, response: ServerResponse
     ) -> None:
         """Take the turn as soon as the response may replace the one so far."""
-        context, relay = self._context, self._relay
+        relay = self._relay
         self._record_bytes()
-        if turn.is_taken:
-            context.framing = response.framing
+        self._progress.framing = response.framing
         self._check(response)
         self._has_head = True
 
@@ -262,10 +262,10 @@
         if not turn.is_taken:
             read_chunk = await read_ahead(relay, response, read_from_peer, _is_alive)
             turn.take()
-            context.framing = response.framing
         # Servers of other daemons are not observed here.
-        relay.on_progress = turn.record_progress
-        await relay.forward(response, read_chunk, _is_alive)
+        await relay.forward(
+            response, read_chunk, _is_alive, self._progress, turn.record_progress
+        )
 
     def _record_bytes(self) -> None:
         self._activity.last_byte_at = self._clock.seconds()
--- a/src/chivesaddle/forwarding/relay.py
+++ b/src/chivesaddle/forwarding/relay.py
@@ -13,6 +13,7 @@
     has_body,
     stream_end,
 )
+from chivesaddle.forwarding.response_progress import ResponseProgress
 from chivesaddle.http1 import Framing, HeaderList, Responder
 
 ReadChunk = Callable[[], Awaitable[bytes | None]]
@@ -43,16 +44,6 @@
         Id of the last event that the caller has from an earlier response.
     method : bytes
         Method of the request.
-
-    Attributes
-    ----------
-    on_progress : callable
-        Called before complete events, or the begin of another body, go to the caller.
-    waiting_since : float or None
-        When it began to wait for the server's next event, in seconds on the clock; None
-        while it waits for the caller to read.
-    has_event : bool
-        Whether an event of the current response has arrived.
     """
 
     def __init__(
@@ -68,9 +59,6 @@
         self._is_stream = is_stream
         self._splitter = EventSplitter(checks_order=True, resumes_after=resumes_after)
         self.started_at: float | None = None
-        self.on_progress: Callable[[], None] = ignore_progress
-        self.waiting_since: float | None = None
-        self.has_event = False
         self._resumes_after = resumes_after
         self._method = method
         # Whether an event of any response has been passed on.
@@ -126,28 +114,46 @@
         response: ServerResponse,
         read_chunk: ReadChunk,
         is_server_alive: IsServerAlive,
+        progress: ResponseProgress,
+        on_progress: Callable[[], None],
     ) -> None:
         """Forward a response.
 
+        Parameters
+        ----------
+        response : ServerResponse
+            Its head.
+        read_chunk : callable
+            Reads its body.
+        is_server_alive : callable
+            Returns whether the process that sends it is known to live on.
+        progress : ResponseProgress
+            Gets how far it has come.
+        on_progress : callable
+            Called before complete events, or the begin of another body, go to the
+            caller.
+
         Raises
         ------
         NoUsableResponse
             If the response is incomplete, or may be and its server is not alive.
         """
-        self.waiting_since, self.has_event = None, False
         if not has_body(self._method, response.status):
             response = replace(response, framing=Framing.LENGTH, content_length=0)
         self.check_head(response)
         if self.expects_events(response):
-            await self._forward_events(response, read_chunk, is_server_alive)
+            await self._forward_events(
+                response, read_chunk, is_server_alive, progress, on_progress
+            )
         else:
-            await self._forward_body(response, read_chunk, is_server_alive)
+            await self._forward_body(response, read_chunk, is_server_alive, on_progress)
 
     async def _forward_body(
         self,
         response: ServerResponse,
         read_chunk: ReadChunk,
         is_server_alive: IsServerAlive,
+        on_progress: Callable[[], None],
     ) -> None:
         buffered: list[bytes] = []
         size = 0
@@ -158,13 +164,13 @@
             buffered.append(chunk)
             size += len(chunk)
             if size > MAX_BUFFERED_BYTES:
-                self.on_progress()
+                on_progress()
                 self._start(response, response.content_length, b"".join(buffered))
                 await self._responder.wait_writable()
         body = None if self.has_started else b"".join(buffered)
         await self.check_end(body_end(response, body), response, is_server_alive)
         if body is not None:
-            self.on_progress()
+            on_progress()
             self._start(response, size, body)
             await self._responder.wait_writable()
         self._responder.finish()
@@ -174,12 +180,14 @@
         response: ServerResponse,
         read_chunk: ReadChunk,
         is_server_alive: IsServerAlive,
+        progress: ResponseProgress,
+        on_progress: Callable[[], None],
     ) -> None:
         """Forward events as they arrive; the first one starts the response."""
         # A resumed stream starts with a complete event.
         self._splitter.drop_remainder()
         last_events = b""
-        self.waiting_since = self._clock.seconds()
+        progress.waiting_since = self._clock.seconds()
         while (chunk := await read_chunk()) is not None:
             events = self._splitter.feed(chunk)
             if self._splitter.remaining_bytes > MAX_EVENT_BYTES:
@@ -189,24 +197,24 @@
                 continue
             is_progress = has_event(events)
             if is_progress:
-                self.on_progress()
+                on_progress()
             if self.has_started:
                 self._responder.write(events)
             else:
                 self._start(response, None, events)
             if is_progress:
                 last_events = events
-                self.has_event = self._has_passed_events = True
-                self.waiting_since = None
+                progress.has_event = self._has_passed_events = True
+                progress.waiting_since = None
                 await self._responder.wait_writable()
-                self.waiting_since = self._clock.seconds()
+                progress.waiting_since = self._clock.seconds()
             else:
                 await self._responder.wait_writable()
             self._check_no_fault()
         end = self.stream_end(response, self._splitter, last_events)
         await self.check_end(end, response, is_server_alive)
         if not last_events:
-            self.on_progress()
+            on_progress()
         if not self.has_started:
             self._start(response, None)
         await self._write(self._splitter.remainder)
@@ -259,8 +267,4 @@
         await self._responder.wait_writable()
 
 
-def ignore_progress() -> None:
-    """Do nothing when an event goes to the caller."""
-
-
-__all__ = ["Relay", "ignore_progress"]
+__all__ = ["Relay"]
--- a/src/chivesaddle/forwarding/request_context.py
+++ b/src/chivesaddle/forwarding/request_context.py
@@ -14,8 +14,8 @@
 from chivesaddle.core.serving_model import Account, Route
 from chivesaddle.forwarding.errors import CallerLeft
 from chivesaddle.forwarding.messages import CallerRequest
+from chivesaddle.forwarding.response_progress import ResponseProgress
 from chivesaddle.forwarding.suspects import CrashSuspects
-from chivesaddle.http1 import Framing
 from chivesaddle.placement import Candidate
 
 # Ids of callers in log lines are cut to this length.
@@ -43,16 +43,10 @@
         before its first event.
     seeks_successor : bool
         Whether another server is looked for while a silent one has the request.
-    framing : Framing or None
-        What marks the end of the last response, None before a response.
-    unfinished_bytes : int
-        Bytes of an event at the end of the last response that had no end.
-    server_began_at : float or None
-        When the last server's first event arrived, None before it.
+    response : ResponseProgress
+        Response of the attempt that has the request, or had it last.
     passed_to : list of DaemonId
         Daemons that the request was passed on to.
-    server_event_at : float or None
-        When the last server's latest event arrived, None before it.
     given_up : list of BackendServerId
         Servers that were given up although they were still connected.
     """
@@ -76,11 +70,8 @@
     waited_s: float = 0.0
     last_candidate: Candidate | None = None
     software_version: SoftwareVersion | None = None
-    framing: Framing | None = None
-    unfinished_bytes: int = 0
-    server_began_at: float | None = None
+    response: ResponseProgress = field(default_factory=ResponseProgress)
     passed_to: list[DaemonId] = field(default_factory=list)
-    server_event_at: float | None = None
     given_up: list[BackendServerId] = field(default_factory=list)
 
     @property
@@ -96,11 +87,6 @@
         """The client account of the request, if it has one."""
         return None if self.account is None else self.account.id
 
-    def reset_response(self) -> None:
-        """Forget the response of an earlier attempt."""
-        self.framing, self.unfinished_bytes = None, 0
-        self.server_began_at = self.server_event_at = None
-
     def check_caller_waits(self) -> None:
         """Raise `CallerLeft` if nobody waits for a response."""
         if self.has_caller_left():
@@ -108,16 +94,16 @@
 
     def response_fields(self) -> dict[str, object]:
         """Return log fields about how the last response was framed and ended."""
-        if self.framing is None:
+        if self.response.framing is None:
             return {}
         return {
-            "framing": self.framing.value,
-            "unfinished_bytes": self.unfinished_bytes,
+            "framing": self.response.framing.value,
+            "unfinished_bytes": self.response.unfinished_bytes,
         }
 
     def break_fields(self, now: float) -> dict[str, object]:
         """Return log fields about what a server had begun when it broke."""
-        began_at = self.server_began_at
+        began_at = self.response.began_at
         return {
             "parts": [part.id for part in self.request.parts[:-1][:MAX_LOGGED_PARTS]],
             "answered_ms": None if began_at is None else round((now - began_at) * 1e3),
@@ -125,9 +111,8 @@
 
     def silent_ms(self, now: float) -> int | None:
         """Return the time since the last server's latest event, None before it."""
-        if self.server_event_at is None:
-            return None
-        return round((now - self.server_event_at) * 1e3)
+        event_at = self.response.last_event_at
+        return None if event_at is None else round((now - event_at) * 1e3)
 
     def resumption_fields(self) -> dict[str, object]:
         """Return log fields about the stream that the caller resumes."""
--- a/src/chivesaddle/forwarding/server_attempt.py
+++ b/src/chivesaddle/forwarding/server_attempt.py
@@ -27,8 +27,9 @@
 )
 from chivesaddle.forwarding.preview import read_ahead
 from chivesaddle.forwarding.prompts import PromptPlanner, cache_scope
-from chivesaddle.forwarding.relay import ReadChunk, Relay, ignore_progress
+from chivesaddle.forwarding.relay import ReadChunk, Relay
 from chivesaddle.forwarding.request_context import RequestContext
+from chivesaddle.forwarding.response_progress import ResponseProgress
 from chivesaddle.forwarding.results import ResultReporter
 from chivesaddle.forwarding.run import Run
 from chivesaddle.forwarding.server_liveness import ServerLiveness
@@ -120,6 +121,7 @@
         self._sent_at = math.inf
         self._has_head = False
         self._is_forwarding = False
+        self._progress = ResponseProgress()
         self._has_answered_probe = False
         self._begin_deadline = self._find_begin_deadline()
         self._first_deadline = access.attempts.response_deadline(context)
@@ -127,7 +129,7 @@
 
     def record_taken(self) -> None:
         """Record that the request is the attempt's."""
-        self._context.reset_response()
+        self._context.response = self._progress
         self._context.last_candidate = self.candidate
 
     def silent_at(self) -> float:
@@ -147,10 +149,10 @@
             return self._first_deadline
         if self._context.route.kind is not RouteKind.STREAM:
             return math.inf
-        waiting_since = self._relay.waiting_since
+        waiting_since = self._progress.waiting_since
         if waiting_since is None:
             return self._clock.seconds() + self._max_gap_s
-        if not self._relay.has_event:
+        if not self._progress.has_event:
             return self._first_deadline
         return waiting_since + self._max_gap_s
 
@@ -294,7 +296,7 @@
                 await self._forward(turn, exchange, response, run, serial)
             finally:
                 if turn.is_taken:
-                    context.unfinished_bytes = self._relay.unfinished_bytes
+                    self._progress.unfinished_bytes = self._relay.unfinished_bytes
             context.first_event_at = self._relay.started_at
             outcome = (
                 ExchangeOutcome.FAILED
@@ -329,7 +331,6 @@
                 probing.cancel()
             if self.was_given_up or (outcome is None and self._was_silent_at_the_end()):
                 outcome = ExchangeOutcome.BROKEN
-            self._relay.on_progress = ignore_progress
             run.end()
             exchange.close()
             access.servers.record_end(server_id, serial, outcome)
@@ -343,7 +344,7 @@
         serial: int,
     ) -> None:
         """Take the turn as soon as the response may replace the one so far."""
-        context, relay = self._context, self._relay
+        context, relay, progress = self._context, self._relay, self._progress
         self._has_head = True
         read_chunk: ReadChunk = exchange.read_chunk
         if response.status >= 500 and not (
@@ -371,13 +372,14 @@
                     context, server.software_version
                 )
             run.record_events()
-            context.server_began_at = run.first_event_at
-            context.server_event_at = self._clock.seconds()
+            progress.began_at = run.first_event_at
+            progress.last_event_at = self._clock.seconds()
             turn.record_progress()
 
-        relay.on_progress = record_progress
-        context.framing = response.framing
-        await relay.forward(response, read_chunk, exchange.is_server_alive)
+        progress.framing = response.framing
+        await relay.forward(
+            response, read_chunk, exchange.is_server_alive, progress, record_progress
+        )
 
     def _must_pass_on_error(self) -> bool:
         """Return whether no other server can be sent the request instead."""
