Ask where a stream began before a server goes on with it

Cause: the version is set where the first event is passed on by a server of this daemon, or where the caller resumes. A daemon that passes a request on observes no server, so that the version stayed unknown; a successor of a silent second daemon was then chosen without it. Change: before a server of this daemon goes on with a stream whose caller has events, the origin is looked up as for a stream that its caller resumes: own knowledge, the daemons that were told, the only version. If nobody knows it, the request stays where it is. Evidence: tests/forwarding/test_streams_of_lost_daemons.py: 3 of its 4 tests fail before (v2 for v1, v1 for v2, and a server of any version if nobody knows it); all pass now, as do those on silent peers, lost paths and software versions. The log event is named `stream resumed` now, since not only callers resume.

--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -571,8 +571,10 @@
             raise NoUsableResponse("The retry budget is used up")
         if isinstance(silent, ServerAttempt):
             context.excluded.add(silent.candidate.server.entry.id)
-        elif not self._passer.peers(context):
-            await self._stream_software.resume(context)
+        if not self._passer.peers(context):
+            await self._stream_software.resume(
+                context, has_begun=relay.last_event_id is not None
+            )
         context.seeks_successor = True
         try:
             candidate = await self._find_server(context)
--- a/src/chivesaddle/forwarding/stream_software.py
+++ b/src/chivesaddle/forwarding/stream_software.py
@@ -25,8 +25,14 @@
         self._origins = origins
         self._servers = servers
 
-    async def resume(self, context: RequestContext) -> None:
-        """Set version and service if the caller resumes a stream.
+    async def resume(self, context: RequestContext, *, has_begun: bool = False) -> None:
+        """Set version and service of a stream that goes on, unless they are known.
+
+        Parameters
+        ----------
+        has_begun : bool
+            Whether the caller has events of the response. Their version is not known
+            here if they came through another daemon.
 
         Raises
         ------
@@ -34,17 +40,22 @@
             If it is not known where the stream began.
         """
         request = context.request
-        if context.route.kind is not RouteKind.STREAM or request.resume_after is None:
+        is_known = context.software_version is not None
+        if context.route.kind is not RouteKind.STREAM or is_known:
             return
-        origin = await self._origins.find(
-            context.account_id, request.resumed_request, context.service
-        )
+        if request.resume_after is not None:
+            began_as = request.resumed_request
+        elif has_begun:
+            began_as = request.id
+        else:
+            return
+        origin = await self._origins.find(context.account_id, began_as, context.service)
         context.software_version = origin.version
         if origin.service in context.route.weight_by_service:
             context.service = origin.service
         servers = self._servers.of_service(context.service)
         log.info(
-            "stream resumed by its caller",
+            "stream resumed",
             extra={
                 "request": request.id,
                 **context.resumption_fields(),
