Weigh crashes less against a request that servers completed before

Cause: three servers that crash at the same moment counted like three crashes one after the other, although servers had completed the same request all the time; while it is blocked, no copy can complete, and only that clears it. Parts of prompts had a rule for this, requests had none. Change: one rule for both (`is_sufficient`). What a server completed in the 60 s before a crash is blocked after crashes at five different moments. Reports carry `was_answered` already, so that all daemons agree. A request that crashes servers never completes; for it nothing changes.

--- a/src/chivesaddle/forwarding/blame.py
+++ b/src/chivesaddle/forwarding/blame.py
@@ -11,11 +11,12 @@
 
 from chivesaddle.core.ids import BackendServerId, Fingerprint
 
-# Crashes after which a part is refused that no server is known to have answered.
+# Crashes after which a request or part is refused that no server is known to have
+# answered.
 MIN_CRASHES = 3
-# The same for a part that servers answered shortly before. Servers also crash for other
-# reasons, and a common part then waits at each of them.
-MIN_CRASHES_OF_ANSWERED_PART = 5
+# Moments of crashes after which one is refused that servers answered shortly before.
+# Servers also crash for other reasons, and what many callers ask is then at each.
+MIN_MOMENTS_IF_ANSWERED = 5
 # Servers that crash within this time may have one cause, such as the loss of a zone.
 SAME_MOMENT_S = 0.5
 # Crashes of a part that nothing else explains, if something else explains the others.
@@ -25,6 +26,21 @@
 CrashId = tuple[BackendServerId, int]
 
 
+def is_sufficient(times: Collection[float], was_answered: bool) -> bool:
+    """Return whether crashes are enough to refuse a request or part.
+
+    Parameters
+    ----------
+    times : collection of float
+        When each server crashed, in seconds of the daemon's clock.
+    was_answered : bool
+        Whether a server answered the request or part shortly before one of them.
+    """
+    if not was_answered:
+        return len(times) >= MIN_CRASHES
+    return _count_moments(times) >= MIN_MOMENTS_IF_ANSWERED
+
+
 @dataclass(frozen=True, slots=True)
 class PartEvidence:
     """Crashes that count against a part.
@@ -43,10 +59,7 @@
     @property
     def is_sufficient(self) -> bool:
         """Whether the crashes are enough to refuse the part."""
-        if not self.was_answered:
-            return len(self.time_by_crash) >= MIN_CRASHES
-        times = self.time_by_crash.values()
-        return _count_moments(times) >= MIN_CRASHES_OF_ANSWERED_PART
+        return is_sufficient(self.time_by_crash.values(), self.was_answered)
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,4 +151,10 @@
     return count
 
 
-__all__ = ["CrashId", "CrashingParts", "PartEvidence", "find_crashing_parts"]
+__all__ = [
+    "CrashId",
+    "CrashingParts",
+    "PartEvidence",
+    "find_crashing_parts",
+    "is_sufficient",
+]
--- a/src/chivesaddle/forwarding/crash_history.py
+++ b/src/chivesaddle/forwarding/crash_history.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from chivesaddle.forwarding.blame import CrashId
+from chivesaddle.core.ids import Fingerprint
+from chivesaddle.forwarding.blame import CrashId, is_sufficient
 
 # A confirmed crash counts for this long.
 CRASH_RETENTION_S = 3_600.0
@@ -15,6 +16,10 @@
 # delay. A broken connection counts for this long unless the crash is confirmed.
 CONFIRMATION_WINDOW_S = 10.0
 
+# What a server answered within this time before a crash is a less likely cause.
+ANSWERED_RETENTION_S = 60.0
+MAX_ANSWERED = 4_096
+
 
 class CrashState(IntEnum):
     """What is known of a crash; of two reports, the higher state is true."""
@@ -38,7 +43,7 @@
     age_ms : int
         Milliseconds since the connection broke.
     was_answered : bool
-        Whether a server was seen to answer the part shortly before.
+        Whether a server was seen to answer the request or part shortly before.
     """
 
     fingerprint: str
@@ -87,6 +92,11 @@
         """Return when each crash that counts now stops counting, in order."""
         return sorted(crash.counts_until() for crash in self.counting(now).values())
 
+    def is_sufficient(self, now: float) -> bool:
+        """Return whether the crashes that count now are enough to refuse it."""
+        times = [crash.at for crash in self.counting(now).values()]
+        return is_sufficient(times, self.was_answered)
+
     def is_confirmed(self) -> bool:
         """Return whether any crash was confirmed and not cleared."""
         return any(
@@ -95,10 +105,30 @@
         )
 
 
+class RecentAnswers:
+    """When servers last answered each of the requests or parts that came last."""
+
+    def __init__(self) -> None:
+        self._answered_at: OrderedDict[Fingerprint, float] = OrderedDict()
+
+    def record(self, key: Fingerprint, now: float) -> None:
+        """Record that a server answers a request or part."""
+        self._answered_at[key] = now
+        self._answered_at.move_to_end(key)
+        if len(self._answered_at) > MAX_ANSWERED:
+            self._answered_at.popitem(last=False)
+
+    def includes(self, key: Fingerprint, now: float) -> bool:
+        """Return whether a server answered it shortly before ``now``."""
+        answered_at = self._answered_at.get(key)
+        return answered_at is not None and answered_at > now - ANSWERED_RETENTION_S
+
+
 __all__ = [
     "CRASH_RETENTION_S",
     "Crash",
     "CrashHistory",
     "CrashReport",
     "CrashState",
+    "RecentAnswers",
 ]
--- a/src/chivesaddle/forwarding/crashes.py
+++ b/src/chivesaddle/forwarding/crashes.py
@@ -25,6 +25,7 @@
     CrashingParts,
     PartEvidence,
     find_crashing_parts,
+    is_sufficient,
 )
 from chivesaddle.forwarding.crash_history import (
     CRASH_RETENTION_S,
@@ -32,6 +33,7 @@
     CrashHistory,
     CrashReport,
     CrashState,
+    RecentAnswers,
 )
 from chivesaddle.forwarding.suspects import (
     CrashSuspects,
@@ -49,9 +51,6 @@
 # Fingerprints that are kept, and crashes of each of them.
 MAX_FINGERPRINTS = 1_024
 MAX_CRASHES_PER_FINGERPRINT = 16
-# A part that a server answered within this time before a crash is a less likely cause.
-ANSWERED_RETENTION_S = 60.0
-MAX_ANSWERED_PARTS = 4_096
 # A response that goes on this long after a server is said to have crashed disproves
 # the crash. Clocks and delays of the daemons that report differ by less.
 DISPROVED_AFTER_S = 1.0
@@ -127,8 +126,9 @@
         # Suspects of the crashes that have not been cleared.
         self._suspects_by_crash: dict[CrashId, set[Fingerprint]] = {}
         self._runs_by_fingerprint: dict[Fingerprint, int] = {}
-        # When a server last answered each part.
-        self._answered_at_by_part: OrderedDict[Fingerprint, float] = OrderedDict()
+        # Apart from each other, since most requests come once.
+        self._answered_requests = RecentAnswers()
+        self._answered_parts = RecentAnswers()
         self._crashing_parts: list[CrashingParts] = []
         self._trials_by_part: dict[Fingerprint, _Trial] = {}
         # Position of this daemon among those that may try a part, None if it may not.
@@ -223,15 +223,17 @@
             self._clear_crash(key, crash_id, crash)
         log.info("crashes cleared", extra={"fingerprint": key})
 
+    def record_completed(self, key: Fingerprint) -> None:
+        """Record that a server completed a request."""
+        self._answered_requests.record(key, self._clock.seconds())
+        self.clear(key)
+
     def record_answered(self, parts: Iterable[Fingerprint]) -> None:
         """Record that a server answers a request with these parts."""
         now = self._clock.seconds()
         for part in parts:
-            self._answered_at_by_part[part] = now
-            self._answered_at_by_part.move_to_end(part)
+            self._answered_parts.record(part, now)
             self.clear(part)
-        while len(self._answered_at_by_part) > MAX_ANSWERED_PARTS:
-            self._answered_at_by_part.popitem(last=False)
 
     def disprove(
         self, server: ServerEntry, connected_at: float, alive_at: float
@@ -304,7 +306,7 @@
         explained = explained.union(*self._crashes_of_blocked_requests)
         for part in suspects.parts:
             history = self._history_by_fingerprint.get(part)
-            if history is None or history.was_answered:
+            if history is None:
                 continue
             blocked_until = self._blocked_until(part, explained)
             if blocked_until is not None:
@@ -313,13 +315,13 @@
 
     def _find_blocked_requests(self, now: float) -> list[frozenset[CrashId]]:
         """Return the crashes of each request that is blocked."""
-        crashes = (
+        return [
             frozenset(history.counting(now))
             for key, history in self._history_by_fingerprint.items()
             if not is_part(key)
             and len(history.crashes_by_server) >= BLOCK_AFTER_CRASHES
-        )
-        return [ids for ids in crashes if len(ids) >= BLOCK_AFTER_CRASHES]
+            and history.is_sufficient(now)
+        ]
 
     def _may_try(
         self,
@@ -366,13 +368,15 @@
         if history is None:
             return None
         now = self._clock.seconds()
-        ends = sorted(
-            crash.counts_until()
-            for id, crash in history.counting(now).items()
-            if id not in explained
-        )
-        if len(ends) >= BLOCK_AFTER_CRASHES and not is_part(key):
+        crashes = [
+            crash for id, crash in history.counting(now).items() if id not in explained
+        ]
+        ends = sorted(crash.counts_until() for crash in crashes)
+        times = [crash.at for crash in crashes]
+        if not is_part(key) and is_sufficient(times, history.was_answered):
             return ends[-BLOCK_AFTER_CRASHES]
+        if history.was_answered:
+            return None
         running = self._runs_by_fingerprint.get(key, 0)
         if ends and len(ends) + running >= BLOCK_AFTER_CRASHES:
             return now + CONCURRENT_RETRY_AFTER_S
@@ -414,8 +418,8 @@
         return self._crashing_parts
 
     def _was_answered(self, key: Fingerprint, now: float) -> bool:
-        answered_at = self._answered_at_by_part.get(key)
-        return answered_at is not None and answered_at > now - ANSWERED_RETENTION_S
+        answers = self._answered_parts if is_part(key) else self._answered_requests
+        return answers.includes(key, now)
 
     def collect(self) -> list[list[Any]]:
         """Return the crashes of blocked and of recently changed requests, for peers."""
--- a/src/chivesaddle/forwarding/run.py
+++ b/src/chivesaddle/forwarding/run.py
@@ -73,7 +73,7 @@
     def record_complete(self, status: int) -> None:
         """Record that the response is complete."""
         if status < 500:
-            self._crashes.clear(self._suspects.request)
+            self._crashes.record_completed(self._suspects.request)
         if 200 <= status < 300:
             self._record_answered()
 
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -7,11 +7,13 @@
 from twisted.internet.task import Clock
 
 from chivesaddle.core.ids import AccountId
+from chivesaddle.core.serving_model import PromptPartId
 from chivesaddle.forwarding.crashes import (
     CrashRecord,
     CrashReport,
     CrashState,
     fingerprint,
+    part_fingerprint,
 )
 
 MAX_CRASHES = 3
@@ -181,6 +183,65 @@
             fleet.advance(5)
 
 
+class TestRequestThatServersAnswered:
+    """Guards against a common question that is refused after servers crashed."""
+
+    def answer(self, fleet, name):
+        for number, daemon in enumerate(fleet.daemons):
+            caller, connection = fleet.request(daemon, "/unsafe/x", f"{name}-{number}")
+            connection.respond(request_id=f"{name}-{number}")
+            assert caller.status == 200
+
+    def crash_together(self, fleet, name):
+        """Crash four servers, each with a copy of the request."""
+        copies = []
+        for number in range(4):
+            daemon = fleet.daemons[number % len(fleet.daemons)]
+            for server in daemon.servers.all():
+                is_chosen = server.entry.id.startswith(f"i-{number + 1}-")
+                server.ejected_until = 0.0 if is_chosen else 1e9
+            copies.append(fleet.request(daemon, "/unsafe/x", f"{name}-{number}")[1])
+            for server in daemon.servers.all():
+                server.ejected_until = 0.0
+        connections = {copy.address: copy for copy in copies}
+        assert len(connections) == 4
+        for connection in connections.values():
+            fleet.crash(connection, 0.5)
+        fleet.advance(1.5)
+
+    @pytest.mark.parametrize("size", [1, 2, 4])
+    def test_is_served_after_a_crash_of_all_its_servers(self, crash_fleet, size):
+        fleet = crash_fleet(size)
+        self.answer(fleet, "before")
+        self.crash_together(fleet, "crash")
+        self.answer(fleet, "after")
+
+    def test_is_blocked_once_servers_crash_at_many_moments(self, crash_fleet):
+        fleet = crash_fleet(2)
+        self.answer(fleet, "before")
+        assert crash_servers(fleet, 30, 1.0, 0.1) == 5
+        fleet.advance(10)
+        assert crash_servers(fleet, 10, 1.0, 0.1) == 0
+
+    def test_daemons_without_the_answer_learn_of_it(self, crash_fleet):
+        fleet = crash_fleet(2)
+        self.answer(fleet, "before")
+        self.crash_together(fleet, "crash")
+        fleet.restart(0)
+        fleet.advance(2)
+        self.answer(fleet, "after")
+
+    def test_requests_that_come_once_displace_no_parts(self, crash_fleet):
+        record = crash_fleet(1).daemons[0].crashes
+        part = part_fingerprint(PromptPartId("p"), None, None)
+        record.record_answered([part])
+        for number in range(5_000):
+            record.record_completed(f"request-{number}")
+        server = crash_fleet(1).daemons[0].servers.all()[0].entry
+        record.suspect("request", server, "a1", [part])
+        assert [part, True] in [[report[0], report[-1]] for report in record.collect()]
+
+
 REPORTS = st.builds(
     CrashReport,
     st.sampled_from(["f1", "f2"]),
