Record in the store which requests and parts crash servers

Cause: crashes were known to the daemons' memories alone. A daemon that restarts hears of them from its peers; when all restart, nobody knows. The same holds for prompt parts that crash servers, and for crashes that are confirmed but below the bound. Change: each daemon keeps an object of kind `crashes` in the store with confirmed crashes of requests and parts at which two or more servers crashed, if it observed one of them or is first in the order of daemons that all know, so that one that is turned away is covered by others. All read them when they start. Recorded crashes are 10 minutes old at most, so that no restart keeps a harmless request out for longer; whether servers answered the request before is recorded, too. Records of daemons that are gone are removed with their registrations. What else daemons know only from each other, read and not changed: Server-Leaving, Retry-After and Server-Limit (the users' rules excuse restarts), fences (in the lease, in the store), cold servers (in the servers' entries), evacuations and weight versions (in the store).

--- a/src/chivesaddle/forwarding/__init__.py
+++ b/src/chivesaddle/forwarding/__init__.py
@@ -1,7 +1,7 @@
 """Forwards callers' requests to backend servers and retries where that is safe."""
 
 from chivesaddle.forwarding.budget import RetryBudget
-from chivesaddle.forwarding.crashes import CrashRecord, CrashReport
+from chivesaddle.forwarding.crashes import CrashRecord, CrashReport, CrashState
 from chivesaddle.forwarding.forwarder import Forwarder, MessageCodec
 from chivesaddle.forwarding.messages import (
     CallerRequest,
@@ -26,6 +26,7 @@
     "CallerRequest",
     "CrashRecord",
     "CrashReport",
+    "CrashState",
     "Forwarder",
     "InvalidValue",
     "MessageCodec",
--- a/src/chivesaddle/forwarding/crash_history.py
+++ b/src/chivesaddle/forwarding/crash_history.py
@@ -56,10 +56,19 @@
 
 @dataclass(slots=True)
 class Crash:
-    """A server's crash as it counts against one request or part."""
+    """A server's crash as it counts against one request or part.
+
+    Attributes
+    ----------
+    at : float
+        When the connection broke, in seconds of the daemon's clock.
+    is_own : bool
+        Whether this daemon observed it.
+    """
 
     state: CrashState
     at: float
+    is_own: bool = False
 
     def counts_until(self) -> float:
         """Return the time until which the crash counts against the request."""
@@ -88,6 +97,14 @@
             if crash.counts_until() > now
         }
 
+    def confirmed(self, since: float) -> dict[CrashId, Crash]:
+        """Return the crashes since then that were confirmed and not cleared."""
+        return {
+            id: crash
+            for id, crash in self.crashes_by_server.items()
+            if crash.state is CrashState.CONFIRMED and crash.at > since
+        }
+
     def count_ends(self, now: float) -> list[float]:
         """Return when each crash that counts now stops counting, in order."""
         return sorted(crash.counts_until() for crash in self.counting(now).values())
--- a/src/chivesaddle/forwarding/crashes.py
+++ b/src/chivesaddle/forwarding/crashes.py
@@ -65,6 +65,13 @@
 # most so many. A daemon that missed several rounds of the exchange still gets them.
 SHARED_FOR_S = 30.0
 MAX_SHARED_FINGERPRINTS = 32
+# Crashes of one request or part after which they are recorded in the store. One crash
+# is that of a server which had many requests.
+MIN_RECORDED_CRASHES = 2
+# Time for which they are kept there, so that a restart of all daemons ends a refusal
+# that was a mistake before long.
+RECORDED_FOR_S = 600.0
+MAX_RECORDED_FINGERPRINTS = 64
 
 log = ComponentLogger("crashes")
 
@@ -120,6 +127,8 @@
         self._clock = clock
         # Called with what this daemon has observed, to send it to peers at once.
         self.on_report: Callable[[list[CrashReport]], None] = lambda reports: None
+        # Called after a crash was confirmed, here or by a peer.
+        self.on_confirmed: Callable[[], None] = lambda: None
         self._history_by_fingerprint: OrderedDict[Fingerprint, CrashHistory] = (
             OrderedDict()
         )
@@ -171,6 +180,7 @@
                 CrashState.SUSPECTED,
                 now,
                 was_answered=self._was_answered(suspect, now),
+                is_own=True,
             ):
                 self._report(suspect, (server.id, server.started_ms))
         log.info(
@@ -443,6 +453,42 @@
             for crash_id in self._history_by_fingerprint[key].crashes_by_server
         ]
 
+    def recordable(self) -> list[CrashReport]:
+        """Return the confirmed crashes that this daemon keeps for all, newest first.
+
+        Those of requests and parts at which several servers crashed, if this daemon
+        observed one of the crashes or is the first in the order of daemons that try
+        the request or part.
+        """
+        now = self._clock.seconds()
+        reports: list[CrashReport] = []
+        recorded = 0
+        for key, history in reversed(self._history_by_fingerprint.items()):
+            confirmed = history.confirmed(since=now - RECORDED_FOR_S)
+            if len(confirmed) < MIN_RECORDED_CRASHES:
+                continue
+            is_own = any(crash.is_own for crash in confirmed.values())
+            if is_own or self.trial_rank(key) == 0:
+                reports += [self._build_report(key, id) for id in confirmed]
+                recorded += 1
+            if recorded == MAX_RECORDED_FINGERPRINTS:
+                break
+        return reports
+
+    def restore(self, reports: Iterable[CrashReport], *, is_own: bool) -> None:
+        """Apply what a daemon has recorded; ``is_own`` if this one did."""
+        now = self._clock.seconds()
+        for report in reports:
+            if report.age_ms < RECORDED_FOR_S * 1_000:
+                self._merge(
+                    Fingerprint(report.fingerprint),
+                    (BackendServerId(report.server), report.started_ms),
+                    CrashState.CONFIRMED,
+                    now - report.age_ms / 1_000,
+                    was_answered=report.was_answered,
+                    is_own=is_own,
+                )
+
     def apply_remote(self, hint: Any) -> None:
         """Merge the reports of a peer's exchange."""
         self.apply_reports(msgspec.convert(hint, list[CrashReport]))
@@ -482,6 +528,7 @@
         at: float,
         *,
         was_answered: bool = False,
+        is_own: bool = False,
     ) -> bool:
         """Apply one observation; return whether it was new."""
         now = self._clock.seconds()
@@ -490,7 +537,9 @@
             history.was_answered = True
             self._determine_at = now
         known = history and history.crashes_by_server.get(crash_id)
-        crash = Crash(state, at)
+        if known:
+            is_own = known.is_own = known.is_own or is_own
+        crash = Crash(state, at, is_own)
         is_expired = state is CrashState.SUSPECTED and crash.counts_until() <= now
         if (known and known.state >= state) or at <= now - CRASH_RETENTION_S:
             return False
@@ -513,6 +562,8 @@
         while len(self._history_by_fingerprint) > MAX_FINGERPRINTS:
             self._evict()
         self._determine_at = now
+        if state is CrashState.CONFIRMED:
+            self.on_confirmed()
         return True
 
     def _forget_suspect(self, key: Fingerprint, crash_id: CrashId) -> None:
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -113,6 +113,7 @@
 from chivesaddle.serving.software_view import SoftwareView
 from chivesaddle.serving.status import STATUS_PATH, StatusPage
 from chivesaddle.serving.store_hints import StoreHints
+from chivesaddle.serving.stored_crashes import StoredCrashes
 from chivesaddle.serving.stream_sharing import StreamSharing
 from chivesaddle.serving.version_questions import VersionQuestions
 from chivesaddle.serving.weight_hints import WeightHints
@@ -295,7 +296,18 @@
             DaemonId(settings.daemon_id),
             self._origins,
             lambda: len(self._working_set.daemons()),
+            self._era,
+        )
+        self._stored_crashes = StoredCrashes(
+            self.store,
+            reactor,
+            DaemonId(settings.daemon_id),
+            crashes,
+            lambda: len(self._working_set.daemons()),
+            self._era,
         )
+        # Apart from the records of streams, whose reading is told to peers.
+        self._crash_loader = RecordLoader(reactor, self._stored_crashes)
         self._records = RecordLoader(
             reactor, self._software_record, self._origin_record
         )
@@ -505,6 +517,7 @@
         self._registration.start()
         self._rollout.start()
         self._records.start()
+        self._crash_loader.start()
         self._path_probe.start()
         self._silent_paths.start()
         start(self._watch_loop_lag()).addErrback(
@@ -581,6 +594,8 @@
                 self._server_list_reader.stop,
                 self._records.stop,
                 self._origin_record.stop,
+                self._crash_loader.stop,
+                self._stored_crashes.stop,
                 self._datagrams.stop,
                 *(watcher.stop for watcher in self._watchers),
             )
@@ -774,6 +789,7 @@
         await self._departed.step(self._rollout.holds_lease)
         await self._software_record.step(self._rollout.holds_lease)
         self._origin_record.step()
+        self._stored_crashes.step()
         self._server_pool.close_expired()
         self._control_pool.close_expired()
         self._store_pool.close_expired()
--- a/src/chivesaddle/serving/departed.py
+++ b/src/chivesaddle/serving/departed.py
@@ -11,6 +11,7 @@
 from chivesaddle.fleet import Member, Members
 from chivesaddle.fleet.members import MEMBERS_KIND
 from chivesaddle.serving.origin_record import STREAMS_KIND
+from chivesaddle.serving.stored_crashes import CRASHES_KIND
 
 # In the largest fleets, a daemon without callers is heard of every few minutes only.
 # One that is removed by mistake registers again at once.
@@ -72,18 +73,19 @@
             )
             return
         log.info("registration removed", extra={"peer": member.id})
-        await self._remove_streams(member)
+        for kind in (STREAMS_KIND, CRASHES_KIND):
+            await self._remove_record(kind, member)
 
-    async def _remove_streams(self, member: Member) -> None:
+    async def _remove_record(self, kind: str, member: Member) -> None:
         deadline = self._clock.seconds() + CALL_TIMEOUT_S
         try:
-            item = await self._api.get(STREAMS_KIND, member.id, deadline=deadline)
+            item = await self._api.get(kind, member.id, deadline=deadline)
             await self._delete(item, deadline)
         except ObjectNotFound:
             return
         except ChivesaddleError as error:
             log.info(
-                "record of streams not removed",
+                f"record of {kind} not removed",
                 extra={"peer": member.id, "cause": str(error)},
             )
 
--- a/tests/e2e_platform/test_server_headers.py
+++ b/tests/e2e_platform/test_server_headers.py
@@ -89,6 +89,31 @@
     assert send(fleet, 0, "/safe/good") == 200
 
 
+def kill_and_restart_daemons(fleet):
+    time.sleep(0.5)
+    for name in fleet.listeners:
+        fleet.processes.kill(name)
+    for name in fleet.listeners:
+        fleet.processes.restart(name)
+    assert wait_until(lambda: send(fleet, 99, "/safe/good") == 200, 10)
+
+
+def test_request_ends_no_process_after_all_daemons_were_killed(fleet):
+    """Guards against daemons that know only from each other what crashes servers."""
+    for name in fleet.servers:
+        fleet.set_faults(name, crash_marker="bad")
+    crashes = 0
+    for number in range(6):
+        send(fleet, number, "/unsafe/bad")
+        crashes += restart_crashed(fleet, crash_marker="bad")
+    assert crashes == MAX_CRASHES
+    kill_and_restart_daemons(fleet)
+    for number in range(8):
+        send(fleet, number, "/unsafe/bad")
+        crashes += restart_crashed(fleet, crash_marker="bad")
+    assert crashes == MAX_CRASHES
+
+
 def restart_crashed(fleet, **faults):
     """Start crashed servers again, with these faults; return their number."""
     crashes = 0
@@ -104,6 +129,22 @@
     return crashes
 
 
+def test_part_ends_no_process_after_all_daemons_were_killed(fleet):
+    for name in fleet.servers:
+        fleet.set_faults(name, crash_part="dd")
+    crashes = 0
+    for number in range(8):
+        send(fleet, 2 * number, f"/stream/{number}", parts="aa:9,dd:9")
+        crashes += restart_crashed(fleet, crash_part="dd")
+        send(fleet, 2 * number + 1, f"/stream/sound-{number}", parts="aa:9,b1:9")
+    assert MAX_CRASHES <= crashes <= 5
+    kill_and_restart_daemons(fleet)
+    for number in range(100, 108):
+        send(fleet, number, f"/stream/{number}", parts="aa:9,dd:9")
+        assert restart_crashed(fleet, crash_part="dd") == 0
+    assert send(fleet, 1, "/stream/sound", parts="aa:9,b1:9") == 200
+
+
 def test_part_of_different_requests_ends_five_processes_at_most(fleet):
     crashes = 0
     served = []
