Take no answer for whole that ends while its upload is being sent

A server answered a long upload at its head, without a length, sent half of a body, closed its direction of the connection and the rest of it a second later with the upload unread. Cause: an answer without length and chunks ends with its connection. The end arrived in order and the server lived on and answered others, so that both checks held; the reset came after the answer had been passed on. Change: `ServerConnection` looks at the connection before the socket is closed (it is told of a half close now, and closes as before): if the server's kernel has not acknowledged the whole request, an answer that only its connection ends is not whole. A server that has read the request has acknowledged it. Answers that their content shows to be whole (JSON, `[DONE]`) and those with a length or chunks are taken as before. What remains: an upload that fits the buffers of both kernels cannot be told from one that was read.

--- a/src/chivesaddle/forwarding/exchange.py
+++ b/src/chivesaddle/forwarding/exchange.py
@@ -6,6 +6,7 @@
 from chivesaddle.core.aio import Clock, start, with_deadline
 from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded
 from chivesaddle.core.ids import BackendServerId
+from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.core.serving_model import ServerEntry, ServerState
 from chivesaddle.forwarding.messages import (
     CallerRequest,
@@ -46,6 +47,8 @@
 # expected one.
 MAX_STALE_RESPONSES = 2
 
+log = ComponentLogger("forward")
+
 
 class ServerDidNotRun(ChivesaddleError):
     """The server has not run the request and will not run it."""
@@ -285,9 +288,17 @@
         """Return whether the process that ran the request is known to live on.
 
         That its address accepts connections does not show it: the process may have
-        been started again, or another server may have taken the address.
+        been started again, or another server may have taken the address. Nor does it
+        matter if the response ended while the request was still being sent, since the
+        server then closes without what it has not read, and may cut its response.
         """
         assert self._connection is not None
+        if self._connection.has_unsent_request:
+            log.info(
+                "response ended before its request was sent",
+                extra={"server": self._server.id},
+            )
+            return False
         address = self._server.address
         if await self._liveness.has_outlived(address, self._connection, self._alive_at):
             return True
--- a/src/chivesaddle/http1/client.py
+++ b/src/chivesaddle/http1/client.py
@@ -10,8 +10,10 @@
 import h11
 from twisted.internet import error as net_error
 from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import ClientFactory, Protocol
 from twisted.python.failure import Failure
+from zope.interface import implementer
 
 from chivesaddle.core.aio import Clock, with_deadline
 from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded
@@ -19,6 +21,8 @@
 from chivesaddle.http1.fields import HeaderList, header_value
 from chivesaddle.http1.sockets import (
     UnreadInput,
+    has_queued_bytes,
+    has_unacknowledged_bytes,
     peek,
     set_dead_peer_detection,
     write_at_once,
@@ -92,6 +96,7 @@
 _ResponseEvent = ResponseHead | bytes | _EndOfResponse | ChivesaddleError
 
 
+@implementer(IHalfCloseableProtocol)
 class ServerConnection(Protocol):
     """Connection to a server for consecutive exchanges, without pipelining.
 
@@ -107,6 +112,8 @@
         When the last exchange ended, in seconds on the pool's clock; set by the pool.
     requests_sent : int
         Number of requests sent on this connection.
+    has_unsent_request : bool
+        Whether the server closed the connection before it had the whole request.
     on_idle_loss : callable or None
         Called with the connection if it is lost while it is reusable.
     """
@@ -131,6 +138,7 @@
         self.connected_at = 0.0
         self.idle_since = 0.0
         self.requests_sent = 0
+        self.has_unsent_request = False
         self.on_idle_loss: Callable[[ServerConnection], None] | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -257,6 +265,15 @@
             return
         self._parse_response(data)
 
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """End the connection that the server has closed, as without half-closing."""
+        # The socket, with what it has not sent, is gone in `connectionLost`.
+        self.has_unsent_request = has_unacknowledged_bytes(self.transport)
+        self.transport.connectionLost(Failure(net_error.ConnectionDone()))
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Do nothing: this side never closes one direction alone."""
+
     def connectionLost(self, reason: Failure = net_error.ConnectionDone) -> None:  # type: ignore[assignment] # noqa: N802
         """End the response.
 
@@ -264,6 +281,7 @@
         """
         was_idle = self.is_reusable
         self.lost = True
+        self.has_unsent_request |= has_queued_bytes(self.transport)
         if not self.when_connected.called:
             self.when_connected.errback(
                 Failure(NotSent("Connection was lost before it was open"))
--- a/src/chivesaddle/http1/sockets.py
+++ b/src/chivesaddle/http1/sockets.py
@@ -1,7 +1,10 @@
 """Socket options that detect connections to unresponsive peers."""
 
 import errno
+import fcntl
 import socket
+import sys
+import termios
 from enum import Enum
 from typing import Any
 
@@ -78,6 +81,23 @@
     return bool(queued or getattr(transport, "_tempDataBuffer", None))
 
 
+def has_unacknowledged_bytes(transport: Any) -> bool:
+    """Return whether the peer's kernel lacks bytes that were written to a transport.
+
+    A peer that answers after it has read all of them acknowledges them before that.
+    """
+    if has_queued_bytes(transport):
+        return True
+    get_handle = getattr(transport, "getHandle", None)
+    if get_handle is None:
+        return False
+    try:
+        size = fcntl.ioctl(get_handle(), termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return False
+    return int.from_bytes(size, sys.byteorder) > 0
+
+
 def write_at_once(transport: Any, data: bytes) -> None:
     """Send ``data`` without a turn of the reactor if nothing is queued before it.
 
@@ -109,6 +129,7 @@
 __all__ = [
     "UnreadInput",
     "has_queued_bytes",
+    "has_unacknowledged_bytes",
     "peek",
     "set_dead_peer_detection",
     "write_at_once",
--- a/tests/http1/test_write.py
+++ b/tests/http1/test_write.py
@@ -15,7 +15,12 @@
 from chivesaddle.core.aio import start
 from chivesaddle.http1 import CallerConnection
 from chivesaddle.http1.server import CallerLimits, Listener
-from chivesaddle.http1.sockets import UnreadInput, peek, write_at_once
+from chivesaddle.http1.sockets import (
+    UnreadInput,
+    has_unacknowledged_bytes,
+    peek,
+    write_at_once,
+)
 
 
 class PollSet:
@@ -240,3 +245,39 @@
         connection, _ = pair
         connection.socket.close()
         assert peek(connection) is UnreadInput.END
+
+
+class TestUnacknowledgedBytes:
+    """Guards against a cut answer that looks whole beside an unread upload."""
+
+    @pytest.fixture
+    def tcp_pair(self):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            near = socket.create_connection(listener.getsockname())
+            far, _ = listener.accept()
+        near.setblocking(False)
+        connection = Connection(near, Protocol(), PollSet())
+        connection.connected = 1
+        yield connection, far
+        near.close()
+        far.close()
+
+    def test_are_seen_until_the_peer_has_read(self, tcp_pair):
+        connection, far = tcp_pair
+        assert not has_unacknowledged_bytes(connection)
+        sent = connection.socket.send(bytes(16_000_000))
+        assert has_unacknowledged_bytes(connection)
+        while sent:
+            sent -= len(far.recv(1_000_000))
+        far.sendall(b"answer")
+        connection.socket.setblocking(True)
+        assert connection.socket.recv(10) == b"answer"
+        assert not has_unacknowledged_bytes(connection)
+
+    def test_count_what_the_transport_has_queued(self, tcp_pair):
+        connection, _ = tcp_pair
+        connection.write(b"x")
+        assert has_unacknowledged_bytes(connection)
+
+    def test_of_a_transport_without_a_socket_are_none(self):
+        assert not has_unacknowledged_bytes(StringTransport())
