Refuse responses with a status above 599

Cause: the parser takes any three digits from 100 on; HTTP has statuses up to 599. Change: the head of such a response is malformed, as one without a status.

--- a/src/chivesaddle/http1/client.py
+++ b/src/chivesaddle/http1/client.py
@@ -37,6 +37,8 @@
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}")
 _METHODS_WITHOUT_BODY = (b"HEAD", b"CONNECT")
 _STATUSES_WITHOUT_BODY = (204, 304)
+# RFC 9110, section 15. The parser refuses those below 100.
+_LAST_STATUS = 599
 
 
 class NotSent(ChivesaddleError):
@@ -343,6 +345,7 @@
                     head = ResponseHead(
                         event.status_code, bytes(event.reason), list(event.headers)
                     )
+                    _check_status(head)
                     _check_single(head)
                     self._expects_head = False
                     if self._can_decode(head):
@@ -423,6 +426,12 @@
         self._request = None
 
 
+def _check_status(head: ResponseHead) -> None:
+    """Raise `h11.RemoteProtocolError` for a status that HTTP does not have."""
+    if head.status > _LAST_STATUS:
+        raise h11.RemoteProtocolError(f"there is no status {head.status}")
+
+
 def _check_single(head: ResponseHead) -> None:
     """Raise `h11.RemoteProtocolError` if a head goes on with that of another response.
 
