Bound the bodies of control calls, each and all together

Cause: a report, a list of cached parts, the answer to an order or to a health request was kept up to 16 MB, each. A daemon has one such call open for every server at a time: seven holders of cached parts make 112 MB of the 150 MB of a small site's machine, 70 servers 1.1 GB. Change: `BodyLimit` bounds each body and all that are being read at a time: 256 KB and 4 MB for reports and orders, 4 MB and 16 MB for cached parts, 64 KB and 1 MB for health.

--- a/src/chivesaddle/http1/__init__.py
+++ b/src/chivesaddle/http1/__init__.py
@@ -14,7 +14,7 @@
     ResponseLate,
     ServerConnection,
 )
-from chivesaddle.http1.exchange import Reuse, exchange
+from chivesaddle.http1.exchange import BodyLimit, Reuse, exchange
 from chivesaddle.http1.fields import HeaderList, header_value
 from chivesaddle.http1.pool import ConnectionPool
 from chivesaddle.http1.server import (
@@ -28,6 +28,7 @@
 from chivesaddle.http1.sockets import has_queued_bytes
 
 __all__ = [
+    "BodyLimit",
     "CallerConnection",
     "CallerLimits",
     "ConnectionPool",
--- a/src/chivesaddle/http1/exchange.py
+++ b/src/chivesaddle/http1/exchange.py
@@ -21,6 +21,42 @@
 MAX_BODY_BYTES = 16_000_000
 
 
+class BodyLimit:
+    """Bound on bodies that are read whole, on each and on all that are being read.
+
+    Parameters
+    ----------
+    max_bytes : int
+        Bytes of one body.
+    max_total_bytes : int
+        Bytes of all bodies that are being read at a time.
+    """
+
+    def __init__(self, max_bytes: int, max_total_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self._max_total_bytes = max_total_bytes
+        self._total_bytes = 0
+
+    async def read_body(self, connection: ServerConnection) -> bytes:
+        """Read the rest of a response; raises `ResponseBroken`."""
+        chunks = []
+        size = 0
+        try:
+            while (chunk := await connection.read_chunk()) is not None:
+                chunks.append(chunk)
+                size += len(chunk)
+                self._total_bytes += len(chunk)
+                if size > self._max_bytes:
+                    raise ResponseBroken(f"Body has over {self._max_bytes} bytes")
+                if self._total_bytes > self._max_total_bytes:
+                    raise ResponseBroken(
+                        f"Bodies have over {self._max_total_bytes} bytes together"
+                    )
+            return b"".join(chunks)
+        finally:
+            self._total_bytes -= size
+
+
 @dataclass(frozen=True, slots=True)
 class Reuse:
     """When a connection may be used for more than one call.
@@ -53,6 +89,7 @@
     headers: HeaderList | None = None,
     body: bytes = b"",
     reuse: Reuse | None = None,
+    limit: BodyLimit | None = None,
 ) -> tuple[ResponseHead, bytes]:
     """Send a request and return the head and body of the complete response.
 
@@ -67,6 +104,8 @@
     reuse : Reuse or None
         When the connection is shared with other calls to the address; None opens one
         for this call and closes it afterwards.
+    limit : BodyLimit or None
+        Bound on the body; None for `MAX_BODY_BYTES`.
 
     Raises
     ------
@@ -90,7 +129,9 @@
         if body:
             all_headers.append((b"content-type", b"application/json"))
         connection.send(method.encode(), target.encode(), all_headers, body)
-        return await _read_response(connection)
+        return await _read_response(
+            connection, limit or BodyLimit(MAX_BODY_BYTES, MAX_BODY_BYTES)
+        )
 
     operation = f"{method} {target} at {address}"
     try:
@@ -111,18 +152,13 @@
     return head, content
 
 
-async def _read_response(connection: ServerConnection) -> tuple[ResponseHead, bytes]:
+async def _read_response(
+    connection: ServerConnection, limit: BodyLimit
+) -> tuple[ResponseHead, bytes]:
     head = await connection.read_head()
     if has_queued_bytes(connection.transport):
         raise ResponseBroken("Response arrived before the request was written")
-    chunks = []
-    size = 0
-    while (chunk := await connection.read_chunk()) is not None:
-        chunks.append(chunk)
-        size += len(chunk)
-        if size > MAX_BODY_BYTES:
-            raise ResponseBroken(f"Body has over {MAX_BODY_BYTES} bytes")
-    return head, b"".join(chunks)
+    return head, await limit.read_body(connection)
 
 
-__all__ = ["Reuse", "exchange"]
+__all__ = ["BodyLimit", "Reuse", "exchange"]
--- a/src/chivesaddle/platform/backend_client.py
+++ b/src/chivesaddle/platform/backend_client.py
@@ -17,6 +17,7 @@
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.core.serving_model import PromptPartId, ServerEntry
 from chivesaddle.http1 import (
+    BodyLimit,
     ConnectionPool,
     HeaderList,
     NotSent,
@@ -29,6 +30,12 @@
 # Shorter than the idle timeout of any backend server, which is at least a few seconds.
 MAX_POOLED_IDLE_S = 1.0
 
+# Longest report or answer to an order, and of all that are read at a time. A server
+# reports some hundred bytes and 30 a run.
+MAX_REPORT_BYTES, MAX_REPORTS_BYTES = 262_144, 4_000_000
+# The same for cached parts, of which a holder tells some 50 bytes each.
+MAX_CACHE_BYTES, MAX_CACHES_BYTES = 4_000_000, 16_000_000
+
 T = TypeVar("T")
 log = ComponentLogger("servers")
 _EXPECTED_SERVER_HEADER = b"x-chivesaddle-expected-instance"
@@ -95,6 +102,8 @@
     def __init__(self, pool: ConnectionPool, clock: Clock) -> None:
         self._pool = pool
         self._clock = clock
+        self._report_limit = BodyLimit(MAX_REPORT_BYTES, MAX_REPORTS_BYTES)
+        self._cache_limit = BodyLimit(MAX_CACHE_BYTES, MAX_CACHES_BYTES)
 
     async def read_version(
         self, server: BackendServerId, address: str, model: ModelId, deadline: float
@@ -240,6 +249,7 @@
             deadline,
             headers=headers,
             reuse=reuse,
+            limit=self._cache_limit,
         )
         return _decode_body(head, body, _CacheEvents, endpoint)
 
@@ -273,6 +283,7 @@
         headers: HeaderList | None = None,
         body: bytes = b"",
         reuse: Reuse | None = None,
+        limit: BodyLimit | None = None,
     ) -> tuple[ResponseHead, bytes]:
         """Call ``address``, named ``endpoint`` in errors; raises `ServerCallFailed`."""
         try:
@@ -286,6 +297,7 @@
                 headers=headers,
                 body=body,
                 reuse=reuse,
+                limit=limit or self._report_limit,
             )
         except (NotSent, ResponseBroken) as error:
             raise ServerCallFailed(
--- a/src/chivesaddle/serving/server_probe.py
+++ b/src/chivesaddle/serving/server_probe.py
@@ -6,7 +6,16 @@
 from chivesaddle.core.ids import ServiceId
 from chivesaddle.core.logs import ComponentLogger
 from chivesaddle.core.serving_model import ServerEntry
-from chivesaddle.http1 import ConnectionPool, NotSent, ResponseBroken, exchange
+from chivesaddle.http1 import (
+    BodyLimit,
+    ConnectionPool,
+    NotSent,
+    ResponseBroken,
+    exchange,
+)
+
+# What a server tells about its health is not read.
+HEALTH_LIMIT = BodyLimit(max_bytes=65_536, max_total_bytes=1_000_000)
 
 log = ComponentLogger("paths")
 
@@ -21,7 +30,13 @@
     """Return whether a server responds by a deadline, whatever it responds."""
     try:
         await exchange(
-            pool, clock, server.address, "GET", health_path, deadline=deadline
+            pool,
+            clock,
+            server.address,
+            "GET",
+            health_path,
+            deadline=deadline,
+            limit=HEALTH_LIMIT,
         )
     except (NotSent, ResponseBroken) as error:
         log.debug(
--- a/tests/platform/test_backend_client.py
+++ b/tests/platform/test_backend_client.py
@@ -1,4 +1,5 @@
 import json
+import tracemalloc
 
 import pytest
 from twisted.internet.error import ConnectionLost
@@ -137,3 +138,51 @@
     holder.protocols[-1].dataReceived(head + body)
     assert isinstance(result.result.value, ServerCallFailed)
     result.addErrback(lambda _: None)
+
+
+class TestServersThatSendWithoutEnd:
+    """Guards against bodies of control calls that fill the memory together."""
+
+    SERVERS = 70
+    # Users of small sites allow a process 150 MB in all.
+    MAX_BYTES = 40_000_000
+
+    @pytest.mark.parametrize("call", ["poll", "read_version", "read_start"])
+    @pytest.mark.parametrize("framing", [b"", b"Transfer-Encoding: chunked\r\n"])
+    def test_take_little_memory_together(self, call, framing):
+        holders = [Holder() for _ in range(self.SERVERS)]
+        for other in holders[1:]:
+            other.client = holders[0].client
+            other.reactor = holders[0].reactor
+        piece = b"x" * 60_000
+        if framing:
+            piece = b"ea60\r\n" + piece + b"\r\n"
+        results, open_holders = [], []
+        for other in holders:
+            arguments = (1,) if call == "poll" else ()
+            result = getattr(other, call)(*arguments)
+            result.addErrback(lambda failure: failure.trap(ServerCallFailed))
+            results.append(result)
+            (protocol,) = other.protocols
+            protocol.dataReceived(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n")
+            open_holders.append(other)
+        tracemalloc.start()
+        for _ in range(300):
+            for other in open_holders:
+                if not other.protocols[0].lost:
+                    other.protocols[0].dataReceived(piece)
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        assert all(result.called for result in results)
+        assert peak < self.MAX_BYTES
+
+    def test_do_not_hinder_the_others_for_long(self, holder):
+        faulty = [holder.poll(1) for _ in range(5)]
+        for protocol in holder.protocols:
+            protocol.dataReceived(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 3_900_000)
+        for result in faulty:
+            result.addErrback(lambda failure: failure.trap(ServerCallFailed))
+        holder.reactor.advance(10)
+        sound = holder.poll(7)
+        holder.respond(next_token=8, boot_epoch=1)
+        assert sound.result.next_position == 8
