Break off interim responses and skipped responses without end

Change: more than 100 interim responses are malformed; of responses to earlier requests 1 MB is skipped. Both close the connection. Evidence: tests/forwarding/test_endless_responses.py: the two tests of these fail before (8 MB read and more to come) and pass now. The others there show what held already: heads of many, long and folded lines, blank lines and status lines, trailers.

--- a/src/chivesaddle/http1/client.py
+++ b/src/chivesaddle/http1/client.py
@@ -37,6 +37,10 @@
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}")
 _METHODS_WITHOUT_BODY = (b"HEAD", b"CONNECT")
 _STATUSES_WITHOUT_BODY = (204, 304)
+# Interim responses (1xx) before a response, of which servers send one or two.
+_MAX_INTERIM_RESPONSES = 100
+# Bytes of responses to earlier requests that are skipped before a response.
+_MAX_SKIPPED_BYTES = 1_048_576
 # RFC 9110, section 15. The parser refuses those below 100.
 _LAST_STATUS = 599
 
@@ -131,6 +135,7 @@
         self._paused = False
         # Whether the head of the response has not been parsed yet.
         self._expects_head = False
+        self._interim_responses = 0
         # Decodes the body of a chunked response; None while h11 does.
         self._decoder: ChunkDecoder | None = None
         self.when_connected: Deferred[ServerConnection] = Deferred()
@@ -196,6 +201,7 @@
         data += self._h11.send(h11.EndOfMessage()) or b""
         self._request = request
         self._expects_head = True
+        self._interim_responses = 0
         self.requests_sent += 1
         write_at_once(self.transport, data)
 
@@ -222,8 +228,11 @@
         A server may send a second response to an earlier request. It then precedes the
         response to the current request. Call after `read_head`.
         """
-        while await self._next_body_chunk() is not None:
-            pass
+        skipped = 0
+        while (chunk := await self._next_body_chunk()) is not None:
+            skipped += len(chunk)
+            if skipped > _MAX_SKIPPED_BYTES:
+                raise ResponseBroken("A response to an earlier request does not end")
         unparsed, closed = self._h11.trailing_data
         # A new parser reads the remaining bytes as the response to the same request. It
         # needs the request's head and the length of its body, not the body itself.
@@ -341,6 +350,10 @@
             match event:
                 case h11.NEED_DATA | h11.PAUSED:
                     return rest
+                case h11.InformationalResponse():
+                    self._interim_responses += 1
+                    if self._interim_responses > _MAX_INTERIM_RESPONSES:
+                        raise h11.RemoteProtocolError("interim responses do not end")
                 case h11.Response():
                     head = ResponseHead(
                         event.status_code, bytes(event.reason), list(event.headers)
--- a/tests/forwarding/test_endless_responses.py
+++ b/tests/forwarding/test_endless_responses.py
@@ -66,3 +66,68 @@
         peak = tracemalloc.get_traced_memory()[1]
         tracemalloc.stop()
         assert peak < 40 * MEGABYTE
+
+
+class TestEndlessHead:
+    def test_interim_responses_are_broken_off(self, harness, caller):
+        """Guards against a head that keeps the event loop busy to the time limit."""
+        caller.request("/unsafe/x")
+        (connection,) = harness.connections
+        connection.send(b"HTTP/1.1 100 Continue\r\n\r\n" * 200)
+        harness.advance()
+        assert connection.transport.is_lost
+        assert caller.status == 502
+
+    def test_few_interim_responses_are_skipped(self, harness, caller):
+        caller.request("/unsafe/x")
+        (connection,) = harness.connections
+        for _ in range(3):
+            connection.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+        connection.respond()
+        assert caller.status == 200
+
+    @pytest.mark.parametrize(
+        "piece",
+        [
+            b"X-A: " + b"a" * 1_000 + b"\r\n",
+            b"\r\n",
+            b"a" * 1_000,
+            b"HTTP/1.1 200 " + b"a" * 1_000,
+            b" folded\r\n",
+        ],
+    )
+    @pytest.mark.parametrize("begun", [b"", b"HTTP/1.1 200 OK\r\n"])
+    def test_is_broken_off(self, harness, caller, begun, piece):
+        caller.request("/unsafe/x")
+        (connection,) = harness.connections
+        if begun:
+            connection.send(begun)
+        sent = 0
+        while sent < 4 * MEGABYTE and not connection.transport.is_lost:
+            connection.send(piece * 20)
+            sent += 20 * len(piece)
+            harness.advance()
+        assert connection.transport.is_lost
+        assert caller.status == 502
+
+
+class TestEndlessBody:
+    def test_of_an_earlier_request_is_broken_off(self, harness, caller):
+        """Guards against a copy that is skipped for as long as it goes on."""
+        caller.request("/safe/x")
+        (connection,) = harness.connections
+        connection.start_stream(request_id="an earlier one")
+        assert send_without_end(harness, connection, 8 * MEGABYTE) < 2 * MEGABYTE
+
+    @pytest.mark.parametrize("piece", [b"\r\n", b"a" * 1_000 + b"\r\n"])
+    def test_trailers_are_broken_off(self, harness, caller, piece):
+        caller.request("/safe/x")
+        (connection,) = harness.connections
+        connection.start_stream(b"body")
+        connection.send(b"0\r\n")
+        sent = 0
+        while sent < 4 * MEGABYTE and not connection.transport.is_lost:
+            connection.send(b"X-T: " + piece)
+            sent += len(piece)
+            harness.advance()
+        assert connection.transport.is_lost
