Bound what is read ahead of a stream that sends no event

Cause: the begin of a successor's response is read ahead up to its first event. The bound was on one unfinished event; comments are complete, and were kept for as long as they came. Evidence: tests/forwarding/test_endless_responses.py, test_of_a_successor_without_events_is_not_kept: not closed after 8 MB before; closed, a peak under 2 MB and the stream of the silent server whole now.

--- a/src/chivesaddle/forwarding/preview.py
+++ b/src/chivesaddle/forwarding/preview.py
@@ -23,8 +23,8 @@
 ) -> ReadChunk:
     """Read until the response is known to go on with what the caller has.
 
-    A stream is read up to its first event, another response up to its end or
-    `MAX_BUFFERED_BYTES`.
+    A stream is read up to its first event, which must begin within `MAX_EVENT_BYTES`,
+    another response up to its end or `MAX_BUFFERED_BYTES`.
 
     Parameters
     ----------
@@ -71,13 +71,13 @@
             if size > MAX_BUFFERED_BYTES:
                 break
             continue
+        if size > MAX_EVENT_BYTES:
+            raise NoUsableResponse(f"No event in the first {MAX_EVENT_BYTES} bytes")
         events = splitter.feed(chunk)
         if splitter.fault is not None:
             raise NoUsableResponse(splitter.fault.value)
         if has_event(events):
             break
-        if splitter.remaining_bytes > MAX_EVENT_BYTES:
-            raise NoUsableResponse(f"Event has over {MAX_EVENT_BYTES} bytes")
 
     async def read_again() -> bytes | None:
         return chunks.popleft() if chunks else await read_chunk()
--- a/tests/forwarding/test_endless_responses.py
+++ b/tests/forwarding/test_endless_responses.py
@@ -131,3 +131,28 @@
             sent += len(piece)
             harness.advance()
         assert connection.transport.is_lost
+
+    def test_of_a_successor_without_events_is_not_kept(self, harness, caller):
+        """Guards against comments that fill the memory while a server is silent."""
+        caller.request("/resumable/x")
+        (silent,) = harness.connections
+        silent.start_stream()
+        for _ in range(45):
+            harness.advance(0.1)
+            if len(harness.connections) > 1:
+                break
+        successor = harness.connections[1]
+        successor.start_stream()
+        tracemalloc.start()
+        sent = 0
+        while sent < 8 * MEGABYTE and not successor.transport.is_lost:
+            successor.chunk(b": wait\n\n" * 2_000)
+            sent += 16_000
+            harness.advance()
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        assert successor.transport.is_lost
+        assert peak < 2 * MEGABYTE
+        silent.chunk(EVENT_1)
+        silent.end_stream()
+        assert caller.received().endswith(b"0\r\n\r\n")
