Bound heads and unread events of model engines

Cause: the agent of the HTTP library limits the length of a header line, not their number; a stream that is not read, because its caller reads slowly or another engine is looked for, was paused after 256 events whatever their size, up to 1 MB each. Change: a head may have 64 KB, with the interim ones before it; then its connection is aborted, which counts as a reset. A stream is paused after 256 KB as well.

--- a/src/chivesaddle/engines/connections.py
+++ b/src/chivesaddle/engines/connections.py
@@ -56,6 +56,8 @@
 # that caused it.
 LISTENER_CLOSE_DELAY_S = 0.05
 PROBE_TIMEOUT_S = 0.5
+# Longest head of a response, with the interim ones before it.
+MAX_HEAD_BYTES = 65_536
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}", re.IGNORECASE)
 _CONNECTION_LOST_ERRORS = (ResponseFailed, RequestTransmissionFailed, ConnectionClosed)
 _log = ComponentLogger("engines")
@@ -68,6 +70,41 @@
         """Return a stream client endpoint."""
 
 
+def _limit_heads(protocol: Any) -> Any:
+    """Abort an agent's connection if a response does not end its head.
+
+    The agent limits each line of a head, but not their number.
+    """
+    head_bytes: int | None = None
+    send, receive = getattr(protocol, "request", None), protocol.dataReceived
+    if send is None:
+        return protocol
+
+    def request(request: Any) -> "Deferred[Any]":
+        nonlocal head_bytes
+        head_bytes = 0
+        response: Deferred[Any] = send(request)
+        return response.addBoth(end_head)
+
+    def end_head(result: Any) -> Any:
+        nonlocal head_bytes
+        head_bytes = None
+        return result
+
+    def data_received(data: bytes) -> None:
+        nonlocal head_bytes
+        receive(data)
+        if head_bytes is None:
+            return
+        head_bytes += len(data)
+        if head_bytes > MAX_HEAD_BYTES:
+            head_bytes = None
+            protocol.abort()
+
+    protocol.request, protocol.dataReceived = request, data_received
+    return protocol
+
+
 @implementer(IStreamClientEndpoint)
 class _RecordingEndpoint:
     """Records whether a connection was opened, i.e. none was reused from the pool."""
@@ -78,7 +115,7 @@
 
     def connect(self, factory: Any) -> Any:
         self.opened = True
-        return self._endpoint.connect(factory)
+        return self._endpoint.connect(factory).addCallback(_limit_heads)
 
 
 @implementer(IAgentEndpointFactory)
--- a/src/chivesaddle/engines/stream.py
+++ b/src/chivesaddle/engines/stream.py
@@ -13,9 +13,11 @@
 from chivesaddle.engines.sse import EventSplitter
 
 # Pausing at 256 buffered events of about 250 bytes limits a stream's buffer to about
-# 64 KB. Resuming at 64 leaves events for a fast caller until more data arrives.
+# 64 KB. Resuming at 64 leaves events for a fast caller until more data arrives. Longer
+# events, as of an engine in trouble, are limited by their bytes.
 HIGH_WATER_EVENTS = 256
 LOW_WATER_EVENTS = 64
+HIGH_WATER_BYTES = 262_144
 RELEASE_TIMEOUT_S = 1.0
 # Because of rounding, a timer may fire this much before its deadline.
 TIMER_TOLERANCE_S = 1e-6
@@ -49,6 +51,7 @@
         self._first_deadline = first_deadline
         self._splitter = EventSplitter()
         self._events: deque[bytes] = deque()
+        self._buffered_bytes = 0
         self._waiter: Deferred[None] | None = None
         self._failure: EngineError | None = None
         self._ended = False
@@ -96,6 +99,7 @@
         """
         await self._wait_for_events()
         event = self._events.popleft() if self._events else None
+        self._buffered_bytes -= len(event or b"")
         self._resume_if_drained()
         return event
 
@@ -107,14 +111,14 @@
         if not self._events:
             await self._wait_for_events()
         events = list(self._events)
-        self._events.clear()
+        self._clear_events()
         self._resume_if_drained()
         return events
 
     def close(self) -> None:
         """Close the connection; the run at the engine continues until cancelled."""
         self._ended = True
-        self._events.clear()
+        self._clear_events()
         self._stop_timer()
         if self._connected and self.transport is not None:
             self.transport.loseConnection()  # type: ignore[misc]
@@ -128,7 +132,7 @@
         if self._ended:
             return
         self._ended = True
-        self._events.clear()
+        self._clear_events()
         self._stop_timer()
         self._timer = self._clock.callLater(RELEASE_TIMEOUT_S, self.close)
         if self._paused:
@@ -147,11 +151,16 @@
         # An engine may send comments to keep the connection in use during a prefill.
         events = [event for event in events if not _is_comment(event)]
         self._events.extend(events)
+        self._buffered_bytes += sum(map(len, events))
         if events and self._first_deadline is not None:
             # The timer may still be set to the later deadline of the first event.
             self._first_deadline = None
             self._stop_timer()
-        if not self._paused and len(self._events) > HIGH_WATER_EVENTS:
+        is_full = (
+            len(self._events) > HIGH_WATER_EVENTS
+            or self._buffered_bytes > HIGH_WATER_BYTES
+        )
+        if is_full and not self._paused:
             self._paused = True
             self.transport.pauseProducing()  # type: ignore[union-attr]
         if self._events:
@@ -181,9 +190,17 @@
         self._waiter = None
 
     def _resume_if_drained(self) -> None:
-        if self._paused and len(self._events) <= LOW_WATER_EVENTS:
+        is_drained = (
+            len(self._events) <= LOW_WATER_EVENTS
+            and self._buffered_bytes <= HIGH_WATER_BYTES // 2
+        )
+        if is_drained and self._paused:
             self._resume_producing()
 
+    def _clear_events(self) -> None:
+        self._events.clear()
+        self._buffered_bytes = 0
+
     def _resume_producing(self) -> None:
         self._paused = False
         if self._connected:
