Let a daemon that starts use a quarter of the retry slack first

What users may see: more retries at a service within a window than allowed (BUDGET), after all daemons were killed at once while servers failed. Cause: the budget counts in memory. Daemons use three quarters of the slack a window; all of them together used it again after a restart, one and a half times in all. Change: in the first window after its start a daemon uses a quarter of its share of the slack, and the ratio of its requests as always.

--- a/src/chivesaddle/forwarding/budget.py
+++ b/src/chivesaddle/forwarding/budget.py
@@ -4,6 +4,7 @@
 requests. Together the daemons stay below the limit for the fleet.
 """
 
+import math
 from collections import deque
 from collections.abc import Callable
 
@@ -11,9 +12,11 @@
 from chivesaddle.core.ids import ServiceId
 
 # Share of its limit that a daemon uses. The remaining quarter is a reserve for requests
-# that move between daemons during restarts, and for restarted daemons, which start with
-# an unused limit.
+# that move between daemons during restarts.
 USABLE_SHARE = 0.75
+# Share of the slack that a daemon uses in its first window. Before it was restarted, it
+# may have used up the other one, and so may all daemons that were killed at once.
+FIRST_SHARE_OF_SLACK = 1.0 - USABLE_SHARE
 
 
 class RetryBudget:
@@ -31,6 +34,9 @@
         Length of the window.
     fleet_size : callable
         Number of daemons that share the slack.
+    started_at : float
+        When this process started, in seconds on the clock; minus infinity if no other
+        one used the limit before it.
     """
 
     def __init__(
@@ -40,12 +46,14 @@
         slack: float,
         window_s: float,
         fleet_size: Callable[[], int],
+        started_at: float = -math.inf,
     ) -> None:
         self._clock = clock
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
         self._fleet_size = fleet_size
+        self._first_window_until = started_at + window_s
         self._requests: dict[ServiceId, deque[float]] = {}
         self._retries: dict[ServiceId, deque[float]] = {}
 
@@ -57,8 +65,10 @@
         """Return whether the budget allows a retry now, without recording one."""
         requests = len(self._recent(self._requests, service))
         retries = len(self._recent(self._retries, service))
-        share = self._slack / max(1, self._fleet_size())
-        return retries + 1 <= USABLE_SHARE * (self._ratio * requests + share)
+        slack = self._slack / max(1, self._fleet_size())
+        is_first = self._clock.seconds() < self._first_window_until
+        slack *= FIRST_SHARE_OF_SLACK if is_first else USABLE_SHARE
+        return retries + 1 <= USABLE_SHARE * self._ratio * requests + slack
 
     def try_acquire(self, service: ServiceId) -> bool:
         """Record a retry and return True if the budget allows it."""
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -464,6 +464,7 @@
                 bounds.retry_slack,
                 bounds.retry_window_s,
                 self._retry_sharers,
+                reactor.seconds(),
             ),
             crashes,
             PromptPlanner(reactor, self._serving_state, self._servers, self._transfers),
