Apply the limits in force to each request of an open connection

Cause: a connection read the limits when it opened and kept them for as long as it lived; one that opened before the daemon knew a configuration kept the built-in ones. Change: limits are read as a request begins; a body may use the larger of those at its begin and those now, since both may be in force. The parser, which has the limit on heads, is replaced between two requests. An idle connection stays open for the limit in force.

--- a/src/chivesaddle/http1/server.py
+++ b/src/chivesaddle/http1/server.py
@@ -27,6 +27,8 @@
 # h11 writes this header line exactly so.
 _CHUNKED_HEADER = b"\r\nTransfer-Encoding: chunked\r\n"
 _METHODS_WITHOUT_BODY = (b"HEAD", b"CONNECT")
+# Because of rounding, a timer may fire this much before its deadline.
+_TIMER_TOLERANCE_S = 1e-6
 _STATUSES_WITHOUT_BODY = (204, 304)
 
 
@@ -205,11 +207,10 @@
 
     def __init__(self, listener: Listener) -> None:
         self._listener = listener
-        limits = listener.limits()
-        self._limits = limits
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
-        )
+        # Those in force when the current request began, or the last one ended.
+        self._limits = listener.limits()
+        self._h11 = _parser(self._limits)
+        self._idle_since = 0.0
         self._head: h11.Request | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -251,6 +252,7 @@
             if self._pipelined_bytes > MAX_PIPELINED_BYTES:
                 self.transport.pauseProducing()
         elif self._head is None and not self._timer_limits_request:
+            self._apply_limits()
             self._set_timer(self._limits.header_timeout_s, True)
         try:
             self._h11.receive_data(data)
@@ -313,6 +315,7 @@
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._h11.start_next_cycle()
             self._head = None
+            self._apply_limits()
             self._start_idle_timer()
             if self._pipelined_bytes > MAX_PIPELINED_BYTES:
                 self.transport.resumeProducing()
@@ -401,7 +404,9 @@
                 self._set_timer(self._limits.idle_timeout_s, True)
             case h11.Data():
                 self._body_bytes += len(event.data)
-                if self._body_bytes > self._limits.body_bytes:
+                # A limit may be raised while a body arrives that began under it.
+                allowed = self._listener.limits().body_bytes
+                if self._body_bytes > max(self._limits.body_bytes, allowed):
                     self._reject(413)
                     return
                 self._body.append(bytes(event.data))
@@ -456,7 +461,21 @@
         write_at_once(self.transport, head + end)
         self._close()
 
+    def _apply_limits(self) -> None:
+        """Apply the limits in force now to the request that begins.
+
+        Connections stay open while configurations change.
+        """
+        before, self._limits = self._limits, self._listener.limits()
+        if self._limits.header_bytes == before.header_bytes:
+            return
+        unparsed, _ = self._h11.trailing_data
+        self._h11 = _parser(self._limits)
+        if unparsed:
+            self._h11.receive_data(unparsed)
+
     def _start_idle_timer(self) -> None:
+        self._idle_since = self._listener.clock.seconds()
         self._set_timer(self._limits.idle_timeout_s, False)
 
     def _set_timer(self, seconds: float, limits_request: bool) -> None:
@@ -473,6 +492,12 @@
     def _on_timeout(self) -> None:
         if self._timer_limits_request:
             self._reject(408)
+            return
+        # The limit may have been raised meanwhile.
+        idle_until = self._idle_since + self._listener.limits().idle_timeout_s
+        remaining_s = idle_until - self._listener.clock.seconds()
+        if remaining_s > _TIMER_TOLERANCE_S:
+            self._set_timer(remaining_s, False)
         else:
             self._close()
 
@@ -484,6 +509,10 @@
             self.transport.loseConnection()
 
 
+def _parser(limits: CallerLimits) -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+
+
 class _Factory(Factory):
     noisy = False
 
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -254,3 +254,99 @@
     assert (listener.in_flight, listener.unfinished) == (0, 1)
     connection.transport.dataBuffer = b""
     assert listener.unfinished == 0
+
+
+class TestLimitsThatChange:
+    """Guards against limits of a configuration that is no longer in force."""
+
+    @pytest.fixture
+    def limits(self, listener):
+        limits = CallerLimits(500, 10, 3.0, 15.0)
+        listener.limits = lambda: CallerLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout_s,
+            limits.idle_timeout_s,
+        )
+        return limits
+
+    def post(self, connection, size, padding=0):
+        head = f"POST /x HTTP/1.1\r\nHost: h\r\nA: {'a' * padding}\r\n"
+        head += f"Content-Length: {size}\r\n\r\n"
+        connection.dataReceived(head.encode() + b"b" * size)
+
+    def answer(self, connection, requests):
+        requests[-1][1].answer(200)
+        connection.transport.clear()
+
+    @pytest.mark.parametrize("has_served", [False, True])
+    def test_larger_body_is_taken_on_an_open_connection(
+        self, connection, requests, limits, has_served
+    ):
+        if has_served:
+            self.post(connection, 3)
+            self.answer(connection, requests)
+        limits.body_bytes = 20
+        self.post(connection, 20)
+        assert requests[-1][0].body == b"b" * 20
+
+    def test_smaller_body_limit_applies_to_the_next_request(
+        self, connection, requests, limits
+    ):
+        self.post(connection, 10)
+        self.answer(connection, requests)
+        limits.body_bytes = 5
+        self.post(connection, 6)
+        assert status(connection) == 413
+
+    @pytest.mark.parametrize("later", [5, 20])
+    def test_body_that_arrives_meanwhile_may_use_both(
+        self, connection, requests, limits, later
+    ):
+        size = max(10, later)
+        head = f"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: {size}\r\n\r\n"
+        connection.dataReceived(head.encode() + b"b" * 3)
+        limits.body_bytes = later
+        connection.dataReceived(b"b" * (size - 3))
+        assert len(requests[-1][0].body) == size
+
+    @pytest.mark.parametrize("has_served", [False, True])
+    def test_larger_head_is_taken_on_an_open_connection(
+        self, connection, requests, limits, has_served
+    ):
+        if has_served:
+            self.post(connection, 3)
+            self.answer(connection, requests)
+        limits.header_bytes = 2_000
+        for start_at in range(0, 1_200, 100):
+            head = b"POST /x HTTP/1.1\r\nHost: h\r\nA: " + b"a" * 1_100
+            connection.dataReceived(head[start_at : start_at + 100])
+        connection.dataReceived(b"\r\nContent-Length: 0\r\n\r\n")
+        assert not connection.transport.value()
+        assert len(requests) == 1 + has_served
+
+    def test_smaller_head_limit_applies_to_the_next_request(
+        self, connection, requests, limits
+    ):
+        self.post(connection, 3)
+        self.answer(connection, requests)
+        limits.header_bytes = 100
+        connection.dataReceived(b"GET /x HTTP/1.1\r\nHost: h\r\nA: " + b"a" * 200)
+        assert status(connection) == 431
+
+    def test_pipelined_request_has_the_new_limits(self, connection, requests, limits):
+        connection.dataReceived(REQUEST)
+        connection.dataReceived(
+            b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 15\r\n\r\n" + b"b" * 15
+        )
+        limits.body_bytes, limits.header_bytes = 20, 600
+        requests[0][1].answer(200)
+        assert requests[1][0].body == b"b" * 15
+
+    def test_connection_may_idle_for_longer(self, connection, clock, limits):
+        clock.advance(10)
+        limits.idle_timeout_s = 30.0
+        clock.advance(19)
+        assert not connection.transport.disconnecting
+        clock.advance(1.1)
+        assert connection.transport.disconnecting
