Forget the body of a request when it ends

Cause: an error and the frames that it passed through are in a reference cycle with the request, which stays until the garbage collector runs. Change: the request drops its body when it ends. A use after that fails, so that no empty body can be sent. Ruled out, in a trial: clearing the frames of errors where they are handled; finished frames keep their callers' frames as well.

--- a/src/chivesaddle/forwarding/forwarder.py
+++ b/src/chivesaddle/forwarding/forwarder.py
@@ -316,6 +316,7 @@
         finally:
             if context is not None:
                 self._contexts.discard(context)
+            caller_request.release_body()
 
     def _check_shutdown(self, context: RequestContext) -> None:
         """Raise `NotRun` if the request may outlast a daemon that shuts down."""
--- a/src/chivesaddle/forwarding/messages.py
+++ b/src/chivesaddle/forwarding/messages.py
@@ -1,6 +1,6 @@
 """Decoded requests and responses that the forwarding package works with."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from chivesaddle.core.ids import AccountId, BackendServerId, ModelId, RequestId
 from chivesaddle.core.serving_model import CallerKey, PromptPartId
@@ -23,6 +23,8 @@
     ----------
     passed_headers : list of (name, value)
         Headers that are forwarded to the backend server unchanged.
+    body : bytes
+        Not there any more once the request has ended.
     time_limit_s : float or None
         Time for which the caller waits after it sent the request.
     parts : tuple of PromptPart
@@ -42,7 +44,7 @@
     target: bytes
     host: str
     passed_headers: HeaderList
-    body: bytes
+    body: bytes = field(repr=False)
     key: CallerKey | None
     time_limit_s: float | None
     model: ModelId | None
@@ -53,6 +55,14 @@
     resumed_request: RequestId | None
     earlier_runs: int | None = None
 
+    def release_body(self) -> None:
+        """Forget the body; it must not be used any more.
+
+        What failed keeps the request in a cycle of errors and their frames, which stays
+        until the garbage collector runs.
+        """
+        object.__delattr__(self, "body")
+
     @property
     def memory_tokens(self) -> int:
         """Maximum number of tokens of server memory that the request takes."""
--- a/tests/forwarding/test_callers_that_left.py
+++ b/tests/forwarding/test_callers_that_left.py
@@ -1,10 +1,13 @@
 """Callers that close their connections at each step of their request's handling."""
 
+import gc
+import tracemalloc
+
 import pytest
 
 from chivesaddle.core.ids import DaemonId
 from chivesaddle.forwarding.passing import PeerDaemon
-from chivesaddle.http1 import server
+from chivesaddle.http1 import CallerLimits, server
 from chivesaddle.http1.sockets import UnreadInput
 
 EVENT = b"id: 1\ndata: a\n\n"
@@ -115,3 +118,58 @@
         harness.advance(0.1)
         harness.advance(0.1)
         assert [c.request_id for c in harness.connections] == ["b0", "b1"]
+
+
+class TestBodiesOfRequestsThatFailed:
+    """Guards against bodies that stay until the garbage collector runs."""
+
+    SIZE = 1_000_000
+
+    @pytest.fixture
+    def held_bytes(self, harness):
+        """Return what 20 requests leave behind that end in a way."""
+        harness.listener.limits = lambda: CallerLimits(body_bytes=self.SIZE)
+
+        def measure(target, end):
+            gc.collect()
+            gc.disable()
+            tracemalloc.start()
+            try:
+                for number in range(20):
+                    caller = harness.caller()
+                    body = bytes([number]) * self.SIZE
+                    caller.request(target, f"a{number}", body=body)
+                    end(harness, caller)
+                    harness.advance(0.1)
+                    caller.transport.clear()
+                    for connection in harness.connections:
+                        connection.transport.clear()
+                    harness.connections.clear()
+                    del caller, body
+                return tracemalloc.get_traced_memory()[0]
+            finally:
+                tracemalloc.stop()
+                gc.enable()
+
+        return measure
+
+    @staticmethod
+    def leave(harness, caller):
+        caller.close_connection()
+
+    @staticmethod
+    def wait(harness, caller):
+        for _ in range(200):
+            harness.advance(0.1)
+
+    @staticmethod
+    def lose_answers(harness, caller):
+        for _ in range(3):
+            for connection in list(harness.connections):
+                connection.transport.lose_connection()
+            harness.advance()
+
+    @pytest.mark.parametrize("target", ["/safe/x", "/unsafe/x", "/resumable/x"])
+    @pytest.mark.parametrize("end", ["leave", "wait", "lose_answers"])
+    def test_are_freed_at_once(self, held_bytes, target, end):
+        assert held_bytes(target, getattr(self, end)) < 2 * self.SIZE
