--- a/tests/e2e_platform/test_cut_uploads.py
+++ b/tests/e2e_platform/test_cut_uploads.py
@@ -1,17 +1,22 @@
 """Real daemons and a server that answers a long upload at once and cuts its answer."""
 
-import contextlib
 import re
 import socket
 import struct
-import threading
 import time
 
 import pytest
 
-from chivesaddle.tools.platform_fleet import API_KEY, HOST_NAME, PlatformFleet
+from chivesaddle.tools.platform_fleet import PlatformFleet
 from chivesaddle.tools.processes import wait_until
 
+from .threaded_server import (
+    ThreadedServer,
+    connect,
+    encode_request,
+    request_id_header,
+)
+
 UPLOAD = bytes(4_000_000)
 EVENT = b"id: 1\ndata: a\n\n"
 INSIDE_EVENT = EVENT + b"half of the body"
@@ -20,48 +25,27 @@
 REQUESTS = 4
 
 
-class CuttingServer:
+class CuttingServer(ThreadedServer):
     """Answers each request at its head with half of a body, without a length."""
 
     def __init__(self):
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         self.has_reset = False
         self.half = INSIDE_EVENT
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = self.listener.accept()
-                threading.Thread(
-                    target=self.serve, args=(connection,), daemon=True
-                ).start()
-
-    def serve(self, connection):
-        head = b""
-        with contextlib.suppress(OSError):
-            while b"\r\n\r\n" not in head:
-                data = connection.recv(1_024)
-                if not data:
-                    return
-                head += data
-            match = re.search(rb"attempt-identifier: (\S+)", head, re.IGNORECASE)
-            connection.sendall(
-                b"HTTP/1.1 200 OK\r\nX-Chivesaddle-Server-Signature: cutting\r\n"
-                b"X-Chivesaddle-Attempt-Identifier: " + match[1] + b"\r\n"
-                b"Connection: close\r\n\r\n" + self.half
-            )
-            if not self.has_reset:
-                connection.shutdown(socket.SHUT_WR)
-                time.sleep(OPEN_FOR_S)
-            # Unread bytes reset the connection.
-            linger = struct.pack("ii", 1, 0)
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        connection.close()
-
-    def close(self):
-        self.listener.close()
+        super().__init__()
+
+    def answer(self, connection, head):
+        connection.sendall(
+            b"HTTP/1.1 200 OK\r\nX-Chivesaddle-Server-Signature: cutting\r\n"
+            + request_id_header(head)
+            + b"Connection: close\r\n\r\n"
+            + self.half
+        )
+        if not self.has_reset:
+            connection.shutdown(socket.SHUT_WR)
+            time.sleep(OPEN_FOR_S)
+        # Unread bytes reset the connection.
+        linger = struct.pack("ii", 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
 @pytest.fixture
@@ -87,19 +71,10 @@
 
 def ask(fleet, target, request_id, body):
     """Send a request; return whether it got a whole answer, and the answer."""
-    (daemon,) = fleet.listeners.values()
-    host, _, port = daemon["callers"].rpartition(":")
-    head = (
-        f"POST {target} HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
-        f"Authorization: Bearer {API_KEY}\r\nConnection: close\r\n"
-        f"X-Chivesaddle-Attempt-Identifier: {request_id}\r\n"
-        "X-Chivesaddle-Deadline-Milliseconds: 4000\r\n"
-        f"Content-Length: {len(body)}\r\n\r\n"
-    )
     received = b""
-    with socket.create_connection((host, int(port)), timeout=6) as caller:
+    with connect(fleet) as caller:
         try:
-            caller.sendall(head.encode() + body)
+            caller.sendall(encode_request(target, request_id, body))
             while data := caller.recv(65_536):
                 received += data
         except OSError:
--- a/tests/e2e_platform/test_endless_servers.py
+++ b/tests/e2e_platform/test_endless_servers.py
@@ -2,16 +2,22 @@
 
 import contextlib
 import re
-import socket
 import threading
 import time
 from pathlib import Path
 
 import pytest
 
-from chivesaddle.tools.platform_fleet import API_KEY, HOST_NAME, PlatformFleet
+from chivesaddle.tools.platform_fleet import PlatformFleet
 from chivesaddle.tools.processes import wait_until
 
+from .threaded_server import (
+    ThreadedServer,
+    connect,
+    encode_request,
+    request_id_header,
+)
+
 # Memory of a machine of the users' small sites.
 MAX_MEMORY_MB = 150
 # Callers of each shape at a time.
@@ -38,58 +44,29 @@
 }
 
 
-class EndlessServer:
+class EndlessServer(ThreadedServer):
     """Answers each request with the shape that its path names, for ever."""
 
     def __init__(self, pause_s):
         self.pause_s = pause_s
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=512)
-        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = self.listener.accept()
-                threading.Thread(
-                    target=self.serve, args=(connection,), daemon=True
-                ).start()
-
-    def serve(self, connection):
-        data = b""
-        with contextlib.suppress(OSError), connection:
-            while b"\r\n\r\n" not in data:
-                received = connection.recv(4_096)
-                if not received:
-                    return
-                data += received
-            shape = re.match(rb"\S+ /\w+/([\w-]+)", data)
-            identifier = re.search(rb"attempt-identifier: (\S+)", data, re.IGNORECASE)
-            begin, piece = SHAPES[shape[1].decode()]
-            if begin is not None:
-                own = b"X-Chivesaddle-Attempt-Identifier: " + identifier[1] + b"\r\n"
-                connection.sendall(HEAD + own + begin)
-            pieces = piece * max(1, PIECE // len(piece))
-            while True:
-                connection.sendall(pieces)
-                time.sleep(self.pause_s)
+        super().__init__()
+
+    def answer(self, connection, head):
+        shape = re.match(rb"\S+ /\w+/([\w-]+)", head)
+        begin, piece = SHAPES[shape[1].decode()]
+        if begin is not None:
+            connection.sendall(HEAD + request_id_header(head) + begin)
+        pieces = piece * max(1, PIECE // len(piece))
+        while True:
+            connection.sendall(pieces)
+            time.sleep(self.pause_s)
 
 
 def ask(fleet, target, request_id, until, counts):
     """Read slowly until a time, or the end; count a whole answer."""
-    (daemon,) = fleet.listeners.values()
-    host, _, port = daemon["callers"].rpartition(":")
-    head = (
-        f"POST {target} HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
-        f"Authorization: Bearer {API_KEY}\r\nConnection: close\r\n"
-        f"X-Chivesaddle-Attempt-Identifier: {request_id}\r\n"
-        "X-Chivesaddle-Deadline-Milliseconds: 4000\r\nContent-Length: 0\r\n\r\n"
-    )
-    with (
-        contextlib.suppress(OSError),
-        socket.create_connection((host, int(port)), timeout=1) as caller,
-    ):
-        caller.sendall(head.encode())
+    with contextlib.suppress(OSError), connect(fleet) as caller:
+        caller.settimeout(1)
+        caller.sendall(encode_request(target, request_id))
         while time.monotonic() < until:
             try:
                 if not caller.recv(4_096):
