--- a/tests/serving/test_answer_questions.py
+++ b/tests/serving/test_answer_questions.py
@@ -83,7 +83,9 @@
         self.daemons = [Daemon(self, number) for number in range(SIZE)]
         monkeypatch.setattr(server_probe, "exchange", self.exchange)
 
-    async def exchange(self, daemon, clock, address, method, target, *, deadline):
+    async def exchange(
+        self, daemon, clock, address, method, target, *, deadline, limit
+    ):
         self.asked_by.append(daemon.member.id)
         if not (daemon.is_connected and self.servers_run):
             raise ResponseBroken("No response in time")
--- a/tests/serving/test_silent_paths.py
+++ b/tests/serving/test_silent_paths.py
@@ -57,7 +57,9 @@
         self.asked = []
         monkeypatch.setattr(server_probe, "exchange", self.exchange)
 
-    async def exchange(self, daemon, clock, address, method, target, *, deadline):
+    async def exchange(
+        self, daemon, clock, address, method, target, *, deadline, limit
+    ):
         assert (method, target) == ("GET", "/health")
         self.asked.append(address)
         if not daemon.is_connected:
