Count beacons as life of a daemon that a request was passed on to

What callers saw: nothing as a rule; a repeatable request of a cut-off daemon could be sent to three servers where its route allows two.

Cause: the first daemon gives the request to a second one when the first peer is silent, and decides after 0.3 s by the answers to other requests there. A second peer with another request, sent a moment ago, and no answer since counted as silent. Its attempt was closed, and 0.1 s later the first peer, which had kept the request, looked for another server.

Why this works: a daemon sends a beacon within 0.1 s of a request in small fleets, since its load has changed, whatever its servers do. The test with beacons failed for both kinds of request before.

Related path: attempts at servers probe them, so they need no such evidence.

--- a/src/chivesaddle/forwarding/passing.py
+++ b/src/chivesaddle/forwarding/passing.py
@@ -10,7 +10,7 @@
 
 from chivesaddle.core.aio import Clock
 from chivesaddle.core.errors import ChivesaddleError
-from chivesaddle.core.ids import ServiceId
+from chivesaddle.core.ids import DaemonId, ServiceId
 from chivesaddle.forwarding.attempts import Attempts
 from chivesaddle.forwarding.budget import RetryBudget
 from chivesaddle.forwarding.errors import NotRun
@@ -43,6 +43,12 @@
         Empty if this daemon reaches a server of the service itself.
         """
 
+    def last_beacon_at(self, daemon: DaemonId) -> float:
+        """Return when a daemon's last beacon arrived, in seconds on the clock.
+
+        Minus infinity without any.
+        """
+
     def is_member(self, host: str) -> bool:
         """Return whether an IP address is that of a daemon of the fleet."""
 
@@ -93,7 +99,12 @@
         run: Callable[[RequestContext, Relay, PeerAttempt], Awaitable[None]],
     ) -> None:
         self._access = PeerAccess(
-            clock, pool, encode_headers, decode_response, attempts
+            clock,
+            pool,
+            encode_headers,
+            decode_response,
+            paths.last_beacon_at,
+            attempts,
         )
         self._paths = paths
         self._attempts = attempts
--- a/src/chivesaddle/forwarding/peer_attempt.py
+++ b/src/chivesaddle/forwarding/peer_attempt.py
@@ -84,6 +84,8 @@
         Connections to other daemons.
     encode_headers : callable
         Encodes the headers of a request that is passed on.
+    last_beacon_at : callable
+        Returns when a daemon's last beacon arrived, in seconds on the clock.
     activity_by_peer : dict
         Only of the daemons that have a request.
     """
@@ -92,6 +94,7 @@
     pool: ConnectionPool
     encode_headers: Callable[[CallerRequest, PassOptions], HeaderList]
     decode_response: Callable[[ResponseHead], ServerResponse]
+    last_beacon_at: Callable[[DaemonId], float]
     attempts: Attempts
     activity_by_peer: dict[DaemonId, PeerActivity] = field(default_factory=dict)
 
@@ -153,12 +156,14 @@
         return self._first_deadline
 
     def shows_life(self) -> bool:
-        """Return whether the daemon is known to be answered since it got the request.
+        """Return whether the daemon has sent anything since it got the request.
 
-        One that has only this request may wait for a long prompt, and counts as such.
+        Its beacons count, as its servers may read long prompts of all its requests. In
+        large fleets they are rare, so one that has only this request counts as well.
         """
         return (
             self._activity.last_byte_at >= self._sent_at
+            or self._access.last_beacon_at(self.peer.id) >= self._sent_at
             or self._activity.in_flight <= 1
         )
 
--- a/src/chivesaddle/serving/peer_paths.py
+++ b/src/chivesaddle/serving/peer_paths.py
@@ -100,6 +100,10 @@
                 if until > now
             }
 
+    def last_beacon_at(self, daemon: DaemonId) -> float:
+        """Return when a daemon's last beacon arrived; minus infinity without any."""
+        return self._members.last_beacon_at(daemon)
+
     def is_member(self, host: str) -> bool:
         """Return whether an IP address is that of a daemon of the fleet."""
         return any(
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -1,6 +1,7 @@
 """Test harness for the forwarder with a fake reactor and scripted connections."""
 
 import functools
+import math
 import random
 from types import SimpleNamespace
 
@@ -204,11 +205,15 @@
 
     def __init__(self):
         self.peers = []
+        self.beacon_at_by_peer = {}
         self.is_member = lambda host: True
 
     def reaching(self, service):
         return self.peers
 
+    def last_beacon_at(self, daemon):
+        return self.beacon_at_by_peer.get(daemon, -math.inf)
+
 
 class Harness:
     """A forwarder with two servers of a service without a model."""
--- a/tests/forwarding/test_lost_paths.py
+++ b/tests/forwarding/test_lost_paths.py
@@ -125,6 +125,7 @@
         super().__init__(self.own_reactor)
         self.is_down = False
         self.links = []
+        self.beacon_at_by_peer = {}
         self.member = Member(
             f"d{number}", "1", f"z{number % 3}", f"{HOST}:{8_000 + number}", "peers"
         )
@@ -136,6 +137,7 @@
         members = SimpleNamespace(
             own=self.member,
             is_cut_off=lambda daemon: False,
+            last_beacon_at=lambda daemon: self.beacon_at_by_peer[daemon],
             registered=lambda: [d.member for d in fleet.daemons],
         )
         self.activity = ServerActivity(
@@ -169,6 +171,7 @@
         lost, _ = self.paths.lost_servers()
         shares, loading = self.shares.collect()
         for peer in peers:
+            peer.beacon_at_by_peer[self.member.id] = self.reactor.seconds()
             peer.paths.apply_lost_servers(self.member.id, lost, 1.5)
             peer.shares.apply_remote(self.member.id, shares, loading, 1.5)
 
--- a/tests/forwarding/test_silent_peers.py
+++ b/tests/forwarding/test_silent_peers.py
@@ -123,6 +123,45 @@
         answer(first)
         assert is_answered(caller)
 
+    def test_goes_on_at_the_next_one_if_that_sends_beacons(
+        self, cut_off, caller, target, wait_s
+    ):
+        """Guards against a third server, which the first daemon finds later.
+
+        The next daemon answered none of its requests yet, since the servers read
+        their prompts.
+        """
+        other_caller = cut_off.caller()
+        cut_off.peer_paths.peers = PEERS[1::-1]
+        other_caller.request("/stream/x", "a2")
+        cut_off.peer_paths.peers = PEERS[:2]
+        caller.request(target)
+        (first,) = connections_to(cut_off, PEERS[0])
+        advance(cut_off, wait_s + 0.1)
+        cut_off.peer_paths.beacon_at_by_peer[PEERS[1].id] = cut_off.reactor.seconds()
+        advance(cut_off, 0.3)
+        assert first.transport.is_lost
+        _, other = connections_to(cut_off, PEERS[1])
+        if target == "/resumable/x":
+            answer(other)
+            assert is_answered(caller)
+
+    def test_is_answered_through_it_if_the_next_one_sent_beacons_only_before(
+        self, cut_off, caller, target, wait_s
+    ):
+        other_caller = cut_off.caller()
+        cut_off.peer_paths.peers = PEERS[1::-1]
+        other_caller.request("/stream/x", "a2")
+        cut_off.peer_paths.peers = PEERS[:2]
+        caller.request(target)
+        (first,) = connections_to(cut_off, PEERS[0])
+        advance(cut_off, wait_s - 0.1)
+        cut_off.peer_paths.beacon_at_by_peer[PEERS[1].id] = cut_off.reactor.seconds()
+        advance(cut_off, MAX_OVERLAP_S + 0.1)
+        assert not first.transport.is_lost
+        answer(first)
+        assert is_answered(caller)
+
     def test_is_answered_through_it_if_the_retry_budget_is_used_up(
         self, cut_off, caller, target, wait_s
     ):
