Free what a server has not read of a request with its connection

Cause: Twisted's client transport and its connector refer to each other, and a transport keeps its queue after the loss of the connection.

The new test failed for both reasons of a loss before.

Why this works: the queue is dropped in connectionLost, after which nothing is sent, and after it has been read whether the server lacked a part of the request.

--- a/src/chivesaddle/http1/client.py
+++ b/src/chivesaddle/http1/client.py
@@ -21,6 +21,7 @@
 from chivesaddle.http1.fields import HeaderList, header_value
 from chivesaddle.http1.sockets import (
     UnreadInput,
+    drop_queued_bytes,
     has_queued_bytes,
     has_unacknowledged_bytes,
     peek,
@@ -293,6 +294,7 @@
         was_idle = self.is_reusable
         self.lost = True
         self.has_unsent_request |= has_queued_bytes(self.transport)
+        drop_queued_bytes(self.transport)
         if not self.when_connected.called:
             self.when_connected.errback(
                 Failure(NotSent("Connection was lost before it was open"))
--- a/src/chivesaddle/http1/sockets.py
+++ b/src/chivesaddle/http1/sockets.py
@@ -81,6 +81,17 @@
     return bool(queued or getattr(transport, "_tempDataBuffer", None))
 
 
+def drop_queued_bytes(transport: Any) -> None:
+    """Free the bytes that a closed transport will not send any more.
+
+    A client's transport is in a reference cycle with its connector, so they would stay
+    until the garbage collector runs.
+    """
+    if has_queued_bytes(transport):
+        transport.dataBuffer = b""
+        transport._tempDataBuffer = []
+
+
 def has_unacknowledged_bytes(transport: Any) -> bool:
     """Return whether the peer's kernel lacks bytes that were written to a transport.
 
@@ -128,6 +139,7 @@
 
 __all__ = [
     "UnreadInput",
+    "drop_queued_bytes",
     "has_queued_bytes",
     "has_unacknowledged_bytes",
     "peek",
--- a/tests/http1/test_write.py
+++ b/tests/http1/test_write.py
@@ -7,16 +7,18 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from twisted.internet.address import IPv4Address
+from twisted.internet.error import ConnectionAborted, ConnectionDone
 from twisted.internet.protocol import Protocol
 from twisted.internet.tcp import Connection
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
 from chivesaddle.core.aio import start
-from chivesaddle.http1 import CallerConnection
+from chivesaddle.http1 import CallerConnection, ServerConnection
 from chivesaddle.http1.server import CallerLimits, Listener
 from chivesaddle.http1.sockets import (
     UnreadInput,
+    has_queued_bytes,
     has_unacknowledged_bytes,
     peek,
     write_at_once,
@@ -97,6 +99,21 @@
             far.recv(10)
 
 
+class TestRequestThatTheServerDoesNotRead:
+    @pytest.mark.parametrize("reason", [ConnectionAborted, ConnectionDone])
+    def test_is_freed_with_its_connection(self, pair, reason):
+        """Guards against memory of uploads that failed, which adds up to a kill."""
+        transport, _ = pair
+        connection = transport.protocol = ServerConnection()
+        connection.transport = transport
+        connection.when_connected.callback(connection)
+        connection.send(b"POST", b"/x", [(b"host", b"h")], bytes(4_000_000))
+        assert has_queued_bytes(transport)
+        transport.connectionLost(Failure(reason()))
+        assert connection.has_unsent_request
+        assert not has_queued_bytes(transport)
+
+
 @pytest.fixture
 def stream(pair):
     """A chunked response that has begun, on a connection with a socket."""
