Tell callers of a blocked request when its refusal ends

What callers saw: Retry-After of a request that servers had completed shortly before its crashes named the end of the third last crash, though it runs again as soon as crashes at fewer than five moments count. They waited too long.

Cause: the count of crashes without moments was used, also for prompt parts.

The end is now found by the same rule as the refusal.

Also: limits of a configuration are read only once a body exceeds the limit under which it began, instead of for each piece of it (no change of behaviour; tests/http1/test_server.py).

--- a/src/chivesaddle/forwarding/crash_history.py
+++ b/src/chivesaddle/forwarding/crash_history.py
@@ -1,6 +1,7 @@
 """The crashes that count against one request or prompt part, and reports of them."""
 
 from collections import OrderedDict
+from collections.abc import Collection
 from dataclasses import dataclass
 from enum import IntEnum
 
@@ -114,6 +115,25 @@
         times = [crash.at for crash in self.counting(now).values()]
         return is_sufficient(times, self.was_answered)
 
+    def sufficient_until(
+        self, now: float, explained: Collection[CrashId] = ()
+    ) -> float | None:
+        """Return until when the crashes are enough to refuse it, None if they are not.
+
+        Crashes that are ``explained`` by something else do not count.
+        """
+        crashes = sorted(
+            (crash for id, crash in self.counting(now).items() if id not in explained),
+            key=Crash.counts_until,
+        )
+        until = None
+        for number, crash in enumerate(crashes):
+            times = [left.at for left in crashes[number:]]
+            if not is_sufficient(times, self.was_answered):
+                break
+            until = crash.counts_until()
+        return until
+
     def is_confirmed(self) -> bool:
         """Return whether any crash was confirmed and not cleared."""
         return any(
--- a/src/chivesaddle/forwarding/crashes.py
+++ b/src/chivesaddle/forwarding/crashes.py
@@ -25,7 +25,6 @@
     CrashingParts,
     PartEvidence,
     find_crashing_parts,
-    is_sufficient,
 )
 from chivesaddle.forwarding.crash_history import (
     CRASH_RETENTION_S,
@@ -378,23 +377,20 @@
         if history is None:
             return None
         now = self._clock.seconds()
-        crashes = [
-            crash for id, crash in history.counting(now).items() if id not in explained
-        ]
-        ends = sorted(crash.counts_until() for crash in crashes)
-        times = [crash.at for crash in crashes]
-        if not is_part(key) and is_sufficient(times, history.was_answered):
-            return ends[-BLOCK_AFTER_CRASHES]
+        if not is_part(key):
+            until = history.sufficient_until(now, explained)
+            if until is not None:
+                return until
         if history.was_answered:
             return None
+        crashes = sum(id not in explained for id in history.counting(now))
         running = self._runs_by_fingerprint.get(key, 0)
-        if ends and len(ends) + running >= BLOCK_AFTER_CRASHES:
+        if crashes and crashes + running >= BLOCK_AFTER_CRASHES:
             return now + CONCURRENT_RETRY_AFTER_S
         return None
 
     def _counts_until(self, part: Fingerprint, now: float) -> float:
-        ends = self._history_by_fingerprint[part].count_ends(now)
-        return ends[-MIN_CRASHES] if len(ends) >= MIN_CRASHES else now
+        return self._history_by_fingerprint[part].sufficient_until(now) or now
 
     def _determine_crashing_parts(self, now: float) -> list[CrashingParts]:
         if now < self._determine_at:
--- a/src/chivesaddle/http1/server.py
+++ b/src/chivesaddle/http1/server.py
@@ -405,8 +405,10 @@
             case h11.Data():
                 self._body_bytes += len(event.data)
                 # A limit may be raised while a body arrives that began under it.
-                allowed = self._listener.limits().body_bytes
-                if self._body_bytes > max(self._limits.body_bytes, allowed):
+                if (
+                    self._body_bytes > self._limits.body_bytes
+                    and self._body_bytes > self._listener.limits().body_bytes
+                ):
                     self._reject(413)
                     return
                 self._body.append(bytes(event.data))
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -242,6 +242,26 @@
         assert [part, True] in [[report[0], report[-1]] for report in record.collect()]
 
 
+class TestEndOfARefusal:
+    @pytest.mark.parametrize(
+        ("was_answered", "crashes"), [(False, 3), (False, 5), (True, 5), (True, 7)]
+    )
+    def test_is_when_too_few_crashes_count(self, was_answered, crashes):
+        """Guards against callers that wait longer than the refusal lasts."""
+        clock = Clock()
+        clock.advance(1_000)
+        record = CrashRecord(clock)
+        record.apply_reports(
+            CrashReport("f", f"s{n}", 1, CrashState.CONFIRMED, 10_000 * n, was_answered)
+            for n in range(crashes)
+        )
+        until = record.blocked_until("f")
+        clock.advance(until - clock.seconds() - 0.1)
+        assert record.blocked_until("f") == until
+        clock.advance(0.2)
+        assert record.blocked_until("f") is None
+
+
 REPORTS = st.builds(
     CrashReport,
     st.sampled_from(["f1", "f2"]),
