Read on behind an extra response to an action

PROTOCOL: "The ID identifies it", "Such bytes belong to no request".

Change: a request that must not be repeated waits 0.5 s for a response with its id. Repeatable ones go to another server, as before.

Changed tests: two said that such a connection is closed at once; they demand the same end (502, closed, nothing sent elsewhere) after the wait, and that nothing is answered before it.

--- a/src/chivesaddle/forwarding/exchange.py
+++ b/src/chivesaddle/forwarding/exchange.py
@@ -46,6 +46,8 @@
 # Maximum number of responses to earlier requests that are skipped while waiting for the
 # expected one.
 MAX_STALE_RESPONSES = 2
+# The response behind one without an id is awaited for this long.
+EXTRA_RESPONSE_WAIT_S = 0.5
 
 log = ComponentLogger("forward")
 
@@ -204,7 +206,7 @@
             response = await with_deadline(
                 self._clock,
                 response_deadline,
-                start(self._read_own_response(request)),
+                start(self._read_own_response(request, is_repeatable)),
                 "response",
             )
         except ResponseBroken as error:
@@ -347,7 +349,9 @@
             case InvalidValue(text):
                 self._servers.record_invalid_header(self._server.id, text)
 
-    async def _read_own_response(self, request: CallerRequest) -> ServerResponse:
+    async def _read_own_response(
+        self, request: CallerRequest, is_repeatable: bool
+    ) -> ServerResponse:
         assert self._connection is not None
         self._is_first_response = self._connection.requests_sent == 1
         for _ in range(MAX_STALE_RESPONSES + 1):
@@ -360,11 +364,51 @@
                         "Response without a request id arrived before the request was "
                         "written"
                     )
-                return response
+                if self._is_first_response or is_repeatable:
+                    return response
+                return await self._read_behind(response, request)
             self._is_first_response = False
             await self._connection.skip_response()
         raise ResponseBroken("Only responses to other requests arrived")
 
+    async def _read_behind(
+        self, extra: ServerResponse, request: CallerRequest
+    ) -> ServerResponse:
+        """Return the response behind one without an id, or that one if none follows.
+
+        A server may send an extra response to the previous request, which belongs to no
+        request, after it has got the next one. One that may be repeated is sent to
+        another server instead.
+        """
+        deadline = self._clock.seconds() + EXTRA_RESPONSE_WAIT_S
+        try:
+            response = await with_deadline(
+                self._clock, deadline, start(self._skip_to_own(request)), "response"
+            )
+        except (ResponseBroken, DeadlineExceeded) as error:
+            outcome, response = error.message, extra
+        else:
+            outcome = "skipped"
+        log.info(
+            "response without a request id",
+            extra={
+                "request": request.id,
+                "server": self._server.id,
+                "status": extra.status,
+                "outcome": outcome,
+            },
+        )
+        return response
+
+    async def _skip_to_own(self, request: CallerRequest) -> ServerResponse:
+        assert self._connection is not None
+        for _ in range(MAX_STALE_RESPONSES):
+            await self._connection.skip_response()
+            response = self._decode(await self._connection.read_head())
+            if response.request_id == request.id:
+                return response
+        raise ResponseBroken("Only responses to other requests arrived")
+
     def _check_response(self, request: CallerRequest, response: ServerResponse) -> None:
         # A response without an id that follows another one on its connection may belong
         # to another request.
--- a/src/chivesaddle/standins/platform_server.py
+++ b/src/chivesaddle/standins/platform_server.py
@@ -9,6 +9,7 @@
 import os
 import sys
 import time
+import weakref
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -50,6 +51,8 @@
         Send event streams without length and chunks, and close the connection.
     extra_answer : bool
         Send a second response after each response.
+    late_extra_answer : bool
+        The same, but when the next response on the connection is due.
     mute : bool
         Run requests and never respond.
     limit_per_s : float
@@ -82,6 +85,7 @@
     cut_stream_after: int = 0
     unframed: bool = False
     extra_answer: bool = False
+    late_extra_answer: bool = False
     mute: bool = False
     limit_per_s: float = 0.0
     refuse_s: float = 0.0
@@ -150,6 +154,7 @@
     runs: list[str] = field(default_factory=list)
     spans: list[RunSpan] = field(default_factory=list)
     running: int = 0
+    _answered_connections: weakref.WeakSet[Any] = field(default_factory=weakref.WeakSet)
     started_ms: int = field(default_factory=lambda: int(time.time() * 1_000))
 
     def handle(self, request: Any, responder: Any) -> None:
@@ -230,6 +235,10 @@
         if request.target.startswith(b"/stream"):
             await self._stream(request, responder, signed_headers)
         else:
+            if self.faults.late_extra_answer:
+                if responder.connection in self._answered_connections:
+                    responder.connection.transport.write(EXTRA_RESPONSE)
+                self._answered_connections.add(responder.connection)
             body = request_id.encode() + b":" + request.body
             responder.answer(200, body, signed_headers)
             if self.faults.extra_answer:
--- a/src/chivesaddle/tools/soak/run.py
+++ b/src/chivesaddle/tools/soak/run.py
@@ -435,6 +435,7 @@
                 },
                 {"unframed": True},
                 {"extra_answer": True},
+                {"late_extra_answer": True},
                 {"mute": True},
             )
         )
--- a/tests/forwarding/test_late_copies.py
+++ b/tests/forwarding/test_late_copies.py
@@ -2,6 +2,8 @@
 
 from .conftest import Transport
 
+# The response behind one without an id is awaited for this long.
+EXTRA_RESPONSE_WAIT_S = 0.5
 EVENT = b"id: 1\ndata: a\n\n"
 
 
@@ -58,6 +60,49 @@
         assert server.transport.is_lost
 
 
+class TestExtraResponseWithoutAnId:
+    """Guards against a 502 for an action whose own response arrives behind it."""
+
+    @pytest.fixture
+    def reused(self, harness, caller):
+        first = harness.caller()
+        first.request("/unsafe/x")
+        server = harness.connections[0]
+        server.respond()
+        harness.advance()
+        assert first.status == 200
+        caller.request("/unsafe/x", request_id="a2")
+        assert harness.connections == [server]
+        return server
+
+    @pytest.mark.parametrize("status", [200, 404, 503])
+    @pytest.mark.parametrize("extra_responses", [1, 2])
+    @pytest.mark.parametrize("wait_s", [0.0, 0.01, 0.4])
+    def test_is_skipped(self, harness, caller, reused, status, extra_responses, wait_s):
+        extra = b"HTTP/1.1 %d X\r\nContent-Length: 5\r\n\r\nother" % status
+        reused.send(extra * extra_responses)
+        harness.advance(wait_s)
+        reused.respond(body=b"own", request_id="a2")
+        harness.advance()
+        assert caller.status == 200
+        assert caller.received().endswith(b"own")
+        assert len(harness.connections) == 1
+
+    def test_is_awaited_for_a_bounded_time(self, harness, caller, reused):
+        """Guards against callers that wait for servers which send no ids."""
+        reused.send(b"HTTP/1.1 500 X\r\nContent-Length: 5\r\n\r\nother")
+        harness.advance(EXTRA_RESPONSE_WAIT_S + 0.1)
+        assert caller.status == 502
+        assert b"other" not in caller.received()
+        assert reused.transport.is_lost
+
+    def test_ends_the_wait_with_its_connection(self, harness, caller, reused):
+        reused.send(b"HTTP/1.1 500 X\r\nContent-Length: 5\r\n\r\nother")
+        reused.transport.lose_connection()
+        harness.advance()
+        assert caller.status == 502
+
+
 class TestResponseWithoutAnId:
     @pytest.mark.parametrize("status", [421, 503])
     def test_that_arrives_before_the_request_is_written_is_not_taken(
@@ -88,6 +133,6 @@
             b"HTTP/1.1 503 X\r\nX-Chivesaddle-Not-Executed: 1\r\n"
             b"Content-Length: 0\r\n\r\n"
         )
-        harness.advance()
+        harness.advance(EXTRA_RESPONSE_WAIT_S + 0.1)
         assert caller.status == 502
         assert len(harness.connections) == 1
--- a/tests/forwarding/test_repeated_refusals.py
+++ b/tests/forwarding/test_repeated_refusals.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+# An action's own response may follow one without an id for this long.
+EXTRA_RESPONSE_WAIT_S = 0.5
 EVENT = b"id: 1\ndata: own\n\n"
 NOT_EXECUTED = "X-Chivesaddle-Not-Executed: 1"
 REFUSALS = [(503, NOT_EXECUTED), (429, NOT_EXECUTED), (421, "X-Other: 1")]
@@ -84,6 +86,9 @@
         head = f"HTTP/1.1 {status} X\r\n{extra_header}\r\nContent-Length: 0"
         connection.send(f"{head}\r\n\r\n".encode())
         harness.advance()
+        if target == "/unsafe/x":
+            assert caller.status is None
+            harness.advance(EXTRA_RESPONSE_WAIT_S)
         harness.advance()
         assert connection.transport.is_lost
         if target == "/unsafe/x":
