--- a/src/chivesaddle/tools/platform_fleet.py
+++ b/src/chivesaddle/tools/platform_fleet.py
@@ -93,6 +93,7 @@
         # Start times of backend servers as their entries name them.
         self._start_by_server: dict[str, int] = {}
         self._routes: list[dict[str, Any]] = []
+        self._limits: dict[str, int] = {}
         # Software versions that the entries of backend servers name.
         self.software_by_server: dict[str, str] = {}
 
@@ -132,10 +133,12 @@
         for name in self.processes.pids:
             self.processes.kill(name)
 
-    def put_configuration(self, routes: list[dict[str, Any]]) -> int:
+    def put_configuration(
+        self, routes: list[dict[str, Any]], limits: dict[str, int] | None = None
+    ) -> int:
         """Write a new version of the configuration; return its number."""
         self._version += 1
-        self._routes = routes
+        self._routes, self._limits = routes, limits or {}
         self._write_configuration()
         return self._version
 
@@ -143,6 +146,7 @@
         value = {
             "version": self._version,
             "routes": self._routes,
+            "limits": self._limits,
             "services": [{"name": SERVICE, "health_path": "/health"}],
             "tenants": [{"name": "acme", "keys": [API_KEY]}],
         }
--- a/src/chivesaddle/tools/soak/run.py
+++ b/src/chivesaddle/tools/soak/run.py
@@ -15,6 +15,7 @@
 from chivesaddle.tools.platform_fleet import API_KEY, ROUTES, PlatformFleet, route
 from chivesaddle.tools.ports import free_ports
 from chivesaddle.tools.processes import wait_until
+from chivesaddle.tools.soak.bodies import LongBodies
 from chivesaddle.tools.soak.callers import (
     Caller,
     RequestLog,
@@ -22,6 +23,7 @@
     list_addresses,
 )
 from chivesaddle.tools.soak.proxy import Proxy, ProxyMode
+from chivesaddle.tools.soak.question import CommonQuestion
 from chivesaddle.tools.soak.result import SoakResult
 
 DAEMON_COUNT = 3
@@ -139,15 +141,40 @@
             asyncio.create_task(caller.run(self._recovered_by + RECOVERED_TRAFFIC_S))
             for caller in callers
         ]
+        run = (self.fleet, self._seed, self.request_log, time.monotonic)
+        bodies, question = LongBodies(*run), CommonQuestion(*run)
+        ends_at = self._recovered_by + RECOVERED_TRAFFIC_S
+        caller_tasks += [
+            asyncio.create_task(
+                bodies.send_on_kept_connections(
+                    name, faults_end_at, self._recovered_by, ends_at
+                )
+            )
+            for name in self.fleet.listeners
+        ]
+        caller_tasks += [
+            asyncio.create_task(
+                bodies.leave_uploads(faults_end_at, self._recovered_by)
+            ),
+            asyncio.create_task(question.ask(self._recovered_by, ends_at)),
+        ]
         fault_loops = [self._inject_faults(faults_end_at) for _ in range(2)]
         await asyncio.gather(
             *fault_loops,
             self._lose_power(),
             self._silence_servers(faults_end_at),
             self._put_odd_entries(faults_end_at),
+            bodies.change_limits(faults_end_at, self._is_store_in_use),
+            question.crash_servers(
+                self._fault_s,
+                self._are_servers_in_use,
+                self._is_store_in_use,
+                self._log_fault,
+            ),
         )
         self._clear_faults()
         await asyncio.gather(*caller_tasks)
+        bodies.check_memory()
         await self._check_configuration()
 
     async def _inject_faults(self, deadline: float) -> None:
