--- a/src/chivesaddle/engines/connections.py
+++ b/src/chivesaddle/engines/connections.py
@@ -44,6 +44,7 @@
     EngineTimeout,
     EngineUnreachable,
 )
+from chivesaddle.http1 import drop_queued_bytes
 
 # Time without headers after which a request on a reused connection is repeated. Half of
 # the first-token target of 0.36 s leaves time for that.
@@ -70,13 +71,15 @@
         """Return a stream client endpoint."""
 
 
-def _limit_heads(protocol: Any) -> Any:
+def _bound_memory(protocol: Any) -> Any:
     """Abort an agent's connection if a response does not end its head.
 
-    The agent limits each line of a head, but not their number.
+    The agent limits each line of a head, but not their number. What a server has not
+    read of a request is freed when its connection is lost.
     """
     head_bytes: int | None = None
     send, receive = getattr(protocol, "request", None), protocol.dataReceived
+    lose = protocol.connectionLost
     if send is None:
         return protocol
 
@@ -101,7 +104,12 @@
             head_bytes = None
             protocol.abort()
 
+    def connection_lost(reason: Any) -> None:
+        drop_queued_bytes(protocol.transport)
+        lose(reason)
+
     protocol.request, protocol.dataReceived = request, data_received
+    protocol.connectionLost = connection_lost
     return protocol
 
 
@@ -115,7 +123,7 @@
 
     def connect(self, factory: Any) -> Any:
         self.opened = True
-        return self._endpoint.connect(factory).addCallback(_limit_heads)
+        return self._endpoint.connect(factory).addCallback(_bound_memory)
 
 
 @implementer(IAgentEndpointFactory)
--- a/src/chivesaddle/http1/__init__.py
+++ b/src/chivesaddle/http1/__init__.py
@@ -25,7 +25,7 @@
     Responder,
     listen,
 )
-from chivesaddle.http1.sockets import has_queued_bytes
+from chivesaddle.http1.sockets import drop_queued_bytes, has_queued_bytes
 
 __all__ = [
     "BodyLimit",
@@ -44,6 +44,7 @@
     "ResponseLate",
     "Reuse",
     "ServerConnection",
+    "drop_queued_bytes",
     "exchange",
     "has_queued_bytes",
     "header_value",
--- a/tests/engines/test_endless_responses.py
+++ b/tests/engines/test_endless_responses.py
@@ -57,6 +57,18 @@
     assert outcome[0].check(EngineError)
 
 
+@pytest.mark.parametrize("name", CALLS)
+def test_request_that_an_engine_does_not_read_is_freed_with_its_connection(clock, name):
+    """Guards against memory of requests to silent engines, which adds up to a kill."""
+    network = Network()
+    client = EngineClient(Connections(clock, network), clock)
+    start(CALLS[name](client)).addBoth(lambda _: None)
+    (connection, *_) = network.connections
+    connection.dataBuffer = bytes(MEGABYTE)
+    connection.drop()
+    assert not connection.dataBuffer
+
+
 def test_head_of_each_response_is_counted_by_itself(clock):
     network = Network()
     client = EngineClient(Connections(clock, network), clock)
