Bound the long bodies that a daemon holds at once

Cause: a daemon that did not run for a while reads all uploads of that time at once, and each is copied into the queue of its server's connection.

Long bodies are sent in pieces.

TestRequestThatTheServerDoesNotRead is part of TestLongRequest now, with the same checks.

--- a/src/chivesaddle/http1/client.py
+++ b/src/chivesaddle/http1/client.py
@@ -17,6 +17,7 @@
 
 from chivesaddle.core.aio import Clock, with_deadline
 from chivesaddle.core.errors import ChivesaddleError, DeadlineExceeded
+from chivesaddle.http1.body_sender import BodySender
 from chivesaddle.http1.chunks import ChunkDecoder, MalformedChunk
 from chivesaddle.http1.fields import HeaderList, header_value
 from chivesaddle.http1.sockets import (
@@ -32,6 +33,8 @@
 # Reading from the server pauses while more response bytes than this are buffered for a
 # slow reader, and resumes at half of it.
 READ_BUFFER_HIGH_WATER_BYTES = 65_536
+# Longer bodies are written piece by piece.
+MAX_WHOLE_BODY_BYTES = 131_072
 # Of an error that the reactor raised.
 MAX_CAUSE_CHARACTERS = 200
 _HEAD_END = b"\r\n\r\n"
@@ -133,6 +136,8 @@
         self._buffered_bytes = 0
         self._waiter: Deferred[_ResponseEvent] | None = None
         self._request: h11.Request | None = None
+        # Sends a long body; None once all of it is written, and for short ones.
+        self._body_sender: BodySender | None = None
         self._paused = False
         # Whether the head of the response has not been parsed yet.
         self._expects_head = False
@@ -161,6 +166,7 @@
         return (
             not self.lost
             and not self._events
+            and not self._is_sending
             and self._h11.our_state is h11.IDLE
             and self._h11.their_state is h11.IDLE
         )
@@ -198,13 +204,25 @@
         request = h11.Request(method=method, target=target, headers=headers + framing)
         data = self._h11.send(request) or b""
         if body:
-            data += self._h11.send(h11.Data(data=body)) or b""
+            framed = self._h11.send(h11.Data(data=body)) or b""
+            if len(body) <= MAX_WHOLE_BODY_BYTES:
+                data += framed
         data += self._h11.send(h11.EndOfMessage()) or b""
         self._request = request
         self._expects_head = True
         self._interim_responses = 0
         self.requests_sent += 1
         write_at_once(self.transport, data)
+        if len(body) > MAX_WHOLE_BODY_BYTES:
+            self._body_sender = BodySender(self.transport, body)
+            self._body_sender.start()
+
+    @property
+    def _is_sending(self) -> bool:
+        """Whether a part of the request has not been written to the transport yet."""
+        if self._body_sender is not None and self._body_sender.is_done:
+            self._body_sender = None
+        return self._body_sender is not None
 
     async def read_head(self) -> ResponseHead:
         """Wait for status and headers of the response; raises `ResponseBroken`."""
@@ -293,7 +311,8 @@
         """
         was_idle = self.is_reusable
         self.lost = True
-        self.has_unsent_request |= has_queued_bytes(self.transport)
+        self.has_unsent_request |= self._is_sending or has_queued_bytes(self.transport)
+        self._body_sender = None
         drop_queued_bytes(self.transport)
         if not self.when_connected.called:
             self.when_connected.errback(
@@ -430,7 +449,12 @@
         extra_bytes = self._h11.trailing_data[0]
         if self.lost:
             return
-        if extra_bytes or self._events or self._h11.our_state is not h11.DONE:
+        if (
+            extra_bytes
+            or self._events
+            or self._is_sending
+            or self._h11.our_state is not h11.DONE
+        ):
             self.abort()
             return
         if self._h11.their_state is not h11.DONE:
--- a/src/chivesaddle/http1/server.py
+++ b/src/chivesaddle/http1/server.py
@@ -12,6 +12,8 @@
 
 from chivesaddle.core.aio import Clock, DelayedCall
 from chivesaddle.core.errors import ListenFailed
+from chivesaddle.core.logs import ComponentLogger
+from chivesaddle.http1.body_budget import LONG_BODY_BYTES, BodyBudget
 from chivesaddle.http1.fields import HeaderList, header_value
 from chivesaddle.http1.sockets import (
     UnreadInput,
@@ -30,6 +32,12 @@
 # Because of rounding, a timer may fire this much before its deadline.
 _TIMER_TOLERANCE_S = 1e-6
 _STATUSES_WITHOUT_BODY = (204, 304)
+# A long body waits this long for the end of others, then it is refused.
+MAX_BODY_WAIT_S = 3.0
+# Then its caller may send the rest for this long, so that it gets the refusal.
+MAX_LINGER_S = 2.0
+
+log = ComponentLogger("callers")
 
 
 class Headers:
@@ -164,6 +172,7 @@
     handler: Handler
     limits: Callable[[], CallerLimits]
     draining: bool = False
+    bodies: BodyBudget = field(default_factory=BodyBudget)
     connections: set["CallerConnection"] = field(default_factory=set)
     port: Any = None
 
@@ -214,6 +223,9 @@
         self._head: h11.Request | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
+        # Whether the body is long, and whether it waits for others.
+        self._has_long_body = False
+        self._waits_for_bodies = False
         self._timer: DelayedCall | None = None
         self._timer_limits_request = False
         # Waiters of `wait_writable` while the transport's buffer is full, else None.
@@ -237,6 +249,7 @@
         self._is_closed = True
         self._listener.connections.discard(self)
         self._cancel_timer()
+        self._release_body()
         if self.responder is not None:
             responder, self.responder = self.responder, None
             responder.mark_disconnected()
@@ -312,6 +325,7 @@
         self._is_chunked = False
         write_at_once(self.transport, self._h11.send(h11.EndOfMessage()) or b"")
         self.responder = None
+        self._release_body()
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._h11.start_next_cycle()
             self._head = None
@@ -377,7 +391,11 @@
             return
         self._is_parsing = True
         try:
-            while self.responder is None and not self._is_closed:
+            while (
+                self.responder is None
+                and not self._is_closed
+                and not self._waits_for_bodies
+            ):
                 event = self._h11.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     if self._h11.they_are_waiting_for_100_continue:
@@ -412,11 +430,39 @@
                     self._reject(413)
                     return
                 self._body.append(bytes(event.data))
+                if self._body_bytes >= LONG_BODY_BYTES and not self._has_long_body:
+                    self._admit_body()
             case h11.EndOfMessage():
                 self._dispatch()
             case h11.ConnectionClosed():
                 self._close()
 
+    def _admit_body(self) -> None:
+        """Stop reading a long body until there is memory for it."""
+        assert self._head is not None
+        self._has_long_body = True
+        lengths = [v for name, v in self._head.headers if name == b"content-length"]
+        size = int(lengths[0]) if lengths else self._limits.body_bytes
+        if self._listener.bodies.admit(self, size, self._resume_body):
+            return
+        self._waits_for_bodies = True
+        self.transport.pauseProducing()
+        self._set_timer(MAX_BODY_WAIT_S, True)
+
+    def _resume_body(self) -> None:
+        if self._is_closed:
+            return
+        self._waits_for_bodies = False
+        self._set_timer(self._limits.idle_timeout_s, True)
+        self.transport.resumeProducing()
+        self._parse()
+
+    def _release_body(self) -> None:
+        if self._has_long_body:
+            self._has_long_body = self._waits_for_bodies = False
+            self._body = []
+            self._listener.bodies.release(self)
+
     def _check_framing(self, head: h11.Request) -> None:
         """Raise if a request has two framings.
 
@@ -430,6 +476,8 @@
     def _dispatch(self) -> None:
         assert self._head is not None
         self._cancel_timer()
+        if self._has_long_body:
+            self._listener.bodies.shrink(self, self._body_bytes)
         request = Request(
             bytes(self._head.method),
             bytes(self._head.target),
@@ -442,14 +490,17 @@
         self.responder = Responder(self)
         self._listener.handler(request, self.responder)
 
-    def _reject(self, status: int) -> None:
+    def _reject(self, status: int, *, reads_rest: bool = False) -> None:
         """Send an error response to a request that can't be read, and close.
 
         If another request is being processed or a response has been started, the
-        connection is reset instead.
+        connection is reset instead. A close before the rest of the request is read
+        resets the connection, and the caller may lose the response; ``reads_rest``
+        reads and drops the rest for a while.
         """
         if self._is_closed:
             return
+        self._release_body()
         if self.responder is not None or self._h11.our_state not in (
             h11.IDLE,
             h11.SEND_RESPONSE,
@@ -461,7 +512,15 @@
         head = self._h11.send(response) or b""
         end = self._h11.send(h11.EndOfMessage()) or b""
         write_at_once(self.transport, head + end)
-        self._close()
+        if reads_rest:
+            self._is_closed = True
+            self.transport.resumeProducing()
+            self._cancel_timer()
+            self._timer = self._listener.clock.callLater(
+                MAX_LINGER_S, self._end_connection
+            )
+        else:
+            self._close()
 
     def _apply_limits(self) -> None:
         """Apply the limits in force now to the request that begins.
@@ -492,6 +551,13 @@
         self._timer_limits_request = False
 
     def _on_timeout(self) -> None:
+        if self._waits_for_bodies:
+            log.warning(
+                "body refused",
+                extra={"held_bytes": self._listener.bodies.held_bytes},
+            )
+            self._reject(503, reads_rest=True)
+            return
         if self._timer_limits_request:
             self._reject(408)
             return
@@ -507,8 +573,11 @@
         if not self._is_closed:
             self._is_closed = True
             self._cancel_timer()
-            self.transport.unregisterProducer()
-            self.transport.loseConnection()
+            self._end_connection()
+
+    def _end_connection(self) -> None:
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
 
 
 def _parser(limits: CallerLimits) -> h11.Connection:
--- a/tests/http1/test_write.py
+++ b/tests/http1/test_write.py
@@ -99,20 +99,65 @@
             far.recv(10)
 
 
-class TestRequestThatTheServerDoesNotRead:
+@pytest.fixture
+def sending(pair):
+    """A connection to a server that has read nothing yet, with a long request."""
+    transport, far = pair
+    connection = transport.protocol = ServerConnection()
+    connection.transport = transport
+    connection.when_connected.callback(connection)
+    connection.send(b"POST", b"/x", [(b"host", b"h")], LONG_BODY)
+    return connection, transport, far
+
+
+LONG_BODY = b"".join(number.to_bytes(4, "big") for number in range(1_000_000))
+RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class TestLongRequest:
+    def test_arrives_in_order_with_a_short_queue(self, sending):
+        """Guards against a second copy of each long body, and against its loss."""
+        connection, transport, far = sending
+        received = bytearray()
+        while transport.reactor.writers:
+            held = len(transport.dataBuffer) - transport.offset
+            held += transport._tempDataLen
+            assert held <= 300_000
+            assert connection.is_reusable is False
+            received += far.recv(100_000)
+            transport.doWrite()
+        far.setblocking(True)
+        while not received.endswith(LONG_BODY[-8:]):
+            received += far.recv(1 << 20)
+        head, _, body = bytes(received).partition(b"\r\n\r\n")
+        assert b"content-length: 4000000" in head.lower()
+        assert body == LONG_BODY
+
     @pytest.mark.parametrize("reason", [ConnectionAborted, ConnectionDone])
-    def test_is_freed_with_its_connection(self, pair, reason):
+    def test_is_freed_with_its_connection(self, sending, reason):
         """Guards against memory of uploads that failed, which adds up to a kill."""
-        transport, _ = pair
-        connection = transport.protocol = ServerConnection()
-        connection.transport = transport
-        connection.when_connected.callback(connection)
-        connection.send(b"POST", b"/x", [(b"host", b"h")], bytes(4_000_000))
+        connection, transport, _ = sending
         assert has_queued_bytes(transport)
         transport.connectionLost(Failure(reason()))
         assert connection.has_unsent_request
+        assert connection._body_sender is None
         assert not has_queued_bytes(transport)
 
+    @pytest.mark.parametrize("reads", [False, True])
+    def test_is_followed_by_no_other_before_it_is_sent(self, sending, reads):
+        """Guards against a head in the middle of the body before it."""
+        connection, transport, far = sending
+        received = b""
+        while reads and transport.reactor.writers:
+            received += far.recv(1 << 20)
+            transport.doWrite()
+        connection.dataReceived(RESPONSE)
+        start(connection.read_head())
+        start(connection.read_chunk())
+        start(connection.read_chunk())
+        assert connection.is_reusable is reads
+        assert connection.lost is not reads
+
 
 @pytest.fixture
 def stream(pair):
