Count the announced length of a body up to its limit only

A caller that announces more than its limit allows would keep all long bodies of others out until its idle timeout. The new test failed before.

--- a/src/chivesaddle/http1/server.py
+++ b/src/chivesaddle/http1/server.py
@@ -442,7 +442,9 @@
         assert self._head is not None
         self._has_long_body = True
         lengths = [v for name, v in self._head.headers if name == b"content-length"]
-        size = int(lengths[0]) if lengths else self._limits.body_bytes
+        size = max(self._limits.body_bytes, self._listener.limits().body_bytes)
+        if lengths:
+            size = min(size, int(lengths[0]))
         if self._listener.bodies.admit(self, size, self._resume_body):
             return
         self._waits_for_bodies = True
--- a/tests/http1/test_body_budget.py
+++ b/tests/http1/test_body_budget.py
@@ -146,6 +146,16 @@
         assert listener.bodies.held_bytes == 0
 
 
+def test_announced_length_counts_up_to_the_limit(listener, requests, deliver_all):
+    """Guards against one caller that keeps all long bodies of others out."""
+    endless = Upload(listener, LONG)
+    endless.left = endless.left.replace(b"Length: ", b"Length: 99")[: 2 * PIECE]
+    deliver_all([endless])
+    uploads = [Upload(listener, LONG) for _ in range(9)]
+    deliver_all(uploads)
+    assert len(requests) == 9
+
+
 class TestBodyBudget:
     def test_body_above_the_limit_is_admitted_alone(self):
         budget, admitted = BodyBudget(10), []
