Share what the scenes of the soak and its requests have in common

Cause: a last reading of the whole change. The headers of a caller's request and its entry in the log stood in four places of the soak, two scenes had the same constructor, the draw for a loss of power was made twice, and three tests of silent daemons began alike.

Change: request_headers, RequestLog.start and Scene; the draw is made once. Whether a connection still sends its request no longer changes state when it is read; a body that was sent is let go by its sender instead. Behaviour and all assertions are as before.

--- a/src/chivesaddle/http1/body_sender.py
+++ b/src/chivesaddle/http1/body_sender.py
@@ -46,6 +46,8 @@
             self._left = self._left[PIECE_BYTES:]
             self._transport.write(piece)
         if not self._left:
+            # Even an empty view of the body would keep it.
+            self._left = memoryview(b"")
             self._transport.unregisterProducer()
 
     def pauseProducing(self) -> None:  # noqa: N802
--- a/src/chivesaddle/http1/client.py
+++ b/src/chivesaddle/http1/client.py
@@ -136,7 +136,7 @@
         self._buffered_bytes = 0
         self._waiter: Deferred[_ResponseEvent] | None = None
         self._request: h11.Request | None = None
-        # Sends a long body; None once all of it is written, and for short ones.
+        # Sends a long body; None before the first one, and once the connection is lost.
         self._body_sender: BodySender | None = None
         self._paused = False
         # Whether the head of the response has not been parsed yet.
@@ -220,9 +220,7 @@
     @property
     def _is_sending(self) -> bool:
         """Whether a part of the request has not been written to the transport yet."""
-        if self._body_sender is not None and self._body_sender.is_done:
-            self._body_sender = None
-        return self._body_sender is not None
+        return self._body_sender is not None and not self._body_sender.is_done
 
     async def read_head(self) -> ResponseHead:
         """Wait for status and headers of the response; raises `ResponseBroken`."""
--- a/src/chivesaddle/tools/soak/bodies.py
+++ b/src/chivesaddle/tools/soak/bodies.py
@@ -2,21 +2,13 @@
 
 import asyncio
 import contextlib
-import random
 import re
-from collections.abc import Callable
 from pathlib import Path
 
 import httpx
 
-from chivesaddle.platform.headers import REQUEST_ID, TIME_LIMIT
-from chivesaddle.tools.platform_fleet import (
-    API_KEY,
-    HOST_NAME,
-    ROUTES,
-    PlatformFleet,
-)
-from chivesaddle.tools.soak.callers import RequestLog
+from chivesaddle.tools.platform_fleet import ROUTES
+from chivesaddle.tools.soak.scene import Scene
 
 # Limit that the configuration names now and then, and bodies below and above it.
 LOW_LIMIT_BYTES = 2_000
@@ -36,34 +28,13 @@
 PEAK_MEMORY = re.compile(r"^VmHWM:\s+(\d+) kB$", re.MULTILINE)
 
 
-class LongBodies:
-    """Callers with long bodies, and the limits on bodies of one run.
-
-    Parameters
-    ----------
-    fleet : PlatformFleet
-        The daemons.
-    seed : int
-        Seed of the run.
-    request_log : RequestLog
-        Where requests and violations are recorded.
-    clock : callable
-        Returns the time in seconds.
-    """
-
-    def __init__(
-        self,
-        fleet: PlatformFleet,
-        seed: int,
-        request_log: RequestLog,
-        clock: Callable[[], float],
-    ) -> None:
-        self._fleet = fleet
-        # A generator of its own, so that the seeds draw the other faults as before.
-        self._random = random.Random(f"bodies {seed}")
+class LongBodies(Scene):
+    """Callers with long bodies, and the limits on bodies of one run."""
+
+    NAME = "bodies"
+
+    def _prepare(self) -> None:
         self._has_uploads = self._random.random() < UPLOAD_SHARE
-        self._request_log = request_log
-        self._clock = clock
         self._sent_count = 0
 
     async def change_limits(self, deadline: float, store: asyncio.Lock) -> None:
@@ -103,7 +74,8 @@
         async with httpx.AsyncClient(timeout=5.0) as client:
             while (now := self._clock()) < deadline:
                 size = LONG_BODY_BYTES if now >= recovered_by else SHORT_BODY_BYTES
-                request_id, headers = self._start("kept")
+                request_id = self._next_id("kept")
+                headers = self._start(request_id)
                 url = f"http://{self._fleet.listeners[name]['callers']}/safe/x"
                 content = request_id.ljust(size, ".")
                 with contextlib.suppress(httpx.HTTPError):
@@ -130,7 +102,7 @@
 
     async def _leave_upload(self, address: str) -> None:
         host, _, port = address.rpartition(":")
-        _, headers = self._start("left")
+        headers = self._start(self._next_id("left"))
         headers["Content-Length"] = str(UPLOAD_BYTES)
         lines = ["POST /safe/left HTTP/1.1", *(f"{n}: {v}" for n, v in headers.items())]
         _, writer = await asyncio.open_connection(host, int(port))
@@ -156,18 +128,9 @@
                     f"{name} needed {peak // 1_000_000} MB"
                 )
 
-    def _start(self, kind: str) -> tuple[str, dict[str, str]]:
-        """Record a request that does not count as served or not."""
+    def _next_id(self, kind: str) -> str:
         self._sent_count += 1
-        request_id = f"{kind}-{self._sent_count}"
-        self._request_log.route_by_id[request_id] = "safe"
-        self._request_log.status_by_id[request_id] = None
-        return request_id, {
-            "Host": HOST_NAME,
-            "Authorization": f"Bearer {API_KEY}",
-            REQUEST_ID.decode(): request_id,
-            TIME_LIMIT.decode(): "3000",
-        }
+        return f"{kind}-{self._sent_count}"
 
 
 __all__ = ["LongBodies"]
--- a/src/chivesaddle/tools/soak/callers.py
+++ b/src/chivesaddle/tools/soak/callers.py
@@ -74,6 +74,11 @@
     resuming_ids: set[str] = field(default_factory=set)
     violations: list[str] = field(default_factory=list)
 
+    def start(self, request_id: str, route: str) -> None:
+        """Record a request; it counts for the share once ``sent_at_by_id`` has it."""
+        self.route_by_id[request_id] = route
+        self.status_by_id[request_id] = None
+
     def served_share(self, since: float) -> float:
         """Return the share of requests sent from ``since`` on that returned 200."""
         ids = [i for i, at in self.sent_at_by_id.items() if at >= since]
@@ -84,6 +89,18 @@
 DEFAULT_PROFILE = CallerProfile()
 
 
+def request_headers(
+    request_id: str, time_limit_ms: int = REQUEST_TIMEOUT_MS
+) -> dict[str, str]:
+    """Return the headers of a caller's request."""
+    return {
+        "Host": HOST_NAME,
+        "Authorization": f"Bearer {API_KEY}",
+        REQUEST_ID.decode(): request_id,
+        TIME_LIMIT.decode(): str(time_limit_ms),
+    }
+
+
 class Caller:
     """One caller; stays with a daemon until a request to it fails.
 
@@ -169,15 +186,9 @@
         """Record a new request; return its id and headers."""
         self._sent_count += 1
         request_id = f"{self._name}-{self._sent_count}"
-        self._request_log.route_by_id[request_id] = route
+        self._request_log.start(request_id, route)
         self._request_log.sent_at_by_id[request_id] = self._clock()
-        self._request_log.status_by_id[request_id] = None
-        return request_id, {
-            "Host": HOST_NAME,
-            "Authorization": f"Bearer {API_KEY}",
-            REQUEST_ID.decode(): request_id,
-            TIME_LIMIT.decode(): str(self._profile.time_limit_ms),
-        }
+        return request_id, request_headers(request_id, self._profile.time_limit_ms)
 
     async def _request_stream(self, client: httpx.AsyncClient, address: str) -> bool:
         """Receive a stream; resume it at other daemons if it is broken off."""
@@ -307,4 +318,5 @@
     "check_events",
     "check_runs",
     "list_addresses",
+    "request_headers",
 ]
--- a/src/chivesaddle/tools/soak/question.py
+++ b/src/chivesaddle/tools/soak/question.py
@@ -3,15 +3,12 @@
 import asyncio
 import contextlib
 import functools
-import random
 from collections.abc import Callable, Sequence
 from contextlib import AbstractContextManager
 
 import httpx
 
-from chivesaddle.platform.headers import REQUEST_ID, TIME_LIMIT
-from chivesaddle.tools.platform_fleet import API_KEY, HOST_NAME, PlatformFleet
-from chivesaddle.tools.soak.callers import RequestLog
+from chivesaddle.tools.soak.scene import Scene
 
 ASK_INTERVAL_S = 0.05
 # Servers answer slowly before they crash, so that each has the question then.
@@ -22,33 +19,12 @@
 MIN_SERVED_SHARE = 0.9
 
 
-class CommonQuestion:
-    """Callers that all send the same request.
+class CommonQuestion(Scene):
+    """Callers that all send the same request."""
 
-    Parameters
-    ----------
-    fleet : PlatformFleet
-        Daemons and servers.
-    seed : int
-        Seed of the run.
-    request_log : RequestLog
-        Where requests and violations are recorded.
-    clock : callable
-        Returns the time in seconds.
-    """
+    NAME = "question"
 
-    def __init__(
-        self,
-        fleet: PlatformFleet,
-        seed: int,
-        request_log: RequestLog,
-        clock: Callable[[], float],
-    ) -> None:
-        self._fleet = fleet
-        # A generator of its own, so that the seeds draw the other faults as before.
-        self._random = random.Random(f"question {seed}")
-        self._request_log = request_log
-        self._clock = clock
+    def _prepare(self) -> None:
         self._statuses: list[int | None] = []
 
     async def ask(self, recovered_by: float, deadline: float) -> None:
@@ -71,14 +47,7 @@
         listeners = list(self._fleet.listeners.values())
         address = listeners[number % len(listeners)]["callers"]
         request_id = f"question-{number}"
-        self._request_log.route_by_id[request_id] = "safe"
-        self._request_log.status_by_id[request_id] = None
-        headers = {
-            "Host": HOST_NAME,
-            "Authorization": f"Bearer {API_KEY}",
-            REQUEST_ID.decode(): request_id,
-            TIME_LIMIT.decode(): "3000",
-        }
+        headers = self._start(request_id)
         status = None
         with contextlib.suppress(httpx.HTTPError):
             response = await client.post(
--- a/src/chivesaddle/tools/soak/run.py
+++ b/src/chivesaddle/tools/soak/run.py
@@ -11,8 +11,8 @@
 
 import httpx
 
-from chivesaddle.platform.headers import PROMPT_PARTS, REQUEST_ID, TIME_LIMIT
-from chivesaddle.tools.platform_fleet import API_KEY, ROUTES, PlatformFleet, route
+from chivesaddle.platform.headers import PROMPT_PARTS
+from chivesaddle.tools.platform_fleet import ROUTES, PlatformFleet, route
 from chivesaddle.tools.ports import free_ports
 from chivesaddle.tools.processes import wait_until
 from chivesaddle.tools.soak.bodies import LongBodies
@@ -21,6 +21,7 @@
     RequestLog,
     check_runs,
     list_addresses,
+    request_headers,
 )
 from chivesaddle.tools.soak.proxy import Proxy, ProxyMode
 from chivesaddle.tools.soak.question import CommonQuestion
@@ -77,6 +78,9 @@
     def __init__(self, seed: int, fault_s: float, build_dir: Path) -> None:
         self._seed = seed
         self._random = random.Random(seed)
+        # Of its own, so that the seeds draw the other faults as before.
+        self._power_random = random.Random(f"power {seed}")
+        self._loses_power = self._power_random.random() < POWER_LOSS_SHARE
         self._fault_s = fault_s
         self._proxies: dict[str, Proxy] = {}
         self._ports = iter(free_ports(1 + SERVER_COUNT))
@@ -233,9 +237,8 @@
 
     async def _lose_power(self) -> None:
         """Kill all daemons at once, in some runs."""
-        # A generator of its own, so that the seeds draw the other faults as before.
-        chooser = random.Random(f"power {self._seed}")
-        if chooser.random() >= POWER_LOSS_SHARE:
+        chooser = self._power_random
+        if not self._loses_power:
             return
         await asyncio.sleep(chooser.uniform(0.2, 0.6) * self._fault_s)
         names = [
@@ -255,7 +258,7 @@
 
         Daemons that were all killed do not know what servers answered (KNOWN-RED.txt).
         """
-        if random.Random(f"power {self._seed}").random() < POWER_LOSS_SHARE:
+        if self._loses_power:
             return
         await question.crash_servers(
             self._fault_s,
@@ -428,14 +431,9 @@
 
             async def send(number: int) -> None:
                 request_id = f"{part}-{number}"
-                self.request_log.route_by_id[request_id] = "stream"
-                self.request_log.status_by_id[request_id] = None
+                self.request_log.start(request_id, "stream")
                 listeners = self._random.choice(list(self.fleet.listeners.values()))
-                headers = {
-                    "Host": ROUTES[0]["host"],
-                    "Authorization": f"Bearer {API_KEY}",
-                    REQUEST_ID.decode(): request_id,
-                    TIME_LIMIT.decode(): "3000",
+                headers = request_headers(request_id) | {
                     PROMPT_PARTS.decode(): f"aa:9,{part}:9,{number:x}:9",
                 }
                 url = f"http://{listeners['callers']}/stream/{request_id}"
--- a/tests/forwarding/test_silent_peers.py
+++ b/tests/forwarding/test_silent_peers.py
@@ -51,6 +51,17 @@
     return first, others
 
 
+def pass_on_beside_another(harness, caller, target):
+    """Return the connection to the first daemon; the next has another request."""
+    other_caller = harness.caller()
+    harness.peer_paths.peers = PEERS[1::-1]
+    other_caller.request("/stream/x", "a2")
+    harness.peer_paths.peers = PEERS[:2]
+    caller.request(target)
+    (first,) = connections_to(harness, PEERS[0])
+    return first
+
+
 def answer(connection):
     if "/safe/" in connection.head:
         connection.respond(body=EVENT_1 + EVENT_2 + b"\r\n0\r\n\r\n")
@@ -112,12 +123,7 @@
     def test_is_answered_through_it_if_the_next_one_is_silent_too(
         self, cut_off, caller, target, wait_s
     ):
-        other_caller = cut_off.caller()
-        cut_off.peer_paths.peers = PEERS[1::-1]
-        other_caller.request("/stream/x", "a2")
-        cut_off.peer_paths.peers = PEERS[:2]
-        caller.request(target)
-        (first,) = connections_to(cut_off, PEERS[0])
+        first = pass_on_beside_another(cut_off, caller, target)
         advance(cut_off, wait_s + MAX_OVERLAP_S)
         assert len(connections_to(cut_off, PEERS[1])) == 2
         answer(first)
@@ -131,12 +137,7 @@
         The next daemon answered none of its requests yet, since the servers read
         their prompts.
         """
-        other_caller = cut_off.caller()
-        cut_off.peer_paths.peers = PEERS[1::-1]
-        other_caller.request("/stream/x", "a2")
-        cut_off.peer_paths.peers = PEERS[:2]
-        caller.request(target)
-        (first,) = connections_to(cut_off, PEERS[0])
+        first = pass_on_beside_another(cut_off, caller, target)
         advance(cut_off, wait_s + 0.1)
         cut_off.peer_paths.beacon_at_by_peer[PEERS[1].id] = cut_off.reactor.seconds()
         advance(cut_off, 0.3)
@@ -149,12 +150,7 @@
     def test_is_answered_through_it_if_the_next_one_sent_beacons_only_before(
         self, cut_off, caller, target, wait_s
     ):
-        other_caller = cut_off.caller()
-        cut_off.peer_paths.peers = PEERS[1::-1]
-        other_caller.request("/stream/x", "a2")
-        cut_off.peer_paths.peers = PEERS[:2]
-        caller.request(target)
-        (first,) = connections_to(cut_off, PEERS[0])
+        first = pass_on_beside_another(cut_off, caller, target)
         advance(cut_off, wait_s - 0.1)
         cut_off.peer_paths.beacon_at_by_peer[PEERS[1].id] = cut_off.reactor.seconds()
         advance(cut_off, MAX_OVERLAP_S + 0.1)
