Tell crashes that nobody could judge from those of unanswered requests

Cause: daemons that were all killed do not know what servers answered before. "Nobody saw an answer" and "nobody was running to see one" were the same state, and three crashes are enough for a request that nobody saw answered.

Change: reports of crashes say whether any daemon that knows of the crash was running for the 60 s before. While none is known, crashes at three different moments refuse a request or part, and after three crashes a daemon sends one copy at a time. At the first start of the system, which the settings name, nothing was answered before, and nothing changes.

Why this holds for requests that do crash servers: five servers at most after a restart of all daemons, at 1, 4 and 9 daemons and for callers that return every 0.3, 1 and 4 s (virtual time); two of them after the third, where the users allow three. A daemon that ran on tells the others through the exchange.

The soak plays this combination again. Reports get a seventh field; daemons of older builds ignore it, and theirs count as known.

--- a/src/chivesaddle/forwarding/blame.py
+++ b/src/chivesaddle/forwarding/blame.py
@@ -17,6 +17,9 @@
 # Moments of crashes after which one is refused that servers answered shortly before.
 # Servers also crash for other reasons, and what many callers ask is then at each.
 MIN_MOMENTS_IF_ANSWERED = 5
+# The same while it is not known whether servers answered it, as after a restart of all
+# daemons.
+MIN_MOMENTS_IF_UNKNOWN = 3
 # Servers that crash within this time may have one cause, such as the loss of a zone.
 SAME_MOMENT_S = 0.5
 # Crashes of a part that nothing else explains, if something else explains the others.
@@ -26,7 +29,9 @@
 CrashId = tuple[BackendServerId, int]
 
 
-def is_sufficient(times: Collection[float], was_answered: bool) -> bool:
+def is_sufficient(
+    times: Collection[float], was_answered: bool, is_answer_known: bool = True
+) -> bool:
     """Return whether crashes are enough to refuse a request or part.
 
     Parameters
@@ -35,10 +40,14 @@
         When each server crashed, in seconds of the daemon's clock.
     was_answered : bool
         Whether a server answered the request or part shortly before one of them.
+    is_answer_known : bool
+        Whether any daemon knows what servers answered in that time.
     """
-    if not was_answered:
-        return len(times) >= MIN_CRASHES
-    return _count_moments(times) >= MIN_MOMENTS_IF_ANSWERED
+    if was_answered:
+        return _count_moments(times) >= MIN_MOMENTS_IF_ANSWERED
+    if not is_answer_known:
+        return _count_moments(times) >= MIN_MOMENTS_IF_UNKNOWN
+    return len(times) >= MIN_CRASHES
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,15 +60,20 @@
         When each server crashed, in seconds of the daemon's clock.
     was_answered : bool
         Whether a server answered the part shortly before one of the crashes.
+    is_answer_known : bool
+        Whether any daemon knows what servers answered in that time.
     """
 
     time_by_crash: Mapping[CrashId, float]
     was_answered: bool = False
+    is_answer_known: bool = True
 
     @property
     def is_sufficient(self) -> bool:
         """Whether the crashes are enough to refuse the part."""
-        return is_sufficient(self.time_by_crash.values(), self.was_answered)
+        return is_sufficient(
+            self.time_by_crash.values(), self.was_answered, self.is_answer_known
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chivesaddle/forwarding/crash_history.py
+++ b/src/chivesaddle/forwarding/crash_history.py
@@ -45,6 +45,9 @@
         Milliseconds since the connection broke.
     was_answered : bool
         Whether a server was seen to answer the request or part shortly before.
+    is_answer_known : bool
+        Whether a daemon that knows of the crash was running in all of that time.
+        Daemons of older builds do not say so.
     """
 
     fingerprint: str
@@ -53,6 +56,7 @@
     state: CrashState
     age_ms: int
     was_answered: bool = False
+    is_answer_known: bool = True
 
 
 @dataclass(slots=True)
@@ -89,6 +93,7 @@
     changed_at: float
     crashes_by_server: OrderedDict[CrashId, Crash]
     was_answered: bool = False
+    is_answer_known: bool = True
 
     def counting(self, now: float) -> dict[CrashId, Crash]:
         """Return the crashes that count now."""
@@ -113,7 +118,7 @@
     def is_sufficient(self, now: float) -> bool:
         """Return whether the crashes that count now are enough to refuse it."""
         times = [crash.at for crash in self.counting(now).values()]
-        return is_sufficient(times, self.was_answered)
+        return is_sufficient(times, self.was_answered, self.is_answer_known)
 
     def sufficient_until(
         self, now: float, explained: Collection[CrashId] = ()
@@ -129,7 +134,7 @@
         until = None
         for number, crash in enumerate(crashes):
             times = [left.at for left in crashes[number:]]
-            if not is_sufficient(times, self.was_answered):
+            if not is_sufficient(times, self.was_answered, self.is_answer_known):
                 break
             until = crash.counts_until()
         return until
@@ -162,6 +167,7 @@
 
 
 __all__ = [
+    "ANSWERED_RETENTION_S",
     "CRASH_RETENTION_S",
     "Crash",
     "CrashHistory",
--- a/src/chivesaddle/forwarding/crashes.py
+++ b/src/chivesaddle/forwarding/crashes.py
@@ -27,6 +27,7 @@
     find_crashing_parts,
 )
 from chivesaddle.forwarding.crash_history import (
+    ANSWERED_RETENTION_S,
     CRASH_RETENTION_S,
     Crash,
     CrashHistory,
@@ -115,6 +116,9 @@
     ----------
     clock : Clock
         Clock of all times.
+    knows_answers_since : float
+        Since when this daemon knows what servers answer, in seconds of ``clock``. Minus
+        infinity if nothing was answered before it started.
 
     Attributes
     ----------
@@ -122,8 +126,11 @@
         Number of refusals of requests and parts that crash servers.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self, clock: Clock, knows_answers_since: float = float("-inf")
+    ) -> None:
         self._clock = clock
+        self._knows_answers_since = knows_answers_since
         # Called with what this daemon has observed, to send it to peers at once.
         self.on_report: Callable[[list[CrashReport]], None] = lambda reports: None
         # Called after a crash was confirmed, here or by a peer.
@@ -179,6 +186,7 @@
                 CrashState.SUSPECTED,
                 now,
                 was_answered=self._was_answered(suspect, now),
+                is_answer_known=self._knows_answers(now),
                 is_own=True,
             ):
                 self._report(suspect, (server.id, server.started_ms))
@@ -189,6 +197,7 @@
                 "server": server.id,
                 "fingerprint": key,
                 "crashes": self.count(key),
+                "is_answer_known": self._is_answer_known(key),
                 "crashes_by_part": {part: self.count(part) for part in parts},
             },
         )
@@ -381,10 +390,10 @@
             until = history.sufficient_until(now, explained)
             if until is not None:
                 return until
-        if history.was_answered:
+        running = self._runs_by_fingerprint.get(key, 0)
+        if history.was_answered or not (history.is_answer_known or running):
             return None
         crashes = sum(id not in explained for id in history.counting(now))
-        running = self._runs_by_fingerprint.get(key, 0)
         if crashes and crashes + running >= BLOCK_AFTER_CRASHES:
             return now + CONCURRENT_RETRY_AFTER_S
         return None
@@ -399,6 +408,7 @@
             key: PartEvidence(
                 {id: crash.at for id, crash in history.counting(now).items()},
                 history.was_answered,
+                history.is_answer_known,
             )
             for key, history in self._history_by_fingerprint.items()
             if is_part(key) and len(history.crashes_by_server) >= MIN_CRASHES
@@ -427,6 +437,14 @@
         answers = self._answered_parts if is_part(key) else self._answered_requests
         return answers.includes(key, now)
 
+    def _is_answer_known(self, key: Fingerprint) -> bool:
+        history = self._history_by_fingerprint.get(key)
+        return history is not None and history.is_answer_known
+
+    def _knows_answers(self, at: float) -> bool:
+        """Return whether this daemon knows what was answered shortly before ``at``."""
+        return self._knows_answers_since <= at - ANSWERED_RETENTION_S
+
     def collect(self) -> list[list[Any]]:
         """Return the crashes of blocked and of recently changed requests, for peers."""
         now = self._clock.seconds()
@@ -482,6 +500,7 @@
                     CrashState.CONFIRMED,
                     now - report.age_ms / 1_000,
                     was_answered=report.was_answered,
+                    is_answer_known=report.is_answer_known,
                     is_own=is_own,
                 )
 
@@ -501,6 +520,7 @@
                 report.state,
                 at,
                 was_answered=report.was_answered or self._was_answered(key, at),
+                is_answer_known=report.is_answer_known or self._knows_answers(at),
             )
             if is_new:
                 # A crash has many parts as suspects; its requests are logged as well.
@@ -513,6 +533,7 @@
                         "state": report.state.name.lower(),
                         "age_ms": report.age_ms,
                         "crashes": self.count(key),
+                        "is_answer_known": self._is_answer_known(key),
                     },
                 )
 
@@ -524,6 +545,7 @@
         at: float,
         *,
         was_answered: bool = False,
+        is_answer_known: bool = False,
         is_own: bool = False,
     ) -> bool:
         """Apply one observation; return whether it was new."""
@@ -532,6 +554,9 @@
         if history is not None and was_answered and not history.was_answered:
             history.was_answered = True
             self._determine_at = now
+        if history is not None and is_answer_known and not history.is_answer_known:
+            history.is_answer_known = True
+            self._determine_at = now
         known = history and history.crashes_by_server.get(crash_id)
         if known:
             is_own = known.is_own = known.is_own or is_own
@@ -543,7 +568,7 @@
             return False
         if history is None:
             history = self._history_by_fingerprint[key] = CrashHistory(
-                now, OrderedDict(), was_answered
+                now, OrderedDict(), was_answered, is_answer_known
             )
         history.crashes_by_server[crash_id] = crash
         history.changed_at = now
@@ -602,7 +627,12 @@
         crash = history.crashes_by_server[crash_id]
         age_s = self._clock.seconds() - crash.at
         return CrashReport(
-            key, *crash_id, crash.state, round(age_s * 1_000), history.was_answered
+            key,
+            *crash_id,
+            crash.state,
+            round(age_s * 1_000),
+            history.was_answered,
+            history.is_answer_known,
         )
 
 
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -1,6 +1,7 @@
 """The serving daemon: builds its components, starts and stops them in order."""
 
 import logging
+import math
 import os
 from collections.abc import Callable, Iterable
 from pathlib import Path
@@ -265,7 +266,9 @@
             lambda: self._working_set.includes_own,
         )
         self._evacuations.on_zone_returned = self._cold_starts.presume_cold
-        self._crashes = crashes = CrashRecord(reactor)
+        self._crashes = crashes = CrashRecord(
+            reactor, -math.inf if settings.is_first_start else reactor.seconds()
+        )
         self._servers.on_down = crashes.confirm
         crashes.trial_rank = self._trial_rank
         server_list = self._replicas[SERVERS_KIND]
--- a/src/chivesaddle/serving/settings.py
+++ b/src/chivesaddle/serving/settings.py
@@ -139,6 +139,9 @@
     contracts : list of str
         Names of the rule sets that the deployment has in force; see
         `platform.Features`.
+    is_first_start : bool
+        Whether the whole system starts for the first time, so that no earlier daemon
+        has seen what servers answer.
     log_lines_per_s : float
         Average limit of log lines per second; short bursts may exceed it.
     """
@@ -152,6 +155,7 @@
     capacity: InstanceCapacity = InstanceCapacity()
     connect_from: str | None = None
     contracts: list[Name] = []
+    is_first_start: bool = True
     log_level: str = "INFO"
     log_lines_per_s: Positive = 100.0
 
--- a/src/chivesaddle/serving/stored_crashes.py
+++ b/src/chivesaddle/serving/stored_crashes.py
@@ -44,6 +44,8 @@
         When its connection broke, in Unix milliseconds.
     was_answered : bool
         Whether a server was seen to answer the request or part shortly before.
+    is_answer_known : bool
+        Whether any daemon knew what servers answered in that time.
     """
 
     fingerprint: Annotated[str, msgspec.Meta(max_length=MAX_FINGERPRINT_CHARACTERS)]
@@ -51,6 +53,7 @@
     started_ms: _UnixMs
     at_ms: _UnixMs
     was_answered: bool
+    is_answer_known: bool = True
 
 
 class _Record(msgspec.Struct):
@@ -106,6 +109,7 @@
                 report.started_ms,
                 max(0, now_ms - report.age_ms),
                 report.was_answered,
+                report.is_answer_known,
             )
             for report in self._crashes.recordable()
         ]
@@ -123,6 +127,7 @@
                 CrashState.CONFIRMED,
                 max(0, now_ms - entry.at_ms),
                 entry.was_answered,
+                entry.is_answer_known,
             )
             for entry in entries
         ]
--- a/src/chivesaddle/tools/platform_fleet.py
+++ b/src/chivesaddle/tools/platform_fleet.py
@@ -123,6 +123,8 @@
         for name in self.servers:
             self.put_server(name)
         self.processes.start(self._daemon_spec(name) for name in self.listeners)
+        for name in self.listeners:
+            self._write_settings(name, is_first_start=False)
 
     def stop(self) -> None:
         """Stop all processes that this fleet started."""
@@ -244,6 +246,12 @@
             HTTP_CLIENT.put(f"{url}/{name}", json=body).raise_for_status()
 
     def _daemon_spec(self, name: str) -> ProcessSpec:
+        path = self._write_settings(name, is_first_start=True)
+        readiness = self.listeners[name]["readiness"]
+        url = f"http://{readiness}/readiness"
+        return ProcessSpec(name, "chivesaddle.serving.main", (str(path),), url)
+
+    def _write_settings(self, name: str, *, is_first_start: bool) -> Path:
         settings: dict[str, Any] = {
             "daemon_id": name,
             "zone": "z",
@@ -259,14 +267,13 @@
             },
             "seeds": [listeners["peers"] for listeners in self.listeners.values()],
             "connect_from": self.host_by_daemon[name],
+            "is_first_start": is_first_start,
         }
         if self._evacuation_s is not None:
             settings["bounds"]["evacuation_s"] = self._evacuation_s
         path = self.settings_path(name)
         path.write_text(json.dumps(settings))
-        readiness = self.listeners[name]["readiness"]
-        url = f"http://{readiness}/readiness"
-        return ProcessSpec(name, "chivesaddle.serving.main", (str(path),), url)
+        return path
 
 
 __all__ = ["API_KEY", "HOST_NAME", "ROUTES", "PlatformFleet", "route"]
--- a/src/chivesaddle/tools/soak/run.py
+++ b/src/chivesaddle/tools/soak/run.py
@@ -169,7 +169,12 @@
             self._silence_servers(faults_end_at),
             self._put_odd_entries(faults_end_at),
             bodies.change_limits(faults_end_at, self._is_store_in_use),
-            self._crash_servers(question),
+            question.crash_servers(
+                self._fault_s,
+                self._are_servers_in_use,
+                self._is_store_in_use,
+                self._log_fault,
+            ),
         )
         self._clear_faults()
         await asyncio.gather(*caller_tasks)
@@ -253,20 +258,6 @@
             await asyncio.sleep(chooser.uniform(0.0, 1.0))
             await asyncio.gather(*(self._restart_daemon(name) for name in names))
 
-    async def _crash_servers(self, question: CommonQuestion) -> None:
-        """Crash all servers together, in some of the runs that kill no daemons so.
-
-        Daemons that were all killed do not know what servers answered (KNOWN-RED.txt).
-        """
-        if self._loses_power:
-            return
-        await question.crash_servers(
-            self._fault_s,
-            self._are_servers_in_use,
-            self._is_store_in_use,
-            self._log_fault,
-        )
-
     async def _put_odd_entries(self, deadline: float) -> None:
         """Put an odd entry among those of the servers and remove it, repeatedly."""
         # A generator of its own, so that the seeds draw the other faults as before.
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -218,7 +218,7 @@
 class Harness:
     """A forwarder with two servers of a service without a model."""
 
-    def __init__(self, reactor=None):
+    def __init__(self, reactor=None, knows_answers_since=-math.inf):
         self.reactor = reactor or FakeReactor()
         clock = self.reactor
         self.serving_state = ServingState(clock, 7.0)
@@ -231,7 +231,7 @@
             self.add_server(number)
         self.limits = RateLimits(clock, self.servers, DaemonId("d0"), lambda: [])
         self.pool = ConnectionPool(Connector(clock), clock)
-        self.crashes = CrashRecord(clock)
+        self.crashes = CrashRecord(clock, knows_answers_since)
         self.servers.on_down = self.crashes.confirm
         self.budget = RetryBudget(clock, 0.2, 50, 10, lambda: 1)
         transfers = TransferPlanner(clock, CacheIndex(clock))
@@ -382,7 +382,7 @@
 
     def restart(self, number):
         """Replace a daemon by a new one that knows nothing."""
-        self.daemons[number] = Harness(self.reactor)
+        self.daemons[number] = Harness(self.reactor, self.reactor.seconds())
         self.start(self.daemons[number])
 
     def list_server(self, daemon, number, **fields):
--- a/tests/forwarding/test_blame.py
+++ b/tests/forwarding/test_blame.py
@@ -213,7 +213,7 @@
         report = [BAD, "s1", 1, int(CrashState.CONFIRMED), 100]
         record.apply_remote(msgspec.json.decode(msgspec.json.encode([report])))
         assert record.count(BAD) == 1
-        assert record.collect() == [[*report, False]]
+        assert record.collect() == [[*report, False, True]]
 
     def test_memory_is_bounded_under_random_parts(self, clock):
         record = CrashRecord(clock)
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -12,6 +12,7 @@
     CrashRecord,
     CrashReport,
     CrashState,
+    CrashSuspects,
     fingerprint,
     part_fingerprint,
 )
@@ -241,6 +242,46 @@
         fleet.advance(2)
         self.answer(fleet, "after")
 
+    def test_daemon_that_ran_on_tells_that_it_was_not_answered(self, crash_fleet):
+        """Guards against restarts that let a crashing request reach more servers."""
+        fleet = crash_fleet(4)
+        for number in (0, 1, 2):
+            fleet.restart(number)
+        self.crash_together(fleet, "crash")
+        fleet.advance(4)
+        assert crash_servers(fleet, 8, 0.3, 0.1) == 0
+
+    @pytest.mark.parametrize("size", [1, 4, 9])
+    @pytest.mark.parametrize("gap_s", [0.3, 1.0, 4.0])
+    def test_crashing_request_is_blocked_though_all_daemons_restarted(
+        self, crash_fleet, size, gap_s
+    ):
+        """Guards against the users' rule on sends 3 s after the third crash."""
+        fleet = crash_fleet(size)
+        for number in range(size):
+            fleet.restart(number)
+        assert crash_servers(fleet, 30, gap_s, 0.1) <= MAX_CRASHES + 2
+        fleet.advance(120)
+        assert crash_servers(fleet, 8, 1.0, 0.1) == 0
+
+    def test_common_part_is_served_though_all_daemons_restarted(self, clock):
+        """Guards against a part of all prompts that is refused after a power loss."""
+        part = part_fingerprint(PromptPartId("p"), None, None)
+        suspects = CrashSuspects("next", (part,))
+        record = CrashRecord(clock, clock.seconds())
+        for number in range(5):
+            record.apply_reports(
+                CrashReport(
+                    key, f"s{number}", 1, CrashState.CONFIRMED, 100, False, False
+                )
+                for key in (part, f"r{number}")
+            )
+        assert record.find_refusal(suspects) is None
+        record.start_run(part)
+        assert record.find_refusal(suspects) is not None, "one at a time"
+        record.record_answered([part])
+        assert record.count(part) == 0
+
     def test_requests_that_come_once_displace_no_parts(self, crash_fleet):
         record = crash_fleet(1).daemons[0].crashes
         part = part_fingerprint(PromptPartId("p"), None, None)
@@ -249,7 +290,7 @@
             record.record_completed(f"request-{number}")
         server = crash_fleet(1).daemons[0].servers.all()[0].entry
         record.suspect("request", server, "a1", [part])
-        assert [part, True] in [[report[0], report[-1]] for report in record.collect()]
+        assert [part, True] in [[report[0], report[5]] for report in record.collect()]
 
 
 class TestEndOfARefusal:
--- a/tests/serving/test_settings.py
+++ b/tests/serving/test_settings.py
@@ -82,6 +82,7 @@
         "limits.cores": 1,
         "limits.link_mbps": 100,
         "contracts": ["base", "drain"],
+        "bootstrap": True,
     }
 
     def render(self, **values):
@@ -112,6 +113,13 @@
         assert settings.bounds.evacuation_s == evacuation_s
         assert settings.contracts == ["base", "drain"]
 
+    @pytest.mark.parametrize("is_first", [True, False])
+    def test_says_whether_the_system_starts_for_the_first_time(
+        self, write_settings, is_first
+    ):
+        path = write_settings(self.render(bootstrap=is_first))
+        assert ServingSettings.from_config(path).is_first_start is is_first
+
 
 class TestCapacity:
     @pytest.mark.parametrize(
