Make watches again that began before a call to the store failed

In its record a daemon loses and regains the store, and its watch of the configuration, begun 3.6 s before that, misses its deadline of 15 s eleven seconds later. In between it waited for a response that could not come.

Cause: a watch that waits was taken for proof that nothing changed. A store that turns calls away in silence, or a path that loses a response, leaves it open until its deadline. And all daemons list when they start or the store recovers, so that their watches were in step and all ended after the same 15 s: nobody learned of a version before.

Change: when a call that began after a failure succeeds, calls that began before the failure are made again. An open watch is kept while new calls are turned away. The first watch after a listing ends at a random time, so that some watch of the fleet ends soon after a silence.

--- a/src/chivesaddle/fleet/watcher.py
+++ b/src/chivesaddle/fleet/watcher.py
@@ -26,6 +26,10 @@
 # recovers.
 RETRY_BASE_S = 0.1
 RETRY_MAX_S = 1.0
+# Least share of `WATCH_TIMEOUT_S` after a listing. Daemons list at the same time when
+# they start or the store recovers; if their watches then ended together, and the store
+# stopped answering them, all daemons would miss changes until that time.
+MIN_FIRST_WAIT_SHARE = 0.1
 # Failures that repeat are logged once in this time.
 FAILURE_LOG_INTERVAL_S = 30.0
 # Delay before the next watch after a change, per daemon of the fleet, so that one call
@@ -57,10 +61,22 @@
         self.unreachable_since: float | None = clock.seconds()
         self.reachable_since = 0.0
         self.last_success_at = -math.inf
+        self._failed_at: float | None = None
+        self._listeners: list[Callable[[float], None]] = []
 
-    def record_success(self) -> None:
-        """Record that the store answered a call."""
+    def add_listener(self, listener: Callable[[float], None]) -> None:
+        """Call ``listener(failed_at)`` when a new call succeeds after one failed."""
+        self._listeners.append(listener)
+
+    def record_success(self, began_at: float) -> None:
+        """Record that the store answered a call that began at ``began_at``."""
         self.last_success_at = self._clock.seconds()
+        failed_at = self._failed_at
+        # An open connection may still be served while new calls are turned away.
+        if failed_at is not None and began_at >= failed_at:
+            self._failed_at = None
+            for listener in self._listeners:
+                listener(failed_at)
         if self.unreachable_since is not None:
             now = self._clock.seconds()
             away_ms = round((now - self.unreachable_since) * 1_000)
@@ -74,6 +90,7 @@
 
     def record_failure(self, error: Exception) -> None:
         """Record that a call failed."""
+        self._failed_at = self._clock.seconds()
         if self.unreachable_since is None:
             self.unreachable_since = self._clock.seconds()
             log.warning("store lost", extra={"cause": str(error)})
@@ -120,10 +137,20 @@
         self._watch_after: int | None = None
         # Whether the kind was listed again without a watch that succeeded since.
         self._is_relisted = False
+        self._call: Deferred[None] | None = None
+        self._called_at = -math.inf
+        self._is_first_watch = True
+        self._is_call_repeated = False
+        reachability.add_listener(self.repeat_call)
         self._failures = 0
         self._failure_logged_at = -math.inf
         self._unlogged_failures = 0
 
+    @property
+    def kind(self) -> str:
+        """Kind of the objects that are watched."""
+        return self._replica.kind
+
     def start(self) -> None:
         """Start watching."""
         self._loop = start(self._run())
@@ -140,8 +167,11 @@
             if role and self._replica.applied_revision and not role.may_watch():
                 await self._wait_for(role)
             try:
-                await self._list_or_watch()
-                self._reachability.record_success()
+                self._called_at = self._clock.seconds()
+                self._is_call_repeated = False
+                self._call = start(self._list_or_watch())
+                await self._call
+                self._reachability.record_success(self._called_at)
             except (PlatformUnavailable, DeadlineExceeded) as error:
                 self._reachability.record_failure(error)
                 await self._wait_before_retry()
@@ -158,7 +188,8 @@
                 else:
                     await self._wait_before_retry()
             except CancelledError:
-                raise
+                if not self._is_call_repeated:
+                    raise
             except Exception as error:
                 # Whatever an object of another writer led to, the watch goes on, with
                 # growing pauses until one succeeds.
@@ -166,6 +197,24 @@
                 self._log_failure(error)
                 await self._wait_before_retry()
 
+    def repeat_call(self, began_before: float) -> None:
+        """Make a call again that began before a time and is not answered.
+
+        Its response may have been lost, so that it would wait until its deadline.
+        """
+        call = self._call
+        if call is None or call.called or self._called_at >= began_before:
+            return
+        log.info(
+            "call repeated",
+            extra={
+                "kind": self._replica.kind,
+                "age_ms": round((self._clock.seconds() - self._called_at) * 1_000),
+            },
+        )
+        self._is_call_repeated = True
+        call.cancel()
+
     async def _wait_before_retry(self) -> None:
         # The store may have compacted changes made in the meantime.
         self._watch_after = None
@@ -203,11 +252,16 @@
             listing = await self._api.list_objects(kind, deadline=now + LIST_TIMEOUT_S)
             self._replica.apply_listing(listing)
             self._watch_after = listing.revision
+            self._is_first_watch = True
             if not self._is_relisted:
                 self._failures = 0
             return
+        share = 1.0
+        if self._is_first_watch:
+            share = self._jitter.uniform(MIN_FIRST_WAIT_SHARE, 1.0)
+            self._is_first_watch = False
         changes = await self._api.wait_for_changes(
-            kind, after=self._watch_after, deadline=now + WATCH_TIMEOUT_S
+            kind, after=self._watch_after, deadline=now + WATCH_TIMEOUT_S * share
         )
         self._replica.apply_changes(changes.revision, changes.changes)
         self._watch_after = max(self._watch_after, changes.revision)
--- a/tests/fleet/test_exchange.py
+++ b/tests/fleet/test_exchange.py
@@ -35,7 +35,7 @@
                 daemons.merge(number + 1, [Entry(other.id, number + 1, fields)])
             members = Members(clock, own, daemons)
             reachability = StoreReachability(clock)
-            reachability.record_success()
+            reachability.record_success(clock.seconds())
             exchange = GossipExchange(
                 clock,
                 members,
--- a/tests/fleet/test_watcher.py
+++ b/tests/fleet/test_watcher.py
@@ -1,6 +1,7 @@
 import pytest
 from twisted.internet.defer import Deferred
 
+from chivesaddle.core.errors import DeadlineExceeded
 from chivesaddle.core.objects import (
     ChangeType,
     ObjectChange,
@@ -120,6 +121,60 @@
         assert 5 <= store.calls <= 30
 
 
+class TestCallsThatBeganBeforeAFailure:
+    @pytest.fixture
+    def stores(self, clock):
+        return Store(clock), Store(clock)
+
+    @pytest.fixture
+    def replicas(self, stores, clock):
+        """Return replicas of two kinds whose calls fail apart from each other."""
+        reachability = StoreReachability(clock)
+        replicas = Replica("config"), Replica("daemons")
+        for store, replica in zip(stores, replicas, strict=True):
+            Watcher(store, clock, replica, reachability, lambda: 6).start()
+        advance_in_steps(clock, 1.0)
+        return replicas
+
+    def test_are_made_again_when_the_store_answers_a_new_one(
+        self, stores, replicas, clock
+    ):
+        """Guards against a watch that waits in vain until its deadline."""
+        hung, failed = stores
+        hung.waiting.clear()
+        failed.waiting.pop().errback(DeadlineExceeded("late"))
+        advance_in_steps(clock, 0.5)
+        hung.change("main")
+        assert replicas[0].get("main") is not None
+
+    def test_are_kept_while_the_store_turns_new_ones_away(
+        self, stores, replicas, clock
+    ):
+        """Guards against a daemon that gives up the last call that is answered."""
+        kept, failed = stores
+        kept.is_unavailable = failed.is_unavailable = True
+        failed.waiting.pop().errback(PlatformUnavailable("503"))
+        advance_in_steps(clock, 5.0)
+        kept.change("main")
+        assert replicas[0].get("main") is not None
+
+    def test_end_at_different_times_after_a_start(self, clock):
+        """Guards against a fleet whose watches all end at the same time."""
+        stores = [Store(clock) for _ in range(9)]
+        deadlines = set()
+        for store in stores:
+            wait_for_changes = store.wait_for_changes
+
+            async def record(kind, *, after, deadline, wait=wait_for_changes):
+                deadlines.add(deadline)
+                return await wait(kind, after=after, deadline=deadline)
+
+            store.wait_for_changes = record
+            start_watcher(store, clock, fleet_size=9)
+        assert len(deadlines) == 9
+        assert max(deadlines) <= clock.seconds() + 15.0
+
+
 class TestUnexpectedResponses:
     """Guards against a loop without a pause, which fills the log and blocks a core."""
 
--- a/tests/serving/test_software_view.py
+++ b/tests/serving/test_software_view.py
@@ -143,11 +143,11 @@
 
 @pytest.mark.parametrize("result", [False, None])
 def test_daemon_that_is_cut_off_confirms_nothing(
-    confirm, software, reachability, reader, result
+    confirm, software, reachability, reader, result, clock
 ):
     """Guards against trust in what was heard a moment ago."""
     software.apply_remote([])
-    reachability.record_success()
+    reachability.record_success(clock.seconds())
     reader.result = result
     assert not confirm()
 
