Let beacons show which documents did not arrive

Cause: a daemon without a watch of its own gets changes from three daemons of the working set, by positions in it. What does not come was left to exchanges with random peers every 1.4 to 2.6 s.

Change: a beacon says how far its sender's documents of operators are. A daemon that is behind gives the change 0.3 to 0.5 s to arrive, then asks the sender, at most once a second, and makes its own watch of that kind again, if it has one. Servers and daemons are not compared; their entries change all the time. Older builds ignore the field.

--- a/src/chivesaddle/fleet/__init__.py
+++ b/src/chivesaddle/fleet/__init__.py
@@ -1,6 +1,7 @@
 """State that all daemons share: replicas of stored documents, and fleet membership."""
 
 from chivesaddle.fleet.beacons import Beacon, Beacons, ServerLoadShare
+from chivesaddle.fleet.catch_up import CatchUp
 from chivesaddle.fleet.datagrams import PeerDatagrams
 from chivesaddle.fleet.demand import RequestDemand
 from chivesaddle.fleet.exchange import ExchangeMessage, GossipExchange
@@ -17,6 +18,7 @@
 __all__ = [
     "Beacon",
     "Beacons",
+    "CatchUp",
     "Entry",
     "ExchangeMessage",
     "GossipExchange",
--- a/src/chivesaddle/fleet/beacons.py
+++ b/src/chivesaddle/fleet/beacons.py
@@ -10,7 +10,7 @@
 """
 
 import functools
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any, Protocol
 
 import msgspec
@@ -80,6 +80,8 @@
         Whether the sender reaches no server, while another daemon does.
     answering : list of int
         Hashes of the services whose servers have just sent bytes to the sender.
+    progress : mapping
+        How far the sender's replicas of documents are, by kind; `Replica.progress`.
     """
 
     daemon: str
@@ -95,6 +97,7 @@
     lost: list[int] = []
     is_cut_off: bool = False
     answering: list[int] = []
+    progress: dict[str, int] = {}
 
 
 @functools.lru_cache(maxsize=4_096)
@@ -130,6 +133,9 @@
     def answering_services(self) -> list[int]:
         """Return hashes of the services that have just sent bytes to this daemon."""
 
+    def progress_by_kind(self) -> dict[str, int]:
+        """Return how far this daemon's replicas of documents are."""
+
 
 class BeaconReceiver(Protocol):
     """What a daemon does with the beacons of others."""
@@ -157,6 +163,9 @@
     def apply_answering_services(self, peer: str, services: Sequence[int]) -> None:
         """Record the services that send bytes to a peer."""
 
+    def apply_progress(self, peer: str, progress_by_kind: Mapping[str, int]) -> None:
+        """Get the documents that a peer has and this daemon lacks."""
+
 
 class Beacons:
     """Sends this daemon's beacons and applies those of its peers.
@@ -243,6 +252,7 @@
         )
         self._receiver.apply_lost_servers(beacon.daemon, beacon.lost, valid_s)
         self._receiver.apply_answering_services(beacon.daemon, beacon.answering)
+        self._receiver.apply_progress(beacon.daemon, beacon.progress)
         if beacon.is_working:
             self._receiver.observe_store(beacon.daemon, beacon.reaches_store)
         version, age_ms = beacon.lease
@@ -310,6 +320,7 @@
             self._source.reaches_store(),
             *self._source.lost_servers(),
             self._source.answering_services(),
+            self._source.progress_by_kind(),
         )
 
 
--- a/src/chivesaddle/fleet/replica.py
+++ b/src/chivesaddle/fleet/replica.py
@@ -146,6 +146,16 @@
         for entry in entries:
             self._put(entry)
 
+    @property
+    def progress(self) -> int:
+        """Number that rises with the documents of this replica.
+
+        A replica lacks documents of another one whose progress is higher.
+        """
+        if self._document_version is None:
+            return self._newest_revision
+        return sum(max(0, version) for version in self._versions_by_name.values())
+
     def document_versions(self) -> dict[str, int]:
         """Return the version of each document by name; empty if they have none."""
         return dict(self._versions_by_name)
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -20,6 +20,7 @@
 from chivesaddle.fleet import (
     Beacon,
     Beacons,
+    CatchUp,
     ExchangeMessage,
     GossipExchange,
     Member,
@@ -84,6 +85,7 @@
 from chivesaddle.serving.beacon_content import BeaconContent
 from chivesaddle.serving.departed import DepartedMembers
 from chivesaddle.serving.documents import (
+    OPERATOR_KINDS,
     REAPPEARANCE_S,
     StoredDocuments,
     document_replicas,
@@ -414,6 +416,11 @@
             self._origins,
             software_view.questions,
         )
+        operator_documents = {
+            kind: replica
+            for kind, replica in self._replicas.items()
+            if kind in OPERATOR_KINDS
+        }
         content = BeaconContent(
             shares,
             self._rollout,
@@ -422,6 +429,13 @@
             watch_role,
             self._paths,
             self._silent_paths,
+            CatchUp(
+                reactor,
+                self._members,
+                operator_documents,
+                self._exchange,
+                self._repeat_watch,
+            ),
         )
         self._beacons = Beacons(
             reactor,
@@ -707,6 +721,12 @@
         self._close_address(server.address)
         self._path_probe.probe_service(server.service)
 
+    def _repeat_watch(self, kind: str, began_before: float) -> None:
+        """Begin a watch again that did not bring a change."""
+        for watcher in self._watchers:
+            if watcher.kind == kind:
+                watcher.repeat_call(began_before)
+
     def _close_address(self, address: str) -> None:
         self._server_pool.close_address(address)
         self._control_pool.close_address(address)
--- a/src/chivesaddle/serving/beacon_content.py
+++ b/src/chivesaddle/serving/beacon_content.py
@@ -1,8 +1,9 @@
 """What the serving daemon sends in its beacons and does with those of its peers."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from chivesaddle.fleet import (
+    CatchUp,
     RequestDemand,
     ServerLoadShare,
     StoreReachability,
@@ -33,6 +34,8 @@
         Which daemon reaches which servers.
     silent_paths : SilentPaths
         Services of which this daemon gets no byte while others do.
+    catch_up : CatchUp
+        Gets documents that peers have.
     """
 
     def __init__(
@@ -44,6 +47,7 @@
         watch_role: WatchRole,
         paths: FleetPaths,
         silent_paths: SilentPaths,
+        catch_up: CatchUp,
     ) -> None:
         self._shares = shares
         self._rollout = rollout
@@ -52,6 +56,7 @@
         self._watch_role = watch_role
         self._paths = paths
         self._silent_paths = silent_paths
+        self._catch_up = catch_up
 
     def load_shares(self) -> tuple[list[ServerLoadShare], list[int]]:
         """Return load shares, and hashes of servers loading weights on its order."""
@@ -88,6 +93,14 @@
         self._silent_paths.apply_answering_services(services)
         self._paths.record_answering(peer, services)
 
+    def progress_by_kind(self) -> dict[str, int]:
+        """Return how far this daemon's replicas of documents are."""
+        return self._catch_up.progress_by_kind()
+
+    def apply_progress(self, peer: str, progress_by_kind: Mapping[str, int]) -> None:
+        """Get the documents that a peer has and this daemon lacks."""
+        self._catch_up.observe(peer, progress_by_kind)
+
     def apply_shares(
         self,
         peer: str,
--- a/src/chivesaddle/serving/documents.py
+++ b/src/chivesaddle/serving/documents.py
@@ -37,6 +37,9 @@
 # daemon waited for its next call, `watcher.RETRY_MAX_S` at most.
 LATE_VERSION_AGE_S = 1.0
 
+# Documents that operators write, which seldom change.
+OPERATOR_KINDS = (CONFIG_KIND, VERSIONS_KIND, EVACUATIONS_KIND)
+
 log = ComponentLogger("documents")
 
 
@@ -218,4 +221,4 @@
             self._evacuations.remove(ZoneId(name))
 
 
-__all__ = ["StoredDocuments", "document_replicas"]
+__all__ = ["OPERATOR_KINDS", "StoredDocuments", "document_replicas"]
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -3,6 +3,7 @@
 
 from chivesaddle.fleet import (
     Beacons,
+    CatchUp,
     Entry,
     Member,
     Members,
@@ -37,6 +38,7 @@
 
     def __init__(self, clock, own, network):
         self.own = own
+        self.network = network
         self.replica = Replica("config")
         self.registrations = Replica("daemons")
         self.members = Members(clock, own, self.registrations)
@@ -54,12 +56,16 @@
             self.datagrams,
             self,
         )
+        self.catch_up = CatchUp(
+            clock, self.members, {"config": self.replica}, self, self.record_late
+        )
         self.cores = 0.0
         self.has_store = True
         self.lost = ([], False)
         self.lost_by_peer = {}
         self.shares_by_peer = {}
         self.pulls = []
+        self.late_kinds = []
 
     def load_shares(self):
         return [], []
@@ -94,8 +100,22 @@
     def observe_store(self, peer, reaches_store):
         self.watch_role.observe_store(peer, reaches_store)
 
+    def progress_by_kind(self):
+        return self.catch_up.progress_by_kind()
+
+    def apply_progress(self, peer, progress_by_kind):
+        self.catch_up.observe(peer, progress_by_kind)
+
+    def record_late(self, kind, seen_at):
+        self.late_kinds.append(kind)
+
     def pull_from(self, address, delay_s, is_needed):
         self.pulls.append(address)
+        self.network.clock.callLater(delay_s, self.pull, address, is_needed)
+
+    def pull(self, address, is_needed):
+        if is_needed():
+            self.network.exchange(self, address.partition(":")[0])
 
 
 class Network:
@@ -129,6 +149,12 @@
         if daemon is not None and receiver not in self.down and not senders:
             daemon.datagrams.handlers[type(message)](message)
 
+    def exchange(self, daemon, name):
+        """Bring a daemon what one of its peers has."""
+        peer = self.daemons[name]
+        entries = peer.replica.entries_after(0)
+        daemon.replica.merge(peer.replica.applied_revision, entries)
+
     def start(self):
         for daemon in self.daemons.values():
             daemon.beacons.start()
--- /dev/null
+++ b/tests/fleet/test_catch_up.py
@@ -0,0 +1,54 @@
+"""Documents that a beacon shows to be missing."""
+
+import pytest
+
+from chivesaddle.fleet import Beacon, Entry
+
+WORKING = ["z0-00", "z0-01", "z1-00", "z1-01", "z2-00", "z2-01"]
+
+
+def change(daemon, entry):
+    daemon.replica.merge(entry.revision, [entry])
+
+
+@pytest.mark.parametrize("late", ["z0-00", "z2-20"])
+def test_are_pulled_though_no_update_arrives(network, late):
+    """Guards against a daemon that learns of a change by chance only."""
+    deliver = network.deliver
+
+    def lose_updates(sender, receiver, message):
+        if isinstance(message, Beacon):
+            deliver(sender, receiver, message)
+
+    network.deliver = lose_updates
+    for name in WORKING:
+        if name != late:
+            change(network.daemons[name], Entry("main", 5, {"version": 1}))
+    network.advance(2.0)
+    daemon = network.daemons[late]
+    assert daemon.replica.get("main") is not None
+    assert daemon.late_kinds == ["config"]
+
+
+def test_are_not_pulled_if_they_arrive(network):
+    """Guards against a load of all daemons at each change."""
+    for name in WORKING:
+        network.daemons[name].replica.applied_revision = 4
+        change(network.daemons[name], Entry("main", 5, {"version": 1}))
+    network.advance(5.0)
+    assert [d.late_kinds for d in network.daemons.values()] == [[]] * 78
+
+
+def test_that_do_not_arrive_are_pulled_once_a_second_at_most(network):
+    """Guards against a peer that names a progress which it cannot bring."""
+    daemon = network.daemons["z2-20"]
+    for _ in range(100):
+        daemon.catch_up.observe("z0-00", {"config": 9, "unknown": 9})
+        network.clock.advance(0.1)
+    assert 9 <= len(daemon.pulls) <= 10
+
+
+def test_of_a_daemon_that_left_the_list_are_not_pulled(network):
+    daemon = network.daemons["z2-20"]
+    daemon.catch_up.observe("gone", {"config": 9})
+    assert daemon.pulls == []
--- a/tests/fleet/test_datagrams.py
+++ b/tests/fleet/test_datagrams.py
@@ -85,6 +85,9 @@
     def answering_services(self):
         return []
 
+    def progress_by_kind(self):
+        return {}
+
 
 def member(number, address=None):
     peers = f"10.0.0.{number}:7000" if address is None else address
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -6,6 +6,7 @@
 from chivesaddle.core.aio import start
 from chivesaddle.fleet import (
     Beacons,
+    CatchUp,
     GossipExchange,
     Member,
     Members,
@@ -24,7 +25,11 @@
 from chivesaddle.objects.memory import MemoryClient, MemoryObjectApi
 from chivesaddle.placement import Evacuations, ServerTable
 from chivesaddle.platform import CONFIG_KIND, SERVERS_KIND
-from chivesaddle.serving.documents import StoredDocuments, document_replicas
+from chivesaddle.serving.documents import (
+    OPERATOR_KINDS,
+    StoredDocuments,
+    document_replicas,
+)
 from chivesaddle.serving.registration import Registration
 from chivesaddle.serving.store_hints import StoreHints
 from chivesaddle.serving.weight_hints import WeightHints
@@ -66,6 +71,12 @@
     def apply_lost_servers(self, peer, lost, valid_s):
         pass
 
+    def progress_by_kind(self):
+        return self._daemon.catch_up.progress_by_kind()
+
+    def apply_progress(self, peer, progress_by_kind):
+        self._daemon.catch_up.observe(peer, progress_by_kind)
+
     def observe_store(self, peer, reaches_store):
         self._daemon.watch_role.observe_store(peer, reaches_store)
 
@@ -125,6 +136,10 @@
                 "weights": WeightHints(self.serving_state),
             },
         )
+        documents = {k: r for k, r in self.replicas.items() if k in OPERATOR_KINDS}
+        self.catch_up = CatchUp(
+            clock, self.members, documents, self.exchange, self.repeat_watch
+        )
         content = BeaconContent(self)
         self.beacons = Beacons(
             clock, self.members, self.working_set, self, content, content
@@ -143,6 +158,11 @@
         self.exchange.start()
         self.registration.start()
 
+    def repeat_watch(self, kind, began_before):
+        for watcher in self.watchers:
+            if watcher.kind == kind:
+                watcher.repeat_call(began_before)
+
     # Peers' channels and datagrams.
 
     async def call(self, address, message, deadline):
--- a/tests/serving/test_late_configurations.py
+++ b/tests/serving/test_late_configurations.py
@@ -4,12 +4,20 @@
 from twisted.internet.defer import Deferred
 
 from chivesaddle.core.aio import with_deadline
+from chivesaddle.fleet import Update
 from chivesaddle.objects.memory import MemoryClient
 
+from .conftest import Daemon
+
 # The users' `config_propagation_ms`: of small deployments, and of large ones.
 BOUND_BY_SIZE_S = {9: 2.0, 78: 3.0}
 
 
+@pytest.fixture(params=BOUND_BY_SIZE_S)
+def fleet(request, store_fleet):
+    return store_fleet(request.param)
+
+
 def late_daemons(fleet, version):
     """Write a version; return the daemons that do not have it within the bound."""
     fleet.configure(version)
@@ -17,6 +25,19 @@
     return [d.own.id for d in fleet.daemons if d.configuration_version != version]
 
 
+class TestLostDatagrams:
+    def test_daemons_without_a_watch_get_a_version_in_time(self, fleet, monkeypatch):
+        """Guards against lost updates that only random exchanges make up for."""
+        send = Daemon.send
+
+        def lose_updates(self, message, receivers):
+            if not isinstance(message, Update):
+                send(self, message, receivers)
+
+        monkeypatch.setattr(Daemon, "send", lose_updates)
+        assert [late_daemons(fleet, version) for version in range(2, 12)] == [[]] * 10
+
+
 class TestHungWatches:
     @pytest.mark.parametrize("ran_for_s", [0.0, 3.0, 9.0])
     @pytest.mark.parametrize("size", BOUND_BY_SIZE_S)
