Keep log lines of the configuration and the store on busy daemons

Lines about single requests now leave a fifth of the rate to all others, and these half of that to warnings. A field that is named like one of the fixed ones no longer replaces it: the lines of answered requests to engines had a prompt part as their `part`. Two tests fail before.

--- a/src/chivesaddle/forwarding/request_context.py
+++ b/src/chivesaddle/forwarding/request_context.py
@@ -156,7 +156,7 @@
         if candidate.plan is not None:
             fields |= {
                 "weights": candidate.version,
-                "part": self.request.shared_part,
+                "shared_part": self.request.shared_part,
                 "read_tokens": candidate.plan.read_tokens,
                 "shared_read_tokens": candidate.plan.shared_read_tokens,
                 "transfer_ms": round(candidate.plan.transfer_ms),
--- a/src/chivesaddle/serving/logs.py
+++ b/src/chivesaddle/serving/logs.py
@@ -47,7 +47,7 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write a record, or count it as dropped."""
-        if not self._take_token(record.levelno):
+        if not self._take_token(record):
             self._dropped += 1
             return
         if self._dropped:
@@ -68,7 +68,10 @@
             "level": level,
             "part": part,
             "event": event,
-            **fields,
+        }
+        line |= {
+            f"{name}_field" if name in line else name: value
+            for name, value in fields.items()
         }
         try:
             return msgspec.json.encode(line, enc_hook=str) + b"\n"
@@ -80,15 +83,19 @@
             }
             return msgspec.json.encode(texts) + b"\n"
 
-    def _take_token(self, level: int) -> bool:
+    def _take_token(self, record: logging.LogRecord) -> bool:
         now = time.monotonic()
         capacity = self._rate * BURST_S
         self._tokens = min(
             capacity, self._tokens + (now - self._refilled_at) * self._rate
         )
         self._refilled_at = now
-        # A fifth of the bucket is reserved for warnings and errors.
-        reserved = 0.0 if level >= logging.WARNING else capacity / 5
+        # Lines about single requests leave a fifth of the bucket to the others, and
+        # these a tenth of it to warnings and errors.
+        if record.levelno >= logging.WARNING:
+            reserved = 0.0
+        else:
+            reserved = capacity / (5 if hasattr(record, "request") else 10)
         if self._tokens - 1 < reserved:
             return False
         self._tokens -= 1
--- a/tests/serving/test_logs.py
+++ b/tests/serving/test_logs.py
@@ -50,6 +50,22 @@
     assert written[-1]["event"] == "warn"
 
 
+def test_lines_about_requests_leave_room_for_changes_of_state(log_pipe):
+    """Guards against a busy daemon that does not say which configuration it applies."""
+    handler = RateLimitedStdoutHandler("d1", 10, log_pipe[1])
+    for number in range(200):
+        handler.emit(record(request=f"a{number}"))
+    handler.emit(record("configuration in force"))
+    assert read_lines(log_pipe)[-1]["event"] == "configuration in force"
+
+
+def test_field_does_not_hide_the_component(log_pipe):
+    handler = RateLimitedStdoutHandler("d1", 10, log_pipe[1])
+    handler.emit(record(part="6e7e191d"))
+    (line,) = read_lines(log_pipe)
+    assert (line["part"], line["part_field"]) == ("part", "6e7e191d")
+
+
 def test_full_pipe_does_not_block_the_daemon(log_pipe):
     """Guards against a log reader that stops reading and so blocks the daemon."""
     handler = RateLimitedStdoutHandler("d1", 1e6, log_pipe[1])
