Give an exchange that brings a known change more time

Cause: packets wait for over half a second on their links of 10 Mbit/s. An exchange has 0.5 s, and after that its channel is closed, so that the next one begins with a new connection and ends in the same way ("exchange missed its deadline" for each peer that was tried).

Change: an exchange that is made because a peer has a document has 2 s. Those with random peers keep 0.5 s, since they also find out who runs. The test fails before with delays of 0.7 and 1.5 s.

--- a/src/chivesaddle/fleet/exchange.py
+++ b/src/chivesaddle/fleet/exchange.py
@@ -30,6 +30,10 @@
 # only what was lost.
 IDLE_INTERVAL_S = 2.0
 CALL_TIMEOUT_S = 0.5
+# An exchange that brings a known change is given up later. On a link whose packets wait
+# for longer than `CALL_TIMEOUT_S`, each attempt would end before its response, and the
+# next one would begin with a new connection.
+PULL_TIMEOUT_S = 2.0
 # A peer that did not answer is tried only after all others for this long.
 PEER_BACKOFF_S = 3.0
 # Daemons in the liveness map of one message; the most recently seen are kept.
@@ -214,7 +218,7 @@
             await sleep_until(self._clock, self._clock.seconds() + delay_s)
             if not any(is_needed() for is_needed in needs):
                 return
-            if not await self._exchange_with(address):
+            if not await self._exchange_with(address, PULL_TIMEOUT_S):
                 # Any other peer may have the same objects.
                 await self._exchange_once()
 
@@ -247,12 +251,14 @@
             if await self._exchange_with(address):
                 return
 
-    async def _exchange_with(self, address: str) -> bool:
+    async def _exchange_with(
+        self, address: str, timeout_s: float = CALL_TIMEOUT_S
+    ) -> bool:
         """Exchange messages with a peer; return whether it answered."""
         # The first message to a peer contains no objects; the response contains
         # the revisions that the peer has applied.
         message = self._build_message(self._answers_by_address.get(address))
-        deadline = self._clock.seconds() + CALL_TIMEOUT_S
+        deadline = self._clock.seconds() + timeout_s
         try:
             answer = await self._client.call(address, message, deadline)
         except PeerUnreachable as error:
--- a/tests/fleet/test_exchange.py
+++ b/tests/fleet/test_exchange.py
@@ -2,7 +2,7 @@
 import pytest
 from twisted.internet.defer import Deferred
 
-from chivesaddle.core.aio import start
+from chivesaddle.core.aio import sleep_until, start
 from chivesaddle.core.objects import UNREADABLE_VALUE
 from chivesaddle.fleet import (
     Entry,
@@ -258,6 +258,26 @@
         assert fleet.replicas["a"].get("main") is not None
         assert calls == ["b:81", "c:81"]
 
+    @pytest.mark.parametrize("delay_s", [0.7, 1.5])
+    def test_object_is_pulled_over_a_link_whose_packets_wait(
+        self, fleet, clock, delay_s
+    ):
+        """Guards against attempts that are all given up before their response."""
+        call = fleet.call
+
+        async def call_slowly(address, message, deadline):
+            due = clock.seconds() + delay_s
+            await sleep_until(clock, min(due, deadline))
+            if due > deadline:
+                raise PeerUnreachable("late")
+            return await call(address, message, deadline)
+
+        fleet.call = call_slowly
+        fleet.replicas["b"].merge(5, [Entry("main", 5, {"v": 1})])
+        self.pull_all(fleet, "main", 5)
+        clock.pump([0.05] * 40)
+        assert fleet.replicas["a"].get("main") is not None
+
     def test_second_object_offered_before_the_pull_is_pulled(self, fleet, clock, calls):
         """A planned pull of an object that has arrived must not hide the second."""
         fleet.replicas["b"].merge(6, [Entry("second", 6, {"v": 1})])
