--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -176,6 +176,9 @@
     def close_address(self, address):
         pass
 
+    def detach_address(self, address):
+        pass
+
     def keep_only(self, addresses):
         pass
 
