--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -16,6 +16,11 @@
 LARGE, SMALL = 2.15, 0.25
 
 
+def change(daemon, entry):
+    """Apply a change as the watch of a working daemon does."""
+    daemon.replica.merge(entry.revision, [entry])
+
+
 class Datagrams:
     """Fake of the UDP port that delivers to the other daemons at once."""
 
--- a/tests/fleet/test_catch_up.py
+++ b/tests/fleet/test_catch_up.py
@@ -4,11 +4,9 @@
 
 from chivesaddle.fleet import Beacon, Entry
 
-WORKING = ["z0-00", "z0-01", "z1-00", "z1-01", "z2-00", "z2-01"]
-
+from .conftest import change
 
-def change(daemon, entry):
-    daemon.replica.merge(entry.revision, [entry])
+WORKING = ["z0-00", "z0-01", "z1-00", "z1-01", "z2-00", "z2-01"]
 
 
 @pytest.mark.parametrize("late", ["z0-00", "z2-20"])
--- a/tests/fleet/test_updates.py
+++ b/tests/fleet/test_updates.py
@@ -5,10 +5,7 @@
 from chivesaddle.fleet import Entry, Update
 from chivesaddle.fleet.datagrams import MAX_DATAGRAM_BYTES
 
-
-def change(daemon, entry):
-    """Apply a change as the watch of a working daemon does."""
-    daemon.replica.merge(entry.revision, [entry])
+from .conftest import change
 
 
 class TestUpdates:
