Log which build runs, where documents come from, and how long the store is silent

Change: `started` names a hash of the sources, written by the build; `document received` has the source; `store lost` has `silent_ms`; three metrics tell the age of the store's last answer and of the configuration in force.

Result: tests of serving, fleet and forwarding pass; no decision changed.

--- a/src/chivesaddle/fleet/replica.py
+++ b/src/chivesaddle/fleet/replica.py
@@ -1,6 +1,7 @@
 """Local replica of the store's objects of one kind, updated by watches and peers."""
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
+from enum import Enum
 from typing import Any
 
 import msgspec
@@ -21,6 +22,13 @@
 NULL_VALUE = "null"
 
 
+class Source(Enum):
+    """From where a daemon has an entry."""
+
+    STORE = "store"
+    PEER = "peer"
+
+
 class Entry(msgspec.Struct, frozen=True, array_like=True):
     """An object at a revision; ``value`` is None if the object is deleted."""
 
@@ -62,6 +70,8 @@
     ----------
     applied_revision : int
         Revision of the store up to which every change has been applied.
+    last_source : Source
+        From where the last applied entry came.
     """
 
     def __init__(
@@ -70,6 +80,7 @@
         self.kind = kind
         self._document_version = document_version
         self.applied_revision = 0
+        self.last_source = Source.STORE
         self._entries_by_name: dict[str, Entry] = {}
         # Version of each entry, if documents of this kind have versions.
         self._versions_by_name: dict[str, int] = {}
@@ -110,9 +121,9 @@
             and entry.revision <= listing.revision
         ]
         for name in missing:
-            self._put(Entry(name, listing.revision))
+            self._put(Entry(name, listing.revision), Source.STORE)
         for name, item in listing.items_by_name.items():
-            self._put(_stored_entry(name, item))
+            self._put(_stored_entry(name, item), Source.STORE)
         if listing.revision > self.applied_revision > 0:
             self.on_gap()
         self.applied_revision = max(self.applied_revision, listing.revision)
@@ -127,13 +138,13 @@
                 # Listeners hear also of an object that has been replaced or deleted
                 # since. Its revision is below that of the last change.
                 if change.type is ChangeType.PUT:
-                    self._put(_stored_entry(item.name, item))
+                    self._put(_stored_entry(item.name, item), Source.STORE)
             elif change.type is ChangeType.DELETE:
                 # The event carries the revision of the object's last write. The
                 # deletion is later, at ``revision`` at the latest.
-                self._put(Entry(item.name, revision))
+                self._put(Entry(item.name, revision), Source.STORE)
             else:
-                self._put(_stored_entry(item.name, item))
+                self._put(_stored_entry(item.name, item), Source.STORE)
         self.applied_revision = max(self.applied_revision, revision)
 
     def revision_of(self, name: str) -> int:
@@ -142,9 +153,9 @@
         return 0 if entry is None else entry.revision
 
     def put_entries(self, entries: Iterable[Entry]) -> None:
-        """Apply some entries, which need not be all up to their revisions."""
+        """Apply some entries of a peer, which need not be all up to their revisions."""
         for entry in entries:
-            self._put(entry)
+            self._put(entry, Source.PEER)
 
     @property
     def progress(self) -> int:
@@ -202,7 +213,7 @@
         self.put_entries(entries)
         self.applied_revision = max(self.applied_revision, applied_revision)
 
-    def _put(self, entry: Entry) -> None:
+    def _put(self, entry: Entry, source: Source) -> None:
         current = self._entries_by_name.get(entry.name)
         if self._document_version is None:
             if current is not None and entry.revision <= current.revision:
@@ -213,6 +224,7 @@
                 return
             self._versions_by_name[entry.name] = version
         self._entries_by_name[entry.name] = entry
+        self.last_source = source
         self._newest_revision = max(self._newest_revision, entry.revision)
         self._live_entries = None
         if entry.is_deleted:
@@ -276,4 +288,4 @@
     return Entry(name, item.version, value)
 
 
-__all__ = ["Entry", "Listener", "Replica"]
+__all__ = ["Entry", "Listener", "Replica", "Source"]
--- a/src/chivesaddle/fleet/watcher.py
+++ b/src/chivesaddle/fleet/watcher.py
@@ -93,7 +93,17 @@
         self._failed_at = self._clock.seconds()
         if self.unreachable_since is None:
             self.unreachable_since = self._clock.seconds()
-            log.warning("store lost", extra={"cause": str(error)})
+            # JSON has no infinity, which stands for a store that never answered.
+            silent_s = self._clock.seconds() - self.last_success_at
+            log.warning(
+                "store lost",
+                extra={
+                    "cause": str(error),
+                    "silent_ms": None
+                    if math.isinf(silent_s)
+                    else round(silent_s * 1e3),
+                },
+            )
 
 
 class Watcher:
--- a/src/chivesaddle/forwarding/serving_state.py
+++ b/src/chivesaddle/forwarding/serving_state.py
@@ -53,6 +53,8 @@
         self._older_weights_s = older_weights_s
         self._begin_reserve_s = begin_reserve_s
         self.configuration: Configuration | None = None
+        # When `configuration` was applied, in seconds on the clock.
+        self.configured_at = -math.inf
         self._services_with_resumption: set[ServiceId] = set()
         self._targets_by_model: dict[ModelId, dict[int, _TargetVersion]] = {}
 
@@ -98,6 +100,7 @@
                 "replaced": known.version if known else None,
             },
         )
+        self.configured_at = self._clock.seconds()
         self.configuration = configuration
         self._services_with_resumption = {
             service
--- a/src/chivesaddle/serving/app.py
+++ b/src/chivesaddle/serving/app.py
@@ -83,6 +83,7 @@
 )
 from chivesaddle.serving.answer_questions import AnswerQuestions
 from chivesaddle.serving.beacon_content import BeaconContent
+from chivesaddle.serving.build import read_build_id
 from chivesaddle.serving.departed import DepartedMembers
 from chivesaddle.serving.documents import (
     OPERATOR_KINDS,
@@ -544,7 +545,10 @@
         start(self._run_housekeeping()).addErrback(
             log_failure(log, "housekeeping ended")
         )
-        log.info("started", extra={"zone": self._settings.zone})
+        log.info(
+            "started",
+            extra={"zone": self._settings.zone, "build": read_build_id()},
+        )
 
     async def stop(self, signalled_at: float) -> None:
         """Withdraw this daemon's address, wait for requests in flight, and stop.
@@ -825,6 +829,17 @@
     def _update_metrics(self) -> None:
         """Set the current values, some of which are found by walks over all servers."""
         self.metrics.set_value("store_calls", self.store.calls)
+        answered_at = self._reachability.last_success_at
+        self.metrics.set_value(
+            "store_answer_age_s", self._reactor.seconds() - answered_at
+        )
+        configuration = self._serving_state.configuration
+        if configuration is not None:
+            self.metrics.set_value("configuration_version", configuration.version)
+            self.metrics.set_value(
+                "configuration_age_s",
+                self._reactor.seconds() - self._serving_state.configured_at,
+            )
         self.metrics.set_value(
             "connections_opened", self._server_pool.connections_opened
         )
--- a/src/chivesaddle/serving/documents.py
+++ b/src/chivesaddle/serving/documents.py
@@ -7,7 +7,7 @@
 from chivesaddle.core.errors import InvalidValue
 from chivesaddle.core.ids import BackendServerId, ZoneId
 from chivesaddle.core.logs import ComponentLogger
-from chivesaddle.core.objects import era_of
+from chivesaddle.core.objects import era_of, store_revision
 from chivesaddle.core.serving_model import ServerEntry
 from chivesaddle.fleet import Entry, Replica, StoreReachability
 from chivesaddle.forwarding import ServingState
@@ -114,6 +114,7 @@
         if entry.name != CONFIG_NAME or entry.is_deleted:
             return
         is_first = self._serving_state.configuration is None
+        self._log_received(CONFIG_KIND, entry)
         try:
             self._serving_state.put_configuration(decode_configuration(entry.value))
         except InvalidValue as error:
@@ -124,6 +125,17 @@
             for tracked in self._servers.all():
                 self._record_entry(tracked.entry)
 
+    def _log_received(self, kind: str, entry: Entry) -> None:
+        log.info(
+            "document received",
+            extra={
+                "kind": kind,
+                "object": entry.name,
+                "revision": store_revision(entry.revision),
+                "source": self._replicas[kind].last_source.value,
+            },
+        )
+
     def _apply_server_entry(self, entry: Entry) -> None:
         # Peers relay changes to daemons that make no calls to the store themselves.
         self._era.observe(max(self._era.current, era_of(entry.revision)))
@@ -178,6 +190,7 @@
     def _apply_weight_version(self, entry: Entry) -> None:
         if entry.is_deleted:
             return
+        self._log_received(VERSIONS_KIND, entry)
         weight_version = decode_weight_version(entry.value)
         if weight_version is None:
             log.warning("malformed weight version", extra={"entry": entry.name})
@@ -209,6 +222,7 @@
             else:
                 self._evacuations.remove(ZoneId(entry.name))
             return
+        self._log_received(EVACUATIONS_KIND, entry)
         evacuation = decode_evacuation(entry.name, entry.value)
         if not evacuation.has_valid_value:
             log.warning(
