Do not tell a restarted peer that it has what its predecessor had

A daemon in this state learns of no server entry or registration that it lacks until each one changes again.

Cause: an exchange sends what the peer lacked at its latest message, and that this completes it up to the sender's revision. A daemon that was killed and is back at the same address has empty replicas; it raised its own revision past all that it never got, and its next watch began there.

Change: messages name the revision `after` which their entries are complete. A receiver that is not that far applies the entries and keeps its revision. Builds without the field are treated as before.

Evidence: the new test fails on the code before (revision 42 instead of 0 with one of three entries).

--- a/src/chivesaddle/fleet/exchange.py
+++ b/src/chivesaddle/fleet/exchange.py
@@ -63,6 +63,9 @@
         Observations of the sender's components, by hint source name.
     versions : mapping
         Versions of the sender's documents by kind and name, for kinds that have them.
+    after : mapping
+        Revision, by kind, above which the entries are complete: that of the receiver's
+        latest message. The receiver may have started again since.
     """
 
     daemon: str
@@ -73,6 +76,7 @@
     entries: dict[str, list[Entry]]
     hints: dict[str, Any]
     versions: dict[str, dict[str, int]] = {}
+    after: dict[str, int] = {}
 
     @classmethod
     def decode(cls, data: bytes) -> "ExchangeMessage":
@@ -302,6 +306,7 @@
     def _build_message(self, latest: ExchangeMessage | None) -> ExchangeMessage:
         """Return a message with what the peer lacked at its latest message."""
         entries = {}
+        after = {} if latest is None else latest.through
         if latest is not None:
             for kind, replica in self._replicas_by_kind.items():
                 newer = replica.entries_after(
@@ -326,6 +331,7 @@
                 for kind, replica in self._replicas_by_kind.items()
                 if (versions := replica.document_versions())
             },
+            after={kind: after.get(kind, 0) for kind in entries},
         )
 
     def _apply_message(self, message: ExchangeMessage) -> None:
@@ -338,8 +344,13 @@
                 members.record_seen(daemon, incarnation, age_ms / 1_000, is_leaving)
         for kind, entries in message.entries.items():
             replica = self._replicas_by_kind.get(kind)
-            if replica is not None:
+            if replica is None:
+                continue
+            # Builds without `after` do not tell.
+            if message.after.get(kind, 0) <= replica.applied_revision:
                 replica.merge(message.through.get(kind, 0), entries)
+            else:
+                replica.put_entries(entries)
         for name, hint in message.hints.items():
             source = self._hints_by_name.get(name)
             if source is None:
--- a/tests/fleet/test_exchange.py
+++ b/tests/fleet/test_exchange.py
@@ -25,29 +25,34 @@
         self.unreachable = set()
         self.exchanges = {}
         self.replicas = {}
-        registrations = [
-            Member(name, f"{name}-1", "z", f"{name}:80", f"{name}:81") for name in names
-        ]
-        for own in registrations:
-            replica, daemons = Replica("config"), Replica("daemons")
-            for number, other in enumerate(registrations):
-                fields = {f: getattr(other, f) for f in other.__struct_fields__}
-                daemons.merge(number + 1, [Entry(other.id, number + 1, fields)])
-            members = Members(clock, own, daemons)
-            reachability = StoreReachability(clock)
-            reachability.record_success(clock.seconds())
-            exchange = GossipExchange(
-                clock,
-                members,
-                WorkingSet(clock, members),
-                [replica, daemons],
-                reachability,
-                self,
-                [],
-                {},
-            )
-            self.exchanges[own.id] = exchange
-            self.replicas[own.id] = replica
+        self.registrations = {
+            name: Member(name, f"{name}-1", "z", f"{name}:80", f"{name}:81")
+            for name in names
+        }
+        for name in names:
+            self.start_process(name)
+
+    def start_process(self, name):
+        """Give a daemon empty replicas of all that peers have to tell it."""
+        clock, own = self.clock, self.registrations[name]
+        replica, daemons = Replica("config"), Replica("daemons")
+        for number, other in enumerate(self.registrations.values()):
+            fields = {f: getattr(other, f) for f in other.__struct_fields__}
+            daemons.merge(number + 1, [Entry(other.id, number + 1, fields)])
+        members = Members(clock, own, daemons)
+        reachability = StoreReachability(clock)
+        reachability.record_success(clock.seconds())
+        self.exchanges[name] = GossipExchange(
+            clock,
+            members,
+            WorkingSet(clock, members),
+            [replica, daemons],
+            reachability,
+            self,
+            [],
+            {},
+        )
+        self.replicas[name] = replica
 
     async def call(self, address, message, deadline):
         name = address.partition(":")[0]
@@ -74,6 +79,26 @@
     return Fleet(clock, "abcdefghi")
 
 
+class TestRestartedPeer:
+    def test_is_not_told_that_it_has_what_its_predecessor_had(self, fleet):
+        """Guards against a daemon whose next watch begins after what it never got."""
+        ours = fleet.replicas["a"]
+        for revision in (40, 41):
+            ours.merge(revision, [Entry(f"e{revision}", revision, {})])
+            for _ in range(2):
+                start(fleet.exchanges["a"]._exchange_with("b:81"))
+        assert fleet.replicas["b"].applied_revision == 41
+        fleet.start_process("b")
+        ours.merge(42, [Entry("e42", 42, {})])
+        start(fleet.exchanges["a"]._exchange_with("b:81"))
+        theirs = fleet.replicas["b"]
+        assert [entry.name for entry in theirs.live()] == ["e42"]
+        assert theirs.applied_revision == 0
+        start(fleet.exchanges["a"]._exchange_with("b:81"))
+        assert sorted(entry.name for entry in theirs.live()) == ["e40", "e41", "e42"]
+        assert theirs.applied_revision == 42
+
+
 class TestExchange:
     def test_daemon_that_cannot_reach_the_store_gets_a_change_within_two_seconds(
         self, fleet, clock
