End each watch of a daemon that others rely on within 5 s

A draining server could get requests for up to 15 s after a disturbance.

Cause: a response that the store loses leaves a watch waiting until its deadline of 15 s. A change of one kind ends the watches of that kind at all daemons, so that all of them may lose their responses at once, and nobody is left who would tell. No other call fails, so that no watch is made again.

Change: watches of working daemons end after 5 s at most, the 3 s after a disturbance from which users count daemons, and the 2 s that they allow for the end of a server. Those of idle daemons, which peers tell as well, keep 15 s.

--- a/src/chivesaddle/fleet/watcher.py
+++ b/src/chivesaddle/fleet/watcher.py
@@ -20,9 +20,13 @@
 from chivesaddle.fleet.replica import Replica
 from chivesaddle.fleet.watch_role import RoleWait
 
-# A watch is a single long-polling call, whatever its duration; the store ends it after
-# at most 30 s.
-WATCH_TIMEOUT_S = 15.0
+# A watch is a single long-polling call, whatever its duration. If its response is lost,
+# it hides all changes until its deadline. Operators count a daemon from 3 s after a
+# disturbance on, and allow 2 s for the end of a server.
+WATCH_TIMEOUT_S = 5.0
+# Watches of a daemon without callers, which gets changes from peers as well; the store
+# ends a watch after at most 30 s.
+IDLE_WATCH_TIMEOUT_S = 15.0
 # A watch that shows whether the store answers this daemon. Peers rely on it, and an
 # open connection that the store will never answer on is noticed by nothing else.
 PROOF_TIMEOUT_S = 3.0
@@ -34,7 +38,7 @@
 # Daemons that do not work get changes from peers as well, and are the larger part of a
 # fleet whose store is away.
 IDLE_RETRY_MAX_S = 4.0
-# Least share of `WATCH_TIMEOUT_S` after a listing. Daemons list at the same time when
+# Least share of the timeout after a listing. Daemons list at the same time when
 # they start or the store recovers; if their watches then ended together, and the store
 # stopped answering them, all daemons would miss changes until that time.
 MIN_FIRST_WAIT_SHARE = 0.1
@@ -312,7 +316,12 @@
             self._is_first_watch = False
         role = self._role if self._is_proof else None
         is_proof = self._is_proof and self._has_role()
-        timeout_s = PROOF_TIMEOUT_S if is_proof else WATCH_TIMEOUT_S * share
+        if is_proof:
+            timeout_s = PROOF_TIMEOUT_S
+        elif self._has_role():
+            timeout_s = WATCH_TIMEOUT_S * share
+        else:
+            timeout_s = IDLE_WATCH_TIMEOUT_S * share
         now = self._clock.seconds()
         gained = role.wait() if role is not None and not is_proof else None
         if gained is not None:
--- a/tests/serving/test_late_configurations.py
+++ b/tests/serving/test_late_configurations.py
@@ -67,6 +67,42 @@
         assert [late_daemons(fleet, version) for version in range(2, 6)] == [[]] * 4
 
 
+class TestLostAnswers:
+    @pytest.mark.parametrize("size", [3, *BOUND_BY_SIZE_S])
+    def test_to_all_daemons_hide_no_server_that_drains(
+        self, store_fleet, size, clock, monkeypatch
+    ):
+        """Guards against watches of a kind that all daemons wait for in vain."""
+        wait_for_changes = MemoryClient.wait_for_changes
+        loses_answers = False
+
+        async def wait(client, kind, *, after, deadline):
+            changes = await wait_for_changes(
+                client, kind, after=after, deadline=deadline
+            )
+            if loses_answers and kind == SERVERS_KIND:
+                await with_deadline(clock, deadline, Deferred(), "watch")
+            return changes
+
+        monkeypatch.setattr(MemoryClient, "wait_for_changes", wait)
+        fleet = store_fleet(size)
+        fleet.advance(20.0)
+        # The users count daemons some time after a disturbance, and allow another time
+        # for a server's end.
+        stable_s, drain_s = (4.0, 3.0) if size == 78 else (3.0, 2.0)
+        for number in range(6):
+            name = f"s{number}"
+            loses_answers = True
+            fleet.put_server(name)
+            fleet.advance(0.3)
+            loses_answers = False
+            fleet.advance(stable_s)
+            fleet.put_server(name, state="draining")
+            fleet.advance(drain_s)
+            entries = [d.replicas[SERVERS_KIND].get(name) for d in fleet.daemons]
+            assert {e and e.value["state"] for e in entries} == {"draining"}
+
+
 class TestSilentStore:
     """Guards against daemons that only know what silent watches of others tell."""
 
