Halve the calls that watches of idle daemons cost

Peers tell it what its watch does not.

The tool that measures delays of versions has larger configurations and kills daemons that the store treats badly.

--- a/src/chivesaddle/fleet/watcher.py
+++ b/src/chivesaddle/fleet/watcher.py
@@ -24,9 +24,9 @@
 # it hides all changes until its deadline. Operators count a daemon from 3 s after a
 # disturbance on, and allow 2 s for the end of a server.
 WATCH_TIMEOUT_S = 5.0
-# Watches of a daemon without callers, which gets changes from peers as well; the store
-# ends a watch after at most 30 s.
-IDLE_WATCH_TIMEOUT_S = 15.0
+# Watches of a daemon without callers, which gets changes from peers as well. The store
+# ends a watch after 30 s, and its response takes another moment.
+IDLE_WATCH_TIMEOUT_S = 31.0
 # A watch that shows whether the store answers this daemon. Peers rely on it, and an
 # open connection that the store will never answer on is noticed by nothing else.
 PROOF_TIMEOUT_S = 3.0
@@ -35,9 +35,8 @@
 # recovers.
 RETRY_BASE_S = 0.1
 RETRY_MAX_S = 1.0
-# Daemons that do not work get changes from peers as well, and are the larger part of a
-# fleet whose store is away.
-IDLE_RETRY_MAX_S = 4.0
+# Daemons without callers are the larger part of a fleet whose store is away.
+IDLE_RETRY_S = 4.0
 # Least share of the timeout after a listing. Daemons list at the same time when
 # they start or the store recovers; if their watches then ended together, and the store
 # stopped answering them, all daemons would miss changes until that time.
@@ -339,9 +338,9 @@
 
     def _next_backoff_s(self) -> float:
         self._failures += 1
-        is_urgent = self._has_role() or not self._replica.applied_revision
-        limit_s = RETRY_MAX_S if is_urgent else IDLE_RETRY_MAX_S
-        max_backoff_s = min(limit_s, RETRY_BASE_S * 2 ** min(self._failures, 10))
+        max_backoff_s = min(RETRY_MAX_S, RETRY_BASE_S * 2 ** min(self._failures, 10))
+        if self._replica.applied_revision and not self._has_role():
+            max_backoff_s = IDLE_RETRY_S
         return max_backoff_s * self._jitter.uniform(0.5, 1.0)
 
 
--- a/src/chivesaddle/tools/version_delays.py
+++ b/src/chivesaddle/tools/version_delays.py
@@ -46,9 +46,11 @@
         Directory for logs and settings.
     daemons : int
         Number of daemons.
+    routes : int
+        Routes of the configuration besides those that are served, which make it large.
     """
 
-    def __init__(self, build_dir: Path, daemons: int) -> None:
+    def __init__(self, build_dir: Path, daemons: int, routes: int = 0) -> None:
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._proxy: StoreProxy | None = None
@@ -56,6 +58,7 @@
             build_dir, daemons, 1, self._proxy_address, has_own_hosts=True
         )
         self._routes = list(ROUTES)
+        self._routes += [route(f"other-{number}", "safe") for number in range(routes)]
         self._requests = 0
 
     def _proxy_address(self, name: str, address: str) -> str:
@@ -121,7 +124,7 @@
             self._loop.call_soon_threadsafe(self._proxy.treat, host, chosen)
 
     def measure(self, max_delay_s: float = MAX_DELAY_S) -> dict[str, float]:
-        """Add a route; return by daemon when it was served first.
+        """Add a route; return by running daemon when it was served first.
 
         Returns
         -------
@@ -140,7 +143,8 @@
     async def _measure_all(
         self, target: str, added_at: float, deadline: float
     ) -> dict[str, float]:
-        names = list(self.fleet.listeners)
+        running = self.fleet.processes.pids
+        names = [name for name in self.fleet.listeners if name in running]
         served_at = await asyncio.gather(
             *(self._wait_until_served(name, target, deadline) for name in names)
         )
@@ -217,22 +221,33 @@
     daemons: Annotated[int, typer.Option(help="Number of daemons")] = 20,
     rounds: Annotated[int, typer.Option(help="Versions to add")] = 20,
     seed: Annotated[int, typer.Option(help="Seed of the order of the cases")] = 1,
+    routes: Annotated[int, typer.Option(help="Further routes")] = 0,
+    kills: Annotated[int, typer.Option(help="Working daemons killed each time")] = 0,
     bound_s: Annotated[float, typer.Option(help="Longest allowed delay")] = 3.0,
 ) -> None:
     """Measure versions on one fleet; exit with status 1 if one was late."""
     build_dir = Path(tempfile.mkdtemp(prefix="version-delays-"))
     typer.echo(f"logs: {build_dir}")
-    run = VersionDelays(build_dir, daemons)
+    run = VersionDelays(build_dir, daemons, routes)
+    choice = random.Random(seed)
     late = 0
     try:
         run.start()
         working = run.working()
         typer.echo(f"{len(working)} of {daemons} daemons work")
         for group, treatment, since_s in plan(run, rounds, seed):
-            run.treat(groups(run)[group], treatment)
+            treated = groups(run)[group]
+            run.treat(treated, treatment)
             time.sleep(since_s)
+            # A daemon that alone reaches the store is left running.
+            candidates = sorted(set(run.working()) & set(treated))
+            killed = choice.sample(candidates, min(kills, len(candidates)))
+            for name in killed:
+                run.fleet.processes.kill(name)
             delays = run.measure()
             run.treat([], Treatment.PASS)
+            for name in killed:
+                run.fleet.processes.restart(name)
             is_late = max(delays.values()) > bound_s
             late += is_late
             typer.echo(
--- a/tests/fleet/test_watcher.py
+++ b/tests/fleet/test_watcher.py
@@ -230,6 +230,28 @@
         assert reachability.answered_within(4.0)
 
 
+class TestDaemonWithoutCallers:
+    def test_calls_a_store_that_is_away_seldom(self, store, clock):
+        """Guards against the calls of all idle daemons of a large fleet."""
+        role = RoleWait(clock, lambda: False)
+        reachability = StoreReachability(clock)
+        Watcher(
+            store,
+            clock,
+            Replica("config"),
+            reachability,
+            lambda: 80,
+            role,
+            is_for_all=True,
+        ).start()
+        advance_in_steps(clock, 1.0)
+        store.is_unavailable = True
+        calls = store.calls
+        store.change("main")
+        advance_in_steps(clock, 20.0)
+        assert 5 <= store.calls - calls <= 12
+
+
 class TestUnexpectedResponses:
     """Guards against a loop without a pause, which fills the log and blocks a core."""
 
