Begin shorter watches at once when a daemon starts to work

What callers saw: not seen; found by reading the change. A daemon that begins to work kept the watches of weight versions and evacuations that it began as an idle one, for up to 30 s, while others rely on it.

Cause: only the watch of the configuration was made again on the new role.

Evidence: the new case of test_begins_when_a_daemon_starts_to_work fails before (no second watch within 0.5 s); tests of fleet and late configurations pass.

--- a/src/chivesaddle/fleet/watcher.py
+++ b/src/chivesaddle/fleet/watcher.py
@@ -37,8 +37,8 @@
 RETRY_MAX_S = 1.0
 # Daemons without callers are the larger part of a fleet whose store is away.
 IDLE_RETRY_S = 4.0
-# Least share of the timeout after a listing. Daemons list at the same time when
-# they start or the store recovers; if their watches then ended together, and the store
+# Least share of the timeout after a listing. Daemons list at the same time when they
+# start or the store recovers; if their watches then ended together, and the store
 # stopped answering them, all daemons would miss changes until that time.
 MIN_FIRST_WAIT_SHARE = 0.1
 # Failures that repeat are logged once in this time.
@@ -308,26 +308,23 @@
             await sleep_until(self._clock, self._clock.seconds() + delay_s)
 
     async def _watch(self, kind: str, after: int) -> ObjectChanges:
-        """Wait for changes; a daemon that gets the role then begins a new proof."""
+        """Wait for changes; a daemon that gets the role then begins a shorter watch."""
         share = 1.0
         if self._is_first_watch:
             share = self._jitter.uniform(MIN_FIRST_WAIT_SHARE, 1.0)
             self._is_first_watch = False
-        role = self._role if self._is_proof else None
-        is_proof = self._is_proof and self._has_role()
-        if is_proof:
-            timeout_s = PROOF_TIMEOUT_S
-        elif self._has_role():
-            timeout_s = WATCH_TIMEOUT_S * share
-        else:
+        gained: Deferred[None] | None = None
+        if self._role is not None and not self._has_role():
             timeout_s = IDLE_WATCH_TIMEOUT_S * share
-        now = self._clock.seconds()
-        gained = role.wait() if role is not None and not is_proof else None
-        if gained is not None:
+            gained = self._role.wait()
             gained.addCallbacks(lambda _: self.repeat_call(math.inf), _ignore_cancelled)
+        elif self._is_proof:
+            timeout_s = PROOF_TIMEOUT_S
+        else:
+            timeout_s = WATCH_TIMEOUT_S * share
         try:
             return await self._api.wait_for_changes(
-                kind, after=after, deadline=now + timeout_s
+                kind, after=after, deadline=self._clock.seconds() + timeout_s
             )
         finally:
             if gained is not None:
--- a/tests/fleet/test_watcher.py
+++ b/tests/fleet/test_watcher.py
@@ -178,7 +178,7 @@
 class TestProof:
     """Guards against a daemon that takes its silence for a store that is reached."""
 
-    def start(self, store, clock, may_watch):
+    def start(self, store, clock, may_watch, *, is_proof=True):
         reachability = StoreReachability(clock)
         Watcher(
             store,
@@ -188,7 +188,7 @@
             lambda: 80,
             RoleWait(clock, may_watch),
             is_for_all=True,
-            is_proof=True,
+            is_proof=is_proof,
         ).start()
         advance_in_steps(clock, 1.0)
         return reachability
@@ -212,13 +212,17 @@
         self.start(store, clock, lambda: True)
         assert deadlines == [3.0]
 
-    def test_begins_when_a_daemon_starts_to_work(self, store, clock, deadlines):
+    @pytest.mark.parametrize(("is_proof", "timeout_s"), [(True, 3.0), (False, 5.0)])
+    def test_begins_when_a_daemon_starts_to_work(
+        self, store, clock, deadlines, is_proof, timeout_s
+    ):
+        """Guards against the long watches that a daemon without callers had."""
         role = []
-        self.start(store, clock, lambda: bool(role))
+        self.start(store, clock, lambda: bool(role), is_proof=is_proof)
         assert len(deadlines) == 1
         role.append("working")
         advance_in_steps(clock, 0.5)
-        assert deadlines[1:] == [3.0]
+        assert deadlines[1:] == [timeout_s]
 
     def test_is_no_longer_given_by_an_old_answer(self, store, clock):
         reachability = self.start(store, clock, lambda: True)
