--- a/tests/fleet/test_watcher.py
+++ b/tests/fleet/test_watcher.py
@@ -175,24 +175,26 @@
         assert max(deadlines) <= clock.seconds() + 15.0
 
 
+def start_watcher_for_all(store, clock, may_watch, *, is_proof=True):
+    """Start to watch a kind that daemons without the role watch as well."""
+    reachability = StoreReachability(clock)
+    Watcher(
+        store,
+        clock,
+        Replica("config"),
+        reachability,
+        lambda: 80,
+        RoleWait(clock, may_watch),
+        is_for_all=True,
+        is_proof=is_proof,
+    ).start()
+    advance_in_steps(clock, 1.0)
+    return reachability
+
+
 class TestProof:
     """Guards against a daemon that takes its silence for a store that is reached."""
 
-    def start(self, store, clock, may_watch, *, is_proof=True):
-        reachability = StoreReachability(clock)
-        Watcher(
-            store,
-            clock,
-            Replica("config"),
-            reachability,
-            lambda: 80,
-            RoleWait(clock, may_watch),
-            is_for_all=True,
-            is_proof=is_proof,
-        ).start()
-        advance_in_steps(clock, 1.0)
-        return reachability
-
     @pytest.fixture
     def deadlines(self, store, clock):
         """Return the remaining time of each watch when it began."""
@@ -209,7 +211,7 @@
     def test_of_a_daemon_that_others_rely_on_takes_3_s_at_most(
         self, store, clock, deadlines
     ):
-        self.start(store, clock, lambda: True)
+        start_watcher_for_all(store, clock, lambda: True)
         assert deadlines == [3.0]
 
     @pytest.mark.parametrize(("is_proof", "timeout_s"), [(True, 3.0), (False, 5.0)])
@@ -218,14 +220,14 @@
     ):
         """Guards against the long watches that a daemon without callers had."""
         role = []
-        self.start(store, clock, lambda: bool(role), is_proof=is_proof)
+        start_watcher_for_all(store, clock, lambda: bool(role), is_proof=is_proof)
         assert len(deadlines) == 1
         role.append("working")
         advance_in_steps(clock, 0.5)
         assert deadlines[1:] == [timeout_s]
 
     def test_is_no_longer_given_by_an_old_answer(self, store, clock):
-        reachability = self.start(store, clock, lambda: True)
+        reachability = start_watcher_for_all(store, clock, lambda: True)
         assert reachability.answered_within(4.0)
         advance_in_steps(clock, 3.5)
         assert not reachability.answered_within(4.0)
@@ -237,18 +239,7 @@
 class TestDaemonWithoutCallers:
     def test_calls_a_store_that_is_away_seldom(self, store, clock):
         """Guards against the calls of all idle daemons of a large fleet."""
-        role = RoleWait(clock, lambda: False)
-        reachability = StoreReachability(clock)
-        Watcher(
-            store,
-            clock,
-            Replica("config"),
-            reachability,
-            lambda: 80,
-            role,
-            is_for_all=True,
-        ).start()
-        advance_in_steps(clock, 1.0)
+        start_watcher_for_all(store, clock, lambda: False)
         store.is_unavailable = True
         calls = store.calls
         store.change("main")
