End the watches of daemons that a test ends

Cause: test_streams_go_on_after_other_daemons_have_ended kept the watchers of ended daemons, whose clocks stand still.

Change: the test stops the watchers of the daemons that it ends; its assertions are unchanged.

--- a/tests/serving/test_daemon_out_of_step.py
+++ b/tests/serving/test_daemon_out_of_step.py
@@ -121,9 +121,10 @@
         self.datagrams = Datagrams(fleet, id)
         self.knows_records = True
         self.make_origins()
-        Watcher(
+        self.watcher = Watcher(
             self.api, self.clock, self.replica, self.reachability, lambda: 1
-        ).start()
+        )
+        self.watcher.start()
         self.gossip_later()
 
     def make_origins(self):
@@ -520,7 +521,8 @@
 
     def test_streams_go_on_after_other_daemons_have_ended(self, fleet):
         for id in list(fleet.daemons)[1:]:
-            del fleet.daemons[id]
+            # Its clock stands still from now on, so its watches would never wait.
+            fleet.daemons.pop(id).watcher.stop()
         streams = self.streams(fleet)
         assert fleet.resume(streams) == ["v1"] * len(streams)
         fleet.advance(10)
