Take header names from the adapter in the tool that measures versions

Cause: reading the change once more: version_delays spelled two of the platform's headers itself, though the soak takes them from platform/, and failed by an assertion where tools have ToolError.

Change: names and error type; no decision changes.

Result: test_store_treatments (7 tests), linter and types pass.

--- a/src/chivesaddle/tools/version_delays.py
+++ b/src/chivesaddle/tools/version_delays.py
@@ -18,6 +18,7 @@
 
 import typer
 
+from chivesaddle.platform.headers import REQUEST_ID, TIME_LIMIT
 from chivesaddle.tools.platform_fleet import (
     API_KEY,
     HOST_NAME,
@@ -26,7 +27,7 @@
     route,
 )
 from chivesaddle.tools.ports import free_ports
-from chivesaddle.tools.processes import wait_until
+from chivesaddle.tools.processes import ToolError, wait_until
 from chivesaddle.tools.store_proxy import StoreProxy, Treatment
 
 POLL_INTERVAL_S = 0.1
@@ -95,7 +96,8 @@
                 roles, since = current, time.monotonic()
             return time.monotonic() - since >= SETTLED_S
 
-        assert wait_until(is_settled, SETTLING_TIMEOUT_S), "The fleet did not settle"
+        if not wait_until(is_settled, SETTLING_TIMEOUT_S):
+            raise ToolError(f"The roles changed for {SETTLING_TIMEOUT_S:g} s")
 
     def working(self) -> list[str]:
         """Return the daemons that count themselves to the working ones."""
@@ -174,8 +176,8 @@
             writer.write(
                 f"GET {target} HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
                 f"Authorization: Bearer {API_KEY}\r\n"
-                f"X-Chivesaddle-Attempt-Identifier: delay-{self._requests}\r\n"
-                "X-Chivesaddle-Deadline-Milliseconds: 2000\r\n"
+                f"{REQUEST_ID.decode()}: delay-{self._requests}\r\n"
+                f"{TIME_LIMIT.decode()}: 2000\r\n"
                 "Content-Length: 0\r\n\r\n".encode()
             )
             status_line = await reader.readuntil(b"\r\n")
